Add the build, the kernel, the configuration model and the design page

The project starts empty. The kernel holds the clock interface, the verdict type, checked errors, the event loop on LMAX Disruptor and the plug-in registry.

--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/config/Pipeline.java
@@ -0,0 +1,17 @@
+package org.bulrushvale.decision.config;
+
+import java.util.List;
+
+/**
+ * An ordered list of stages.
+ *
+ * <p>Invariant: at least one stage; only the last may stream. Thread safety: immutable.
+ *
+ * @param name unique name
+ * @param stages stages in the order in which they run
+ */
+public record Pipeline(String name, List<Stage> stages) {
+    public Pipeline {
+        stages = List.copyOf(stages);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/bulrushvale/kernel/event/EventLoop.java
@@ -0,0 +1,162 @@
+package org.bulrushvale.kernel.event;
+
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.WaitStrategy;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The single writer of all decision state: one Disruptor ring with one consumer thread.
+ *
+ * <pre>{@code
+ * EventLoop loop = EventLoop.start("core", 4096);
+ * boolean accepted = loop.offer(() -> table.update(report));
+ * }</pre>
+ *
+ * <p>Invariant: tasks run one at a time, in the order in which they were accepted; a task that
+ * throws is logged and does not stop the loop.
+ *
+ * <p>Thread safety: all methods may be called from any thread.
+ */
+public final class EventLoop implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(EventLoop.class);
+    private static final Duration SHUTDOWN_TIMEOUT = Duration.ofSeconds(5);
+
+    private final Disruptor<TaskSlot> mDisruptor;
+    private final RingBuffer<TaskSlot> mRing;
+    private final ScheduledExecutorService mTimers;
+    private volatile @Nullable Thread mThread;
+
+    private EventLoop(String name, int capacity, WaitStrategy waitStrategy) {
+        mDisruptor =
+                new Disruptor<>(
+                        TaskSlot::new,
+                        capacity,
+                        task -> loopThread(name, task),
+                        ProducerType.MULTI,
+                        waitStrategy);
+        EventHandler<TaskSlot> handler = (slot, sequence, endOfBatch) -> slot.run();
+        mDisruptor.handleEventsWith(handler);
+        mRing = mDisruptor.start();
+        mTimers = Executors.newSingleThreadScheduledExecutor(task -> timerThread(name, task));
+    }
+
+    /** Starts a loop whose ring holds {@code capacity} tasks, a power of two. */
+    public static EventLoop start(String name, int capacity) {
+        return new EventLoop(name, capacity, new BlockingWaitStrategy());
+    }
+
+    private Thread loopThread(String name, Runnable task) {
+        Thread thread = new Thread(task, name + "-loop");
+        thread.setDaemon(true);
+        mThread = thread;
+        return thread;
+    }
+
+    private static Thread timerThread(String name, Runnable task) {
+        Thread thread = new Thread(task, name + "-timer");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Hands over a task; returns false, without blocking, when the ring is full. */
+    public boolean offer(Runnable task) {
+        return mRing.tryPublishEvent((slot, sequence) -> slot.set(task));
+    }
+
+    /**
+     * Hands over a task that must not be dropped; blocks while the ring is full. Must not be called
+     * from the loop's own thread, which would wait for itself; there the task runs at once.
+     */
+    public void execute(Runnable task) {
+        if (isLoopThread()) {
+            runSafely(task);
+            return;
+        }
+        mRing.publishEvent((slot, sequence) -> slot.set(task));
+    }
+
+    /** Runs a task on the loop after a delay. */
+    public Timer schedule(Duration delay, Runnable task) {
+        ScheduledFuture<?> future =
+                mTimers.schedule(() -> execute(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+        return () -> future.cancel(false);
+    }
+
+    /** Runs a task on the loop again and again, with a fixed delay between the hand-overs. */
+    public Timer scheduleEvery(Duration period, Runnable task) {
+        ScheduledFuture<?> future =
+                mTimers.scheduleWithFixedDelay(
+                        () -> execute(task),
+                        period.toNanos(),
+                        period.toNanos(),
+                        TimeUnit.NANOSECONDS);
+        return () -> future.cancel(false);
+    }
+
+    /** Returns true on the loop's own thread. */
+    public boolean isLoopThread() {
+        return Thread.currentThread() == mThread;
+    }
+
+    /** Returns the number of free slots in the ring. */
+    public long remainingCapacity() {
+        return mRing.remainingCapacity();
+    }
+
+    @Override
+    public void close() {
+        mTimers.shutdownNow();
+        try {
+            mDisruptor.shutdown(SHUTDOWN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (com.lmax.disruptor.TimeoutException e) {
+            LOG.warnf("event loop still had tasks after %s", SHUTDOWN_TIMEOUT);
+            mDisruptor.halt();
+        }
+    }
+
+    private static void runSafely(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.error("task failed on the event loop", e);
+        }
+    }
+
+    /** Cancels a scheduled task. */
+    @FunctionalInterface
+    public interface Timer {
+        /** Cancels the task; has no effect on a task that already runs. */
+        void cancel();
+    }
+
+    /**
+     * One slot of the ring.
+     *
+     * <p>Thread safety: written by a producer before publication, read by the loop after it.
+     */
+    private static final class TaskSlot {
+        private @Nullable Runnable mTask;
+
+        void set(Runnable task) {
+            mTask = task;
+        }
+
+        void run() {
+            Runnable task = mTask;
+            mTask = null;
+            if (task != null) {
+                runSafely(task);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/bulrushvale/kernel/event/package-info.java
@@ -0,0 +1,2 @@
+/** The single-writer event loop. */
+package org.bulrushvale.kernel.event;
--- /dev/null
+++ b/kernel/src/main/java/org/bulrushvale/kernel/id/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers. */
+package org.bulrushvale.kernel.id;
--- /dev/null
+++ b/kernel/src/main/java/org/bulrushvale/kernel/package-info.java
@@ -0,0 +1,2 @@
+/** The kernel: time, verdicts, identifiers, the event loop and the plug-in registry. */
+package org.bulrushvale.kernel;
--- /dev/null
+++ b/kernel/src/main/java/org/bulrushvale/kernel/plugin/package-info.java
@@ -0,0 +1,2 @@
+/** Plug-ins that register themselves. */
+package org.bulrushvale.kernel.plugin;
--- /dev/null
+++ b/kernel/src/main/java/org/bulrushvale/kernel/time/package-info.java
@@ -0,0 +1,2 @@
+/** Monotonic and wall-clock time, passed in as an interface. */
+package org.bulrushvale.kernel.time;
--- /dev/null
+++ b/kernel/src/main/java/org/bulrushvale/kernel/verdict/BulrushvaleException.java
@@ -0,0 +1,47 @@
+package org.bulrushvale.kernel.verdict;
+
+/**
+ * Checked base of the system's errors: a code, a verdict and a detail for the caller.
+ *
+ * <p>Invariant: the detail holds no secret and no request body. Thread safety: immutable.
+ */
+public class BulrushvaleException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private final ErrorCode mCode;
+    private final Verdict mVerdict;
+
+    /** Creates an error whose detail may be shown to the caller. */
+    public BulrushvaleException(ErrorCode code, Verdict verdict, String detail) {
+        super(detail);
+        mCode = code;
+        mVerdict = verdict;
+    }
+
+    /** Returns the error code. */
+    public final ErrorCode code() {
+        return mCode;
+    }
+
+    /** Returns whether the request may have run. */
+    public final Verdict verdict() {
+        return mVerdict;
+    }
+
+    /** Returns the detail without the class name. */
+    public final String detail() {
+        return String.valueOf(getMessage());
+    }
+
+    /**
+     * Returns what the caller may do next. Work that may have run is only retried blindly when it
+     * is idempotent.
+     */
+    public final Advice advice(boolean idempotent) {
+        Advice advice = mCode.defaultAdvice();
+        if (advice == Advice.RETRY && !idempotent && !mVerdict.isSafeToRepeat()) {
+            return Advice.CHECK_BEFORE_RETRY;
+        }
+        return advice;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/bulrushvale/kernel/verdict/ErrorCode.java
@@ -0,0 +1,66 @@
+package org.bulrushvale.kernel.verdict;
+
+/**
+ * The error codes of the system, with their HTTP status, title and default advice.
+ *
+ * <p>Invariant: codes are part of the caller's interface and are never renamed. Thread safety:
+ * immutable.
+ */
+public enum ErrorCode {
+    MALFORMED_REQUEST(400, "Malformed request", Advice.FIX_REQUEST),
+    UNAUTHORIZED(401, "Workspace token missing or wrong", Advice.FIX_REQUEST),
+    FORBIDDEN(403, "Not allowed", Advice.FIX_REQUEST),
+    UNKNOWN_CLASS(404, "Unknown class", Advice.FIX_REQUEST),
+    UNKNOWN_WORKSPACE(404, "Unknown workspace", Advice.FIX_REQUEST),
+    NOT_FOUND(404, "Not found", Advice.FIX_REQUEST),
+    REQUEST_TIMEOUT(408, "Request not received in time", Advice.RETRY),
+    KEY_REQUIRED(400, "Idempotency key required", Advice.FIX_REQUEST),
+    KEY_INVALID(400, "Idempotency key was not issued by this fleet", Advice.FIX_REQUEST),
+    KEY_CONFLICT(409, "Idempotency key used with another body", Advice.FIX_REQUEST),
+    KEY_EXPIRED(410, "Idempotency key expired", Advice.CHECK_BEFORE_RETRY),
+    KEY_HOLDER_LOST(503, "Holder of the idempotency key is gone", Advice.CHECK_BEFORE_RETRY),
+    KEY_HOLDER_UNREACHABLE(503, "Holder of the idempotency key unreachable", Advice.RETRY_SAME_KEY),
+    OUTCOME_UNKNOWN(503, "Outcome unknown", Advice.CHECK_BEFORE_RETRY),
+    BODY_TOO_LARGE(413, "Body too large", Advice.FIX_REQUEST),
+    DEADLINE_INVALID(400, "Deadline invalid", Advice.FIX_REQUEST),
+    DEADLINE_EXCEEDED(504, "Deadline exceeded", Advice.RETRY),
+    DEADLINE_UNREACHABLE(503, "Deadline cannot be met", Advice.RETRY),
+    OVERLOADED(429, "Overloaded", Advice.RETRY),
+    NO_BACKEND(503, "No backend server available", Advice.RETRY),
+    BACKEND_FAILED(502, "Backend server failed", Advice.RETRY),
+    POISON(422, "Request content crashes backend servers", Advice.DO_NOT_RETRY),
+    ISOLATED(503, "Entry is cut off from the fleet", Advice.RETRY),
+    NOT_CONFIGURED(503, "No published configuration yet", Advice.RETRY),
+    DRAINING(503, "Entry is shutting down", Advice.RETRY),
+    CANCELLED(499, "Cancelled by the caller", Advice.DO_NOT_RETRY),
+    CONFIG_INVALID(422, "Configuration invalid", Advice.FIX_REQUEST),
+    PEER_REJECTED(403, "Peer rejected", Advice.FIX_REQUEST),
+    FRAME_INVALID(400, "Peer frame invalid", Advice.FIX_REQUEST),
+    UPSTREAM_UNAVAILABLE(503, "Platform service unavailable", Advice.RETRY),
+    INTERNAL(500, "Internal error", Advice.CHECK_BEFORE_RETRY);
+
+    private final int mHttpStatus;
+    private final String mTitle;
+    private final Advice mAdvice;
+
+    ErrorCode(int httpStatus, String title, Advice advice) {
+        mHttpStatus = httpStatus;
+        mTitle = title;
+        mAdvice = advice;
+    }
+
+    /** Returns the HTTP status code. */
+    public int httpStatus() {
+        return mHttpStatus;
+    }
+
+    /** Returns the title of the problem body. */
+    public String title() {
+        return mTitle;
+    }
+
+    /** Returns the advice given unless the verdict calls for a stricter one. */
+    public Advice defaultAdvice() {
+        return mAdvice;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/bulrushvale/kernel/verdict/Verdict.java
@@ -0,0 +1,37 @@
+package org.bulrushvale.kernel.verdict;
+
+/**
+ * States whether a request, or one attempt of it, may have run on a backend server.
+ *
+ * <p>Invariant: the constants are ordered by how much may have happened, so that the verdict of a
+ * request is the greatest verdict of its attempts.
+ *
+ * <pre>{@code
+ * Verdict request = Verdict.NOT_RUN.and(Verdict.MAY_HAVE_RUN); // MAY_HAVE_RUN
+ * }</pre>
+ *
+ * <p>Thread safety: immutable.
+ */
+public enum Verdict {
+    /** No backend server has started the work, and none will. */
+    NOT_RUN {
+        @Override
+        public boolean isSafeToRepeat() {
+            return true;
+        }
+    },
+    /** It is not known whether a backend server ran the work. */
+    MAY_HAVE_RUN,
+    /** A backend server ran the work. */
+    RAN;
+
+    /** Returns true when even a non-idempotent request may be sent again. */
+    public boolean isSafeToRepeat() {
+        return false;
+    }
+
+    /** Returns the joint verdict of two attempts of one request. */
+    public Verdict and(Verdict other) {
+        return compareTo(other) >= 0 ? this : other;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/bulrushvale/kernel/verdict/package-info.java
@@ -0,0 +1,2 @@
+/** Verdicts, advice and checked errors. */
+package org.bulrushvale.kernel.verdict;
