Add verdicts of attempts and requests

Callers may only repeat a non-idempotent request when its refusal is proven, so the verdict must come from one state machine instead of from each adapter.

--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/outcome/package-info.java
@@ -0,0 +1,2 @@
+/** Verdicts of attempts and of whole requests. */
+package org.bulrushvale.decision.outcome;
