Add idempotency keys, their records and the handover of a key space

A non-idempotent request must run at most once in a fleet that has no disks and no consensus. Each key names the incarnation that issued it, and only the one process that holds that incarnation's space may run it. KeyLedger records what was presented; KeySpaces routes keys and adopts spaces; KeyHandover moves a space once, to one incarnation of one successor.

Taking a space back after a refused offer was ruled out: a late duplicate of the same offer could still be adopted. Dropping the list of spaces ever held was ruled out too: a successor that passed a space on would adopt it again from a duplicate.

--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/keys/KeyRecord.java
@@ -0,0 +1,25 @@
+package org.bulrushvale.decision.keys;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a key space records of one presented key.
+ *
+ * <p>Invariant: the outcome is null while the request runs and is never {@code NOT_RUN}. Thread
+ * safety: immutable.
+ *
+ * @param sequence number of the key within its space
+ * @param issuedMillis issue time on the clock of the space
+ * @param body fingerprint of the request that runs or ran under the key
+ * @param outcome how the run ended, or null while it runs
+ */
+record KeyRecord(
+        long sequence, long issuedMillis, BodyFingerprint body, @Nullable KeyOutcome outcome) {
+    KeyRecord withOutcome(KeyOutcome ended) {
+        return new KeyRecord(sequence, issuedMillis, body, ended);
+    }
+
+    int outputChars() {
+        return outcome == null || outcome.output() == null ? 0 : outcome.output().length();
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/keys/IdempotencyKeyTest.java
@@ -0,0 +1,77 @@
+package org.bulrushvale.decision.keys;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against keys that are accepted although this fleet never issued them. */
+public class IdempotencyKeyTest {
+    private static final KeySecret SECRET = KeySecret.of(new byte[32]);
+    private static final String KEY = key();
+
+    private static String key() {
+        ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+        KeySpaces spaces = KeySpaces.create(0xabcL, SECRET, clock, KeyMemory.limitedTo(9, 9));
+        clock.advance(Duration.ofMillis(1_234));
+        spaces.issuer().issue("granite", "seat-booking");
+        return spaces.issuer().issue("granite", "seat-booking").toString();
+    }
+
+    @Test
+    public void an_issued_key_is_parsed_back() throws BulrushvaleException {
+        IdempotencyKey key = IdempotencyKey.parse(KEY, SECRET, "granite", "seat-booking");
+        assertThat(KEY).startsWith("v1.0000000000000abc.1.1234.").hasSizeLessThan(160);
+        assertThat(key.incarnation()).isEqualTo(0xabc);
+        assertThat(key.sequence()).isEqualTo(1);
+        assertThat(key.issuedMillis()).isEqualTo(1_234);
+        assertThat(key).hasToString(KEY);
+    }
+
+    @DataProvider
+    public Object[][] rejected() {
+        return new Object[][] {
+            {"", "granite", "seat-booking"},
+            {"x".repeat(100_000), "granite", "seat-booking"},
+            {KEY + "A", "granite", "seat-booking"},
+            {KEY.replace(".1.1234.", ".01.1234."), "granite", "seat-booking"},
+            {KEY.replace(".1.1234.", ".99999999999999999999.1234."), "granite", "seat-booking"},
+            {KEY, "ghiacciolago", "seat-booking"},
+            {KEY, "granite", "venue-roster"},
+        };
+    }
+
+    @Test(dataProvider = "rejected")
+    public void a_key_of_wrong_form_or_binding_is_invalid_and_not_run(
+            String text, String workspace, String workClass) {
+        assertInvalid(text, workspace, workClass);
+    }
+
+    @Test
+    public void a_change_of_any_character_is_detected() {
+        // The last character of 43 carries only four significant bits, so a strict comparison of
+        // the text is needed to reject other spellings of the same HMAC.
+        for (int i = 0; i < KEY.length(); i++) {
+            char other = KEY.charAt(i) == 'b' ? 'c' : 'b';
+            assertInvalid(
+                    KEY.substring(0, i) + other + KEY.substring(i + 1), "granite", "seat-booking");
+        }
+    }
+
+    private static void assertInvalid(String text, String workspace, String workClass) {
+        assertThatThrownBy(() -> IdempotencyKey.parse(text, SECRET, workspace, workClass))
+                .isInstanceOfSatisfying(
+                        BulrushvaleException.class,
+                        e -> {
+                            assertThat(e.code()).isEqualTo(ErrorCode.KEY_INVALID);
+                            assertThat(e.verdict()).isEqualTo(Verdict.NOT_RUN);
+                        });
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/keys/KeyLedgerTest.java
@@ -0,0 +1,171 @@
+package org.bulrushvale.decision.keys;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.bulrushvale.decision.keys.KeyDecision.Kind;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.testng.annotations.Test;
+
+/** Guards against a second run of a key, a lost result and unbounded records. */
+public class KeyLedgerTest {
+    private static final KeySecret SECRET = KeySecret.of(new byte[32]);
+    private static final BodyFingerprint BODY = body("a");
+    private static final BodyFingerprint OTHER = body("b");
+    private static final long SEED = 20_261_204L;
+
+    private final ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
+
+    private static BodyFingerprint body(String text) {
+        return BodyFingerprint.of("w", "c", text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    private KeySpaces spaces(int records, long chars) {
+        return KeySpaces.create(7, SECRET, mClock, KeyMemory.limitedTo(records, chars));
+    }
+
+    private static KeyLedger ledger(KeySpaces spaces, IdempotencyKey key) {
+        return ((KeyRoute.Local) spaces.route(key)).ledger();
+    }
+
+    @Test
+    public void a_second_presentation_joins_then_replays_and_another_body_conflicts() {
+        KeySpaces spaces = spaces(10, 100);
+        IdempotencyKey key = spaces.issuer().issue("w", "c");
+        KeyLedger ledger = ledger(spaces, key);
+        assertThat(ledger.present(key, BODY).kind()).isEqualTo(Kind.RUN);
+        assertThat(ledger.present(key, BODY).kind()).isEqualTo(Kind.JOIN);
+        assertThat(ledger.present(key, OTHER).kind()).isEqualTo(Kind.CONFLICT);
+        ledger.finish(key, KeyOutcome.done(200, "answer"));
+        assertThat(ledger.present(key, BODY).outcome()).isEqualTo(KeyOutcome.done(200, "answer"));
+        assertThat(ledger.present(key, OTHER).kind()).isEqualTo(Kind.CONFLICT);
+    }
+
+    @Test
+    public void a_proven_not_run_frees_the_key_and_an_unknown_outcome_never_does() {
+        KeySpaces spaces = spaces(10, 100);
+        IdempotencyKey key = spaces.issuer().issue("w", "c");
+        KeyLedger ledger = ledger(spaces, key);
+        ledger.present(key, BODY);
+        ledger.finish(key, KeyOutcome.notRun());
+        assertThat(ledger.present(key, OTHER).kind()).isEqualTo(Kind.RUN);
+        ledger.finish(key, KeyOutcome.unknown());
+        ledger.finish(key, KeyOutcome.notRun());
+        assertThat(ledger.present(key, OTHER).kind()).isEqualTo(Kind.UNKNOWN_OUTCOME);
+    }
+
+    @Test
+    public void records_outputs_and_table_are_bounded() {
+        KeyMemory memory = KeyMemory.limitedTo(2, 5);
+        KeySpaces spaces = KeySpaces.create(7, SECRET, mClock, memory);
+        KeyLedger ledger = ledger(spaces, spaces.issuer().issue("w", "c"));
+        for (String output : new String[] {"four", "more"}) {
+            IdempotencyKey key = spaces.issuer().issue("w", "c");
+            ledger.present(key, BODY);
+            ledger.finish(key, KeyOutcome.done(200, output));
+        }
+        IdempotencyKey third = spaces.issuer().issue("w", "c");
+        assertThat(ledger.present(third, BODY).kind()).isEqualTo(Kind.TABLE_FULL);
+        assertThat(memory.outputChars()).isEqualTo(4);
+        // when the records have outlived their keys
+        mClock.advance(Duration.ofMinutes(31));
+        assertThat(ledger.present(third, BODY).kind()).isEqualTo(Kind.EXPIRED);
+        assertThat(memory.records()).isZero();
+        assertThat(memory.outputChars()).isZero();
+        assertThat(KeyOutcome.done(200, "x".repeat(16 * 1024 + 1)).output()).isNull();
+    }
+
+    @Test
+    public void a_request_that_outlives_its_record_time_is_still_joined() {
+        KeySpaces spaces = spaces(10, 100);
+        IdempotencyKey key = spaces.issuer().issue("w", "c");
+        KeyLedger ledger = ledger(spaces, key);
+        ledger.present(key, BODY);
+        mClock.advance(Duration.ofHours(1));
+        assertThat(ledger.present(key, BODY).kind()).isEqualTo(Kind.JOIN);
+        ledger.finish(key, KeyOutcome.done(200, "late"));
+        assertThat(ledger.present(key, BODY).kind()).isEqualTo(Kind.EXPIRED);
+    }
+
+    @Test
+    public void random_histories_agree_with_a_model_that_forgets_nothing() {
+        System.out.println("seed " + SEED);
+        SplittableRandom random = new SplittableRandom(SEED);
+        for (int round = 0; round < 300; round++) {
+            KeySpaces spaces = spaces(1_000, 1_000_000);
+            IdempotencyKey[] keys = new IdempotencyKey[6];
+            Map<Integer, Model> model = new HashMap<>();
+            for (int step = 0; step < 200; step++) {
+                int i = random.nextInt(keys.length);
+                if (keys[i] == null || random.nextInt(40) == 0) {
+                    keys[i] = spaces.issuer().issue("w", "c");
+                    model.put(i, new Model(mClock.monotonicNanos()));
+                }
+                step(ledger(spaces, keys[i]), keys[i], model.get(i), random);
+                mClock.advance(Duration.ofSeconds(random.nextInt(120)));
+            }
+        }
+    }
+
+    private void step(KeyLedger ledger, IdempotencyKey key, Model model, SplittableRandom random) {
+        int choice = random.nextInt(6);
+        if (choice < 4) {
+            BodyFingerprint body = random.nextInt(4) == 0 ? OTHER : BODY;
+            Kind expected = model.present(body, mClock.elapsedSince(model.mIssued).toMillis());
+            assertThat(ledger.present(key, body).kind()).isEqualTo(expected);
+        } else {
+            KeyOutcome outcome =
+                    switch (random.nextInt(3)) {
+                        case 0 -> KeyOutcome.done(200, "x");
+                        case 1 -> KeyOutcome.unknown();
+                        default -> KeyOutcome.notRun();
+                    };
+            ledger.finish(key, outcome);
+            model.finish(outcome.kind());
+        }
+    }
+
+    /** Naive model of one key: keeps everything and computes the answer from ages. */
+    private static final class Model {
+        private final long mIssued;
+        private BodyFingerprint mBody;
+        private KeyOutcome.Kind mEnd;
+
+        Model(long issued) {
+            mIssued = issued;
+        }
+
+        Kind present(BodyFingerprint body, long ageMillis) {
+            boolean running = mBody != null && mEnd == null;
+            if (mBody != null && (running || ageMillis <= 30 * 60_000)) {
+                if (!mBody.equals(body)) {
+                    return Kind.CONFLICT;
+                }
+                return running
+                        ? Kind.JOIN
+                        : mEnd == KeyOutcome.Kind.DONE ? Kind.REPLAY : Kind.UNKNOWN_OUTCOME;
+            }
+            if (ageMillis > 15 * 60_000) {
+                return Kind.EXPIRED;
+            }
+            mBody = body;
+            mEnd = null;
+            return Kind.RUN;
+        }
+
+        void finish(KeyOutcome.Kind kind) {
+            if (mBody == null || mEnd != null) {
+                return;
+            }
+            mEnd = kind;
+            if (kind == KeyOutcome.Kind.NOT_RUN) {
+                mBody = null;
+                mEnd = null;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/keys/KeySpacesTest.java
@@ -0,0 +1,123 @@
+package org.bulrushvale.decision.keys;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import org.bulrushvale.decision.keys.KeyDecision.Kind;
+import org.bulrushvale.decision.keys.KeySpaces.Adoption;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.testng.annotations.Test;
+
+/** Guards against two holders of one key space and against records lost in a handover. */
+public class KeySpacesTest {
+    private static final KeySecret SECRET = KeySecret.of(new byte[32]);
+    private static final BodyFingerprint BODY = new BodyFingerprint(1, 2);
+
+    private final ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
+    private final ManualClock mOtherClock = ManualClock.startingAt(Instant.EPOCH);
+
+    private KeySpaces spaces(long incarnation) {
+        return KeySpaces.create(incarnation, SECRET, mClock, KeyMemory.limitedTo(30_000, 3 << 20));
+    }
+
+    private static KeyLedger local(KeySpaces spaces, IdempotencyKey key) {
+        return ((KeyRoute.Local) spaces.route(key)).ledger();
+    }
+
+    @Test
+    public void a_handed_over_space_replays_at_the_successor_and_runs_nothing_at_the_holder()
+            throws BulrushvaleException {
+        // given
+        KeySpaces a = spaces(1);
+        KeySpaces b = KeySpaces.create(2, SECRET, mOtherClock, KeyMemory.limitedTo(10, 100));
+        IdempotencyKey done = a.issuer().issue("w", "c");
+        IdempotencyKey running = a.issuer().issue("w", "c");
+        IdempotencyKey fresh = a.issuer().issue("w", "c");
+        KeyLedger ledger = local(a, done);
+        ledger.present(done, BODY);
+        ledger.finish(done, KeyOutcome.done(200, "già fatto"));
+        ledger.present(running, BODY);
+        // when
+        KeyHandover handover = a.beginHandover(1);
+        assertThat(handover.isReady()).isFalse();
+        assertThat(ledger.present(fresh, BODY).kind()).isEqualTo(Kind.DRAINING);
+        KeyOffer offer = a.offer(1, "vm-b", 2).orElseThrow();
+        mOtherClock.advance(Duration.ofMinutes(16));
+        assertThat(b.adopt(KeyOffer.decode(offer.encode()))).isEqualTo(Adoption.ADOPTED);
+        // then
+        assertThat(ledger.present(fresh, BODY).kind()).isEqualTo(Kind.NOT_HELD);
+        assertThat(a.route(fresh)).isEqualTo(new KeyRoute.Peer("vm-b"));
+        assertThat(local(b, done).present(done, BODY).outcome())
+                .isEqualTo(KeyOutcome.done(200, "già fatto"));
+        assertThat(local(b, done).present(running, BODY).kind()).isEqualTo(Kind.UNKNOWN_OUTCOME);
+        assertThat(local(b, done).present(fresh, BODY).kind()).isEqualTo(Kind.RUN);
+    }
+
+    @Test
+    public void only_one_successor_is_ever_offered_a_space() {
+        KeySpaces a = spaces(1);
+        KeyOffer offer = a.offer(1, "vm-b", 2).orElseThrow();
+        assertThat(a.offer(1, "vm-c", 3)).isEmpty();
+        assertThat(a.offer(1, "vm-b", 2)).contains(offer);
+        a.acknowledge(1, 2);
+        assertThat(a.offer(1, "vm-b", 2)).isEmpty();
+        assertThat(a.held()).isEmpty();
+    }
+
+    @Test
+    public void a_late_duplicate_is_not_adopted_after_the_successor_passed_the_space_on() {
+        // given
+        KeyOffer offer = spaces(1).offer(1, "vm-b", 2).orElseThrow();
+        KeySpaces b = spaces(2);
+        KeySpaces c = spaces(3);
+        assertThat(b.adopt(offer)).isEqualTo(Adoption.ADOPTED);
+        assertThat(c.adopt(b.offer(1, "vm-c", 3).orElseThrow())).isEqualTo(Adoption.ADOPTED);
+        // then
+        assertThat(b.adopt(offer)).isEqualTo(Adoption.DUPLICATE);
+        assertThat(b.held()).containsExactly(2L);
+        assertThat(c.held()).containsExactly(3L, 1L);
+    }
+
+    @Test
+    public void a_restarted_successor_does_not_adopt_what_was_offered_to_its_predecessor() {
+        KeyOffer offer = spaces(1).offer(1, "vm-b", 2).orElseThrow();
+        assertThat(spaces(22).adopt(offer)).isEqualTo(Adoption.WRONG_INCARNATION);
+    }
+
+    @Test
+    public void a_space_without_a_known_holder_is_lost_and_gossip_locates_it() {
+        KeySpaces a = spaces(1);
+        IdempotencyKey key = spaces(9).issuer().issue("w", "c");
+        assertThat(a.route(key)).isEqualTo(new KeyRoute.Lost());
+        a.learnHeld("vm-b", List.of(2L, 9L));
+        a.learnHeld("vm-c", List.of(9L));
+        assertThat(a.route(key)).isEqualTo(new KeyRoute.Peer("vm-c"));
+        a.learnHeld("vm-b", List.of(2L));
+        assertThat(a.route(key)).isEqualTo(new KeyRoute.Peer("vm-c"));
+        a.forget("vm-c");
+        assertThat(a.route(key)).isEqualTo(new KeyRoute.Lost());
+    }
+
+    @Test
+    public void a_full_space_fits_into_a_frame_and_a_damaged_offer_is_rejected() {
+        KeySpaces a = spaces(1);
+        for (int i = 0; i < KeyLedger.MAX_RECORDS; i++) {
+            IdempotencyKey key = a.issuer().issue("w", "c");
+            local(a, key).present(key, BODY);
+            local(a, key).finish(key, KeyOutcome.done(200, "x".repeat(100)));
+        }
+        byte[] bytes = a.offer(1, "vm-b", 2).orElseThrow().encode();
+        assertThat(bytes.length).isBetween(900_000, KeyOffer.MAX_ENCODED_BYTES);
+        byte[] truncated = Arrays.copyOf(bytes, bytes.length - 1);
+        byte[] surplus = Arrays.copyOf(bytes, bytes.length + 1);
+        for (byte[] damaged : new byte[][] {truncated, surplus, new byte[] {9}, new byte[0]}) {
+            assertThatThrownBy(() -> KeyOffer.decode(damaged))
+                    .isInstanceOf(BulrushvaleException.class);
+        }
+    }
+}
