Add membership: VM list, peer table, gossip plan and isolation rule

Entries need monotone views with confirmation ages, and a choice of readers and gossip peers whose cost does not grow with the fleet. Rendezvous hashing over the published list was chosen over a ring because removing one VM moves only the keys of that VM. Messages of a replaced incarnation are ignored, so a delayed frame cannot bring back the state of a dead process.

--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/membership/MembershipTest.java
@@ -0,0 +1,119 @@
+package org.bulrushvale.decision.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.bulrushvale.decision.membership.PeerTable.PeerReport;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.testng.annotations.Test;
+
+/** Guards against views that move backwards and against wrong counts of reachable peers. */
+public class MembershipTest {
+    private static final Duration LIMIT = Duration.ofSeconds(4);
+    private static final long SEED = 20_260_104L;
+
+    private static VmList list(long version, int count) {
+        return VmList.of(
+                version,
+                IntStream.range(0, count)
+                        .mapToObj(i -> new Vm("vm" + i, "10.0.0." + i, 9, "d" + i % 3, "r", false))
+                        .toList());
+    }
+
+    private static PeerReport report(String incarnation, long revision) {
+        return new PeerReport(incarnation, revision, 1, false);
+    }
+
+    @Test
+    public void removing_a_candidate_moves_only_its_own_keys() {
+        List<String> all = list(1, 9).liveNames();
+        List<String> fewer = new ArrayList<>(all);
+        fewer.remove("vm4");
+        for (int key = 0; key < 1_000; key++) {
+            String before = Rendezvous.winner("k" + key, all).orElseThrow();
+            String after = Rendezvous.winner("k" + key, fewer).orElseThrow();
+            assertThat(before.equals("vm4") || before.equals(after)).isTrue();
+            assertThat(Rendezvous.ranked("k" + key, all).get(0)).isEqualTo(before);
+        }
+    }
+
+    @Test
+    public void a_list_never_reverts_and_only_its_own_version_confirms_it() {
+        ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+        VmListStore store = VmListStore.empty(clock);
+        assertThat(store.offer(list(5, 3), Duration.ZERO)).isTrue();
+        clock.advance(Duration.ofSeconds(5));
+        assertThat(store.offer(list(4, 2), Duration.ZERO)).isFalse();
+        assertThat(store.offer(list(5, 2), Duration.ZERO)).isFalse();
+        assertThat(store.confirm(6, Duration.ZERO)).isFalse();
+        assertThat(store.rejectedCount()).isEqualTo(2);
+        View<VmList> stale = store.view().orElseThrow();
+        assertThat(stale.isOlderThan(LIMIT, clock.monotonicNanos())).isTrue();
+        store.offer(list(5, 3), Duration.ofSeconds(1));
+        assertThat(store.view().orElseThrow().age(clock.monotonicNanos())).hasSeconds(1);
+    }
+
+    @Test
+    public void a_replaced_incarnation_does_not_come_back() {
+        PeerTable table = new PeerTable();
+        assertThat(table.heard("vm1", report("a", 7), 0)).isTrue();
+        assertThat(table.heard("vm1", report("b", 3), 1)).isTrue();
+        assertThat(table.heard("vm1", report("a", 7), 2)).isFalse();
+        assertThat(table.heard("vm1", report("b", 2), 3)).isTrue();
+        assertThat(table.peer("vm1").orElseThrow().report().configRevision()).isEqualTo(3);
+    }
+
+    @Test
+    public void one_round_of_gossip_reaches_every_peer_and_fetches_from_the_newest() {
+        VmList list = list(1, 330);
+        GossipPlan plan = GossipPlan.create("vm0", SEED);
+        plan.peers(list.liveNames());
+        Set<String> reached = new HashSet<>();
+        for (int tick = 0; tick < 83; tick++) {
+            List<String> chosen = plan.tick();
+            assertThat(chosen).hasSize(4).doesNotHaveDuplicates().doesNotContain("vm0");
+            reached.addAll(chosen);
+        }
+        assertThat(reached).hasSize(329);
+        PeerTable table = new PeerTable();
+        table.heard("vm1", report("a", 8), 0);
+        table.heard("vm2", report("b", 9), 0);
+        assertThat(plan.fetchFrom(table, 7, Set.of(), LIMIT, 0)).contains("vm2");
+        assertThat(plan.fetchFrom(table, 7, Set.of("vm2"), LIMIT, 0)).contains("vm1");
+        assertThat(plan.fetchFrom(table, 9, Set.of(), LIMIT, 0)).isEmpty();
+        assertThat(plan.push(table, 9)).hasSize(4).doesNotContain("vm2");
+    }
+
+    @Test
+    public void three_vms_per_failure_domain_read_the_service() {
+        VmList list = list(1, 330);
+        long readers =
+                list.liveNames().stream().filter(vm -> ReaderSelection.isReader(list, vm)).count();
+        assertThat(readers).isEqualTo(9);
+        assertThat(ReaderSelection.isReader(VmList.empty(), "vm0")).isTrue();
+        assertThat(ReaderSelection.isReader(list, "unlisted")).isFalse();
+    }
+
+    @Test
+    public void exactly_half_of_the_listed_vms_is_not_enough() {
+        VmList list = list(1, 8);
+        PeerTable table = new PeerTable();
+        long now = Duration.ofSeconds(10).toNanos();
+        Duration down = Duration.ofSeconds(5);
+        for (int i = 1; i <= 3; i++) {
+            table.heard("vm" + i, report("i", 1), now - LIMIT.toNanos());
+        }
+        table.heard("unlisted", report("i", 1), now);
+        table.heard("vm5", report("i", 1), now - LIMIT.toNanos() - 1);
+        assertThat(IsolationRule.isIsolated(down, list, "vm0", table, now)).isTrue();
+        assertThat(IsolationRule.isIsolated(LIMIT, list, "vm0", table, now)).isFalse();
+        table.heard("vm4", report("i", 1), now);
+        assertThat(IsolationRule.isIsolated(down, list, "vm0", table, now)).isFalse();
+    }
+}
