Add the warm-up limits for cold backend servers

A server that has just started must not receive more than it can handle, summed over the fleet, without a vote.

--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/warmup/LoadReport.java
@@ -0,0 +1,23 @@
+package org.bulrushvale.decision.warmup;
+
+/**
+ * What a backend server says about its load.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @param server name of the server
+ * @param epoch changes when the server process restarts
+ * @param warm true when the server says that it is warm
+ * @param slots concurrent requests when warm, 0 when not reported
+ * @param bearable concurrent requests when cold, 0 when not reported
+ * @param running requests that run, from all entries
+ * @param queued requests that wait in the server
+ */
+public record LoadReport(
+        String server,
+        String epoch,
+        boolean warm,
+        int slots,
+        int bearable,
+        int running,
+        int queued) {}
