--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/retry/PoisonTableTest.java
@@ -0,0 +1,132 @@
+package org.bulrushvale.decision.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.testng.annotations.Test;
+
+/** Guards against poison that spreads and against innocents that are blamed for it. */
+public class PoisonTableTest {
+    private static final Fingerprint POISON = Fingerprint.of("w", "poison");
+    private static final int SEEDS = 500;
+
+    private final ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
+
+    @Test
+    public void poison_crashes_two_servers_and_its_neighbours_complete() {
+        System.out.println("PoisonTableTest: seeds 0.." + (SEEDS - 1));
+        for (long seed = 0; seed < SEEDS; seed++) {
+            // given poison among other requests, spread over 4 servers; sent again after the end
+            PoisonTable table = new PoisonTable(mClock);
+            SplittableRandom random = new SplittableRandom(seed);
+            List<Fingerprint> waiting = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                waiting.add(Fingerprint.of("w", "seed " + seed + " innocent " + i));
+            }
+            waiting.add(random.nextInt(waiting.size()), POISON);
+            int crashes = 0;
+            // when
+            for (int round = 0; round < 200 && !waiting.isEmpty(); round++) {
+                String poisoned = "";
+                List<List<Fingerprint>> servers = new ArrayList<>();
+                for (int s = 0; s < 4; s++) {
+                    List<Fingerprint> running = new ArrayList<>();
+                    for (Fingerprint content : List.copyOf(waiting)) {
+                        if (running.size() < 3 && table.mayStart(content, "s" + s)) {
+                            table.onStarted(content, "s" + s);
+                            running.add(content);
+                            waiting.remove(content);
+                            poisoned = content.equals(POISON) ? "s" + s : poisoned;
+                        }
+                    }
+                    servers.add(running);
+                }
+                for (int s = 0; s < 4; s++) {
+                    String server = "s" + s;
+                    if (server.equals(poisoned)) {
+                        crashes++;
+                        table.onCrash(server, "epoch" + round);
+                        waiting.addAll(servers.get(s));
+                        continue;
+                    }
+                    for (Fingerprint content : servers.get(s)) {
+                        table.onEnded(content, server);
+                        table.onCompleted(content);
+                        assertThat(table.isSuspect(content)).isFalse();
+                    }
+                }
+            }
+            // then
+            assertThat(crashes).as("seed %d", seed).isEqualTo(2);
+            assertThat(waiting).as("seed %d", seed).containsExactly(POISON);
+            assertThat(table.isPoison(POISON)).isTrue();
+        }
+    }
+
+    @Test
+    public void crashes_seen_by_two_entries_convict_together_and_only_once() {
+        // given
+        PoisonTable first = new PoisonTable(mClock);
+        PoisonTable second = new PoisonTable(mClock);
+        first.onStarted(POISON, "a");
+        second.onStarted(POISON, "a");
+        // when both saw the same crash
+        first.onCrash("a", "1");
+        second.merge(first.records());
+        second.onCrash("a", "1");
+        assertThat(second.isPoison(POISON)).as("one crash, two reports").isFalse();
+        // when the caller sends it again through the second entry
+        second.onStarted(POISON, "b");
+        second.onCrash("b", "1");
+        // then
+        assertThat(first.merge(second.records())).containsExactly(POISON);
+    }
+
+    @Test
+    public void cleared_suspicion_does_not_return_from_a_peer() {
+        // given
+        PoisonTable table = new PoisonTable(mClock);
+        table.onStarted(POISON, "a");
+        List<PoisonRecord> old = table.onCrash("a", "1");
+        // when
+        table.onCompleted(POISON);
+        table.merge(old);
+        // then
+        assertThat(table.isSuspect(POISON)).isFalse();
+    }
+
+    @Test
+    public void conviction_ends_after_its_lifetime_even_when_peers_repeat_it() {
+        // given
+        PoisonTable first = new PoisonTable(mClock);
+        PoisonTable second = new PoisonTable(mClock);
+        first.merge(List.of(new PoisonRecord(POISON, Set.of("a/1", "b/1"), Set.of(), true, 0)));
+        // when
+        for (int i = 0; i < 15; i++) {
+            List<PoisonRecord> sent = first.records();
+            mClock.advance(Duration.ofMinutes(1));
+            second.merge(sent);
+            first.merge(second.records());
+        }
+        // then
+        assertThat(first.isPoison(POISON)).isFalse();
+    }
+
+    @Test
+    public void full_table_forgets_suspects_before_convictions() {
+        PoisonTable table = new PoisonTable(mClock);
+        table.merge(List.of(new PoisonRecord(POISON, Set.of("a/1", "b/1"), Set.of(), true, 0)));
+        for (int i = 0; i < 2 * PoisonTable.MAX_RECORDS; i++) {
+            Fingerprint content = Fingerprint.of("w", "i" + i);
+            table.merge(List.of(new PoisonRecord(content, Set.of("c/1"), Set.of(), false, 0)));
+        }
+        assertThat(table.isPoison(POISON)).isTrue();
+        assertThat(table.records()).hasSize(PoisonTable.MAX_RECORDS);
+    }
+}
