--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/admission/AdmissionQueueTest.java
@@ -0,0 +1,127 @@
+package org.bulrushvale.decision.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.testng.annotations.Test;
+
+/** Guards against starved classes, unfair shares and work for requests that are already late. */
+public class AdmissionQueueTest {
+    static final int CAPACITY = 512;
+    private static final Duration WORK = Duration.ofMillis(10);
+
+    private final ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
+
+    @Test
+    public void policy_gains_more_worth_than_fifo_on_the_same_trace() {
+        for (double load : new double[] {0.4, 0.7, 1.0, 1.4}) {
+            for (long seed = 1; seed <= 3; seed++) {
+                Map<String, Double> fifo =
+                        new QueueExperiment(seed, load, (c, b) -> new FifoQueue<>(CAPACITY)).run();
+                Map<String, Double> policy =
+                        new QueueExperiment(seed, load, QueueExperiment::policy).run();
+                System.out.printf(
+                        "seed %d load %.1f%n  fifo   %s%n  policy %s%n",
+                        seed, load, QueueExperiment.format(fifo), QueueExperiment.format(policy));
+                assertThat(policy.get("worth")).isGreaterThanOrEqualTo(fifo.get("worth"));
+            }
+        }
+    }
+
+    @Test
+    public void class_below_target_goes_first_even_with_more_slack() {
+        AdmissionQueue<String> queue = queue("late"::equals, 10);
+        queue.offer(request("urgent", "met", 1, "w", 1, 100));
+        queue.offer(request("waiting", "late", 1, "w", 1, 900));
+        assertThat(drain(queue)).containsExactly("waiting", "urgent");
+    }
+
+    @Test
+    public void least_slack_goes_first_within_a_group() {
+        AdmissionQueue<String> queue = queue(any -> false, 10);
+        queue.offer(request("later", "c", 1, "w", 1, 900));
+        queue.offer(request("sooner", "c", 1, "w", 1, 100));
+        assertThat(drain(queue)).containsExactly("sooner", "later");
+    }
+
+    @Test
+    public void lowest_worth_is_refused_first_and_only_then_a_class_below_target() {
+        // given
+        AdmissionQueue<String> queue = queue("late"::equals, 2);
+        queue.offer(request("cheap-below", "late", 1, "w", 1, 900));
+        queue.offer(request("met", "met", 3, "w", 1, 900));
+        // when
+        List<Refusal<String>> first = queue.offer(request("dear", "met", 5, "w", 1, 900));
+        List<Refusal<String>> second = queue.offer(request("dear-below", "late", 9, "w", 1, 900));
+        List<Refusal<String>> third = queue.offer(request("more-below", "late", 9, "w", 1, 900));
+        // then
+        assertThat(payloads(first)).containsExactly("met");
+        assertThat(payloads(second)).containsExactly("dear");
+        assertThat(payloads(third)).containsExactly("cheap-below");
+    }
+
+    @Test
+    public void request_that_cannot_finish_in_time_is_refused_before_it_runs() {
+        // given
+        AdmissionQueue<String> queue = queue(any -> false, 10);
+        assertThat(queue.offer(request("hopeless", "c", 1, "w", 1, 5)))
+                .extracting(Refusal::code)
+                .containsExactly(ErrorCode.DEADLINE_UNREACHABLE);
+        queue.offer(request("waited", "c", 1, "w", 1, 100));
+        // when
+        mClock.advance(Duration.ofMillis(95));
+        List<Refusal<String>> refused = new ArrayList<>();
+        // then
+        assertThat(queue.poll(refused::add)).isEmpty();
+        assertThat(payloads(refused)).containsExactly("waited");
+    }
+
+    @Test
+    public void shares_hold_against_a_workspace_that_floods_the_queue() {
+        // given
+        AdmissionQueue<String> queue = queue(any -> false, 400);
+        for (int i = 0; i < 150; i++) {
+            queue.offer(request("a", "c", 1, "a", 1, 100_000));
+            queue.offer(request("a", "c", 1, "a", 1, 100_000));
+            queue.offer(request("b", "c", 1, "b", 3, 200_000));
+            mClock.advance(Duration.ofNanos(1));
+        }
+        // when
+        Map<String, Integer> served = new HashMap<>();
+        for (int i = 0; i < 80; i++) {
+            served.merge(queue.poll(any -> {}).orElseThrow().payload(), 1, Integer::sum);
+        }
+        // then
+        assertThat(served.get("a")).isBetween(19, 21);
+    }
+
+    private AdmissionQueue<String> queue(Predicate<String> below, int capacity) {
+        return new AdmissionQueue<>(mClock, capacity, below, () -> 4);
+    }
+
+    private QueuedRequest<String> request(
+            String name, String workClass, double worth, String workspace, double share, long ms) {
+        long deadline = mClock.monotonicNanos() + Duration.ofMillis(ms).toNanos();
+        return new QueuedRequest<>(name, workClass, worth, workspace, share, deadline, WORK);
+    }
+
+    private static List<String> drain(AdmissionQueue<String> queue) {
+        List<String> order = new ArrayList<>();
+        for (int i = queue.size(); i > 0; i--) {
+            order.add(queue.poll(any -> {}).orElseThrow().payload());
+        }
+        return order;
+    }
+
+    private static List<String> payloads(List<Refusal<String>> refused) {
+        return refused.stream().map(refusal -> refusal.request().payload()).toList();
+    }
+}
