Add attainment tracking and the burn report

Operators ask per class which share of requests met its target, what the misses were caused by, and how fast the error budget is used.

Averages of rates were ruled out: only counts and histograms of equal precision merge without loss. An alert needs both windows of its pair, tested with a burst that ended ten minutes ago: the fast pair is silent, the slow one is not.

--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/attainment/AttainmentRow.java
@@ -0,0 +1,87 @@
+package org.bulrushvale.decision.attainment;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Figures of one class and workspace group.
+ *
+ * <p>Invariant: {@code gainedWorth <= offeredWorth}. Thread safety: the maps are not changed after
+ * creation; the histogram belongs to one reader.
+ *
+ * @param workClass name of the class
+ * @param group name of the workspace group
+ * @param target target of the class when the snapshot was taken
+ * @param counts requests by outcome
+ * @param offeredWorth worth of all requests that count
+ * @param gainedWorth worth of the requests that met their target
+ * @param latency latency of complete requests
+ * @param stages cost by stage
+ * @param windows recent requests by window
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+public record AttainmentRow(
+        @JsonProperty("class") String workClass,
+        String group,
+        double target,
+        Map<Cause, Long> counts,
+        @JsonProperty("offered_worth") double offeredWorth,
+        @JsonProperty("gained_worth") double gainedWorth,
+        Latency latency,
+        Map<String, StageCost> stages,
+        Map<BurnWindow, WindowCount> windows) {
+
+    /**
+     * Returns the sum of two rows; entries that differ in the target during a change give the
+     * stricter one.
+     */
+    AttainmentRow plus(AttainmentRow other) {
+        Map<Cause, Long> sumCounts = new EnumMap<>(Cause.class);
+        sumCounts.putAll(counts);
+        other.counts.forEach((cause, count) -> sumCounts.merge(cause, count, Long::sum));
+        Map<String, StageCost> sumStages = new TreeMap<>(stages);
+        other.stages.forEach((stage, cost) -> sumStages.merge(stage, cost, StageCost::plus));
+        Map<BurnWindow, WindowCount> sumWindows = new EnumMap<>(BurnWindow.class);
+        sumWindows.putAll(windows);
+        other.windows.forEach(
+                (window, count) -> sumWindows.merge(window, count, WindowCount::plus));
+        Latency sumLatency = new Latency();
+        sumLatency.addAll(latency);
+        sumLatency.addAll(other.latency);
+        return new AttainmentRow(
+                workClass,
+                group,
+                Math.max(target, other.target),
+                sumCounts,
+                offeredWorth + other.offeredWorth,
+                gainedWorth + other.gainedWorth,
+                sumLatency,
+                sumStages,
+                sumWindows);
+    }
+
+    /** Returns the requests that count for the target since the start of the process. */
+    public WindowCount total() {
+        long total = 0;
+        long missed = 0;
+        for (Map.Entry<Cause, Long> entry : counts.entrySet()) {
+            total += entry.getKey().counts() ? entry.getValue() : 0;
+            missed += entry.getKey().missed() ? entry.getValue() : 0;
+        }
+        return new WindowCount(total, missed);
+    }
+
+    /** Returns the fraction of requests that met their target; 1 without requests. */
+    public double attainment() {
+        WindowCount count = total();
+        return count.total() == 0 ? 1 : 1 - (double) count.missed() / count.total();
+    }
+
+    /** Returns the fraction of the error budget that is left; negative when it is overdrawn. */
+    public double budgetLeft() {
+        return 1 - total().burnRate(target);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/attainment/AttainmentSnapshot.java
@@ -0,0 +1,63 @@
+package org.bulrushvale.decision.attainment;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+
+/**
+ * The figures of one entry, or the sum over several, as {@code GET /v1/burn} returns them.
+ *
+ * <p>Invariant: at most one row per class and workspace group. Thread safety: immutable once
+ * written to JSON.
+ *
+ * @param entry name of the entry; several names joined by a comma after a merge
+ * @param rows figures by class and workspace group
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+public record AttainmentSnapshot(String entry, List<AttainmentRow> rows) {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    public AttainmentSnapshot {
+        rows = List.copyOf(rows);
+    }
+
+    /** Returns the sum of two snapshots. */
+    public AttainmentSnapshot plus(AttainmentSnapshot other) {
+        Map<List<String>, AttainmentRow> sum = new LinkedHashMap<>();
+        for (List<AttainmentRow> part : List.of(rows, other.rows)) {
+            for (AttainmentRow row : part) {
+                sum.merge(List.of(row.workClass(), row.group()), row, AttainmentRow::plus);
+            }
+        }
+        return new AttainmentSnapshot(entry + "," + other.entry, List.copyOf(sum.values()));
+    }
+
+    /** Writes the snapshot as JSON. */
+    public String toJson() {
+        try {
+            return MAPPER.writeValueAsString(this);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("snapshot cannot be written", e);
+        }
+    }
+
+    /** Reads a snapshot that another entry wrote. */
+    public static AttainmentSnapshot fromJson(String json) throws BulrushvaleException {
+        try {
+            return MAPPER.readValue(json, AttainmentSnapshot.class);
+        } catch (JsonProcessingException e) {
+            throw malformed();
+        }
+    }
+
+    private static BulrushvaleException malformed() {
+        return new BulrushvaleException(
+                ErrorCode.FRAME_INVALID, Verdict.NOT_RUN, "attainment snapshot is malformed");
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/attainment/AttainmentTracker.java
@@ -0,0 +1,134 @@
+package org.bulrushvale.decision.attainment;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.bulrushvale.decision.config.WorkClass;
+import org.bulrushvale.kernel.time.Clock;
+
+/**
+ * Counts what became of the requests of one entry.
+ *
+ * <pre>{@code
+ * tracker.onEnd(workClass, "large", Cause.MET, Duration.ofMillis(310));
+ * AttainmentSnapshot snapshot = tracker.snapshot();
+ * }</pre>
+ *
+ * <p>Invariant: every ended request is counted exactly once. Once {@value #MAX_ROWS} rows exist,
+ * further workspace groups share one row per class, the group {@value #OTHER}.
+ *
+ * <p>Thread safety: not safe; owned by the event loop.
+ */
+public final class AttainmentTracker {
+    /** Group that takes the workspaces that have no row of their own. */
+    public static final String OTHER = "other";
+
+    /** A row takes about 20 KB, so all rows stay below 6 MB. */
+    public static final int MAX_ROWS = 256;
+
+    private static final int MAX_STAGES = 32;
+
+    private final String mEntry;
+    private final Clock mClock;
+    private final Map<List<String>, Row> mRows = new LinkedHashMap<>();
+
+    /** Creates an empty tracker for the entry of the given name. */
+    public AttainmentTracker(String entry, Clock clock) {
+        mEntry = entry;
+        mClock = clock;
+    }
+
+    /** Counts the end of a request. */
+    public void onEnd(WorkClass workClass, String group, Cause cause, Duration latency) {
+        Row row = row(workClass.name(), group);
+        row.mTarget = workClass.target();
+        row.mCounts.merge(cause, 1L, Long::sum);
+        if (!cause.counts()) {
+            return;
+        }
+        row.mOfferedWorth += workClass.worth();
+        row.mGainedWorth += cause.missed() ? 0 : workClass.worth();
+        row.mRing.add(minute(), cause.missed());
+        if (cause == Cause.MET) {
+            row.mLatency.record(latency);
+        }
+    }
+
+    /** Counts the backend time of one attempt. */
+    public void onAttempt(
+            String workClass, String group, String stage, Duration backendTime, boolean used) {
+        Row row = row(workClass, group);
+        if (row.mStages.size() >= MAX_STAGES && !row.mStages.containsKey(stage)) {
+            return;
+        }
+        double ms = backendTime.toNanos() / 1e6;
+        StageCost cost = new StageCost(1, used ? ms : 0, used ? 0 : ms);
+        row.mStages.merge(stage, cost, StageCost::plus);
+    }
+
+    /** Returns true when the class missed its target over the short window. */
+    public boolean isBelowTarget(WorkClass workClass) {
+        long minute = minute();
+        WindowCount sum = new WindowCount(0, 0);
+        for (Map.Entry<List<String>, Row> entry : mRows.entrySet()) {
+            if (entry.getKey().get(0).equals(workClass.name())) {
+                sum = sum.plus(entry.getValue().mRing.count(minute, BurnWindow.FIVE_MINUTES));
+            }
+        }
+        return sum.burnRate(workClass.target()) > 1;
+    }
+
+    /** Returns the figures as they are now. */
+    public AttainmentSnapshot snapshot() {
+        long minute = minute();
+        List<AttainmentRow> rows = new ArrayList<>();
+        mRows.forEach((key, row) -> rows.add(row.snapshot(key.get(0), key.get(1), minute)));
+        return new AttainmentSnapshot(mEntry, rows);
+    }
+
+    private long minute() {
+        return Math.floorDiv(mClock.monotonicNanos(), Duration.ofMinutes(1).toNanos());
+    }
+
+    private Row row(String workClass, String group) {
+        Row row = mRows.get(List.of(workClass, group));
+        if (row != null) {
+            return row;
+        }
+        String name = mRows.size() < MAX_ROWS ? group : OTHER;
+        return mRows.computeIfAbsent(List.of(workClass, name), key -> new Row());
+    }
+
+    private static final class Row {
+        private final Map<Cause, Long> mCounts = new EnumMap<>(Cause.class);
+        private final Map<String, StageCost> mStages = new TreeMap<>();
+        private final Latency mLatency = new Latency();
+        private final WindowRing mRing = new WindowRing();
+        private double mTarget = 1;
+        private double mOfferedWorth;
+        private double mGainedWorth;
+
+        private AttainmentRow snapshot(String workClass, String group, long minute) {
+            Map<BurnWindow, WindowCount> windows = new EnumMap<>(BurnWindow.class);
+            for (BurnWindow window : BurnWindow.values()) {
+                windows.put(window, mRing.count(minute, window));
+            }
+            Latency latency = new Latency();
+            latency.addAll(mLatency);
+            return new AttainmentRow(
+                    workClass,
+                    group,
+                    mTarget,
+                    new EnumMap<>(mCounts),
+                    mOfferedWorth,
+                    mGainedWorth,
+                    latency,
+                    new TreeMap<>(mStages),
+                    windows);
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/attainment/StageCost.java
@@ -0,0 +1,18 @@
+package org.bulrushvale.decision.attainment;
+
+/**
+ * Backend time that one stage used.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @param attempts number of attempts
+ * @param usedMs backend time of attempts whose result was used
+ * @param wastedMs backend time of attempts whose result was not used
+ */
+public record StageCost(long attempts, double usedMs, double wastedMs) {
+    /** Returns the sum of two costs. */
+    public StageCost plus(StageCost other) {
+        return new StageCost(
+                attempts + other.attempts, usedMs + other.usedMs, wastedMs + other.wastedMs);
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/attainment/BurnReportTest.java
@@ -0,0 +1,108 @@
+package org.bulrushvale.decision.attainment;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import org.bulrushvale.decision.config.WorkClass;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.testng.annotations.Test;
+
+/** Guards against figures that a merge loses, doubles or reports for entries that gave none. */
+public class BurnReportTest {
+    private static final WorkClass SEAT =
+            new WorkClass("seat", 0.99, Duration.ofSeconds(1), 5, "p", true);
+
+    private final ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
+
+    @Test
+    public void merged_figures_survive_json_and_name_the_missing_entry()
+            throws BulrushvaleException {
+        // given
+        AttainmentTracker first = tracker("entry-1", 90, 10);
+        AttainmentTracker second = tracker("entry-2", 100, 0);
+        first.onAttempt("seat", "large", "rank", Duration.ofMillis(30), true);
+        second.onAttempt("seat", "large", "rank", Duration.ofMillis(20), false);
+        // when
+        BurnReport report =
+                BurnReport.of(
+                        Map.of(
+                                "entry-1", Optional.of(sent(first)),
+                                "entry-2", Optional.of(sent(second)),
+                                "entry-3", Optional.empty()));
+        // then
+        AttainmentRow row = report.classes().get(0);
+        assertThat(report.entries()).containsExactly("entry-1", "entry-2");
+        assertThat(report.missing()).containsExactly("entry-3");
+        assertThat(row.total()).isEqualTo(new WindowCount(200, 10));
+        assertThat(row.attainment()).isEqualTo(0.95);
+        assertThat(row.budgetLeft()).isCloseTo(-4, within());
+        assertThat(row.latency().count()).isEqualTo(190);
+        assertThat(row.latency().quantile(0.5)).isEqualTo(Duration.ofMillis(100));
+        assertThat(row.stages().get("rank")).isEqualTo(new StageCost(2, 30, 20));
+        assertThat(report.worthAttainment()).isCloseTo(0.95, within());
+    }
+
+    @Test
+    public void alert_needs_both_windows_of_a_pair() throws BulrushvaleException {
+        // given a burst of misses that ended ten minutes ago
+        AttainmentTracker tracker = tracker("entry-1", 0, 100);
+        assertThat(alerts(tracker)).isEqualTo(2);
+        mClock.advance(Duration.ofMinutes(10));
+        // then the fast pair is silent, the slow one is not
+        assertThat(alerts(tracker)).isEqualTo(1);
+        mClock.advance(Duration.ofHours(7));
+        assertThat(alerts(tracker)).isZero();
+    }
+
+    @Test
+    public void requests_that_their_caller_cancelled_do_not_burn_the_budget() {
+        AttainmentTracker tracker = tracker("entry-1", 10, 0);
+        tracker.onEnd(SEAT, "large", Cause.CALLER, Duration.ZERO);
+        assertThat(tracker.snapshot().rows().get(0).total()).isEqualTo(new WindowCount(10, 0));
+        assertThat(tracker.isBelowTarget(SEAT)).isFalse();
+        tracker.onEnd(SEAT, "large", Cause.FAULT, Duration.ZERO);
+        assertThat(tracker.isBelowTarget(SEAT)).isTrue();
+    }
+
+    @Test
+    public void many_workspace_groups_share_one_row() {
+        AttainmentTracker tracker = new AttainmentTracker("entry-1", mClock);
+        for (int i = 0; i < 2 * AttainmentTracker.MAX_ROWS; i++) {
+            tracker.onEnd(SEAT, "w" + i, Cause.MET, Duration.ZERO);
+        }
+        assertThat(tracker.snapshot().rows()).hasSize(AttainmentTracker.MAX_ROWS + 1);
+    }
+
+    @Test
+    public void malformed_snapshot_is_refused() {
+        String bad = "{\"entry\":\"e\",\"rows\":[{\"latency\":\"AAAA\"}]}";
+        assertThatThrownBy(() -> AttainmentSnapshot.fromJson(bad))
+                .isInstanceOf(BulrushvaleException.class);
+    }
+
+    private AttainmentTracker tracker(String entry, int met, int missed) {
+        AttainmentTracker tracker = new AttainmentTracker(entry, mClock);
+        for (int i = 0; i < met + missed; i++) {
+            Cause cause = i < met ? Cause.MET : Cause.STAGE;
+            tracker.onEnd(SEAT, "large", cause, Duration.ofMillis(100));
+        }
+        return tracker;
+    }
+
+    private static AttainmentSnapshot sent(AttainmentTracker tracker) throws BulrushvaleException {
+        return AttainmentSnapshot.fromJson(tracker.snapshot().toJson());
+    }
+
+    private static int alerts(AttainmentTracker tracker) throws BulrushvaleException {
+        return BurnReport.of(Map.of("e", Optional.of(sent(tracker)))).alerts().size();
+    }
+
+    private static org.assertj.core.data.Offset<Double> within() {
+        return org.assertj.core.data.Offset.offset(1e-9);
+    }
+}
