--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/drain/DrainSequenceTest.java
@@ -0,0 +1,85 @@
+package org.bulrushvale.decision.drain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.testng.annotations.Test;
+
+/** Guards against a shutdown that interrupts requests or never ends. */
+public class DrainSequenceTest {
+    private static final int SEEDS = 500;
+    private static final Duration STEP = Duration.ofMillis(50);
+
+    @Test
+    public void accepted_requests_end_by_their_own_deadline_before_the_stop() {
+        System.out.println("DrainSequenceTest: seeds 0.." + (SEEDS - 1));
+        for (long seed = 0; seed < SEEDS; seed++) {
+            // given requests that all use their whole time
+            SplittableRandom random = new SplittableRandom(seed);
+            ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+            DrainSequence drain = new DrainSequence(clock, DrainLimits.DEFAULT);
+            PriorityQueue<Long> deadlines = new PriorityQueue<>();
+            List<DrainState> entered = new ArrayList<>();
+            drain.begin();
+            // when
+            for (int step = 0; step < 1_000 && drain.state() != DrainState.STOPPED; step++) {
+                long deadline =
+                        clock.monotonicNanos() + Duration.ofMillis(random.nextInt(5_000)).toNanos();
+                boolean accepts = drain.state().accepts();
+                assertThat(drain.tryAccept(deadline)).isEqualTo(accepts);
+                if (accepts) {
+                    deadlines.add(deadline);
+                }
+                clock.advance(STEP);
+                while (!deadlines.isEmpty() && deadlines.peek() <= clock.monotonicNanos()) {
+                    deadlines.remove();
+                    drain.onEnded();
+                }
+                entered.addAll(drain.tick());
+                if (drain.state() == DrainState.HANDING_OVER) {
+                    assertThat(deadlines).as("seed %d", seed).isEmpty();
+                    drain.onHandedOver();
+                }
+            }
+            // then
+            assertThat(drain.abandoned()).isZero();
+            assertThat(entered)
+                    .containsExactly(
+                            DrainState.LISTENERS_CLOSED,
+                            DrainState.FINISHING,
+                            DrainState.HANDING_OVER,
+                            DrainState.STOPPED);
+        }
+    }
+
+    @Test
+    public void request_that_never_ends_and_lost_handover_do_not_block_the_stop() {
+        // given
+        ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+        DrainSequence drain = new DrainSequence(clock, DrainLimits.DEFAULT);
+        drain.tryAccept(Duration.ofSeconds(5).toNanos());
+        drain.begin();
+        // when
+        for (int i = 0; i < 300; i++) {
+            clock.advance(STEP);
+            drain.tick();
+        }
+        // then
+        assertThat(drain.state()).isEqualTo(DrainState.STOPPED);
+        assertThat(drain.abandoned()).isEqualTo(1);
+    }
+
+    @Test
+    public void serving_entry_does_not_drain_by_itself() {
+        ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+        DrainSequence drain = new DrainSequence(clock, DrainLimits.DEFAULT);
+        clock.advance(Duration.ofHours(1));
+        assertThat(drain.tick()).isEmpty();
+    }
+}
