Add the stand-ins of backend servers and the configuration service

The failure tests and the quickstart need outside systems that follow design sections 4.3 and 4.4 and that can fail in the ways of section 1.2. One engine runs the stage calls of model runners, pools and plain services; output is a function of request id, stage and input, so that tests can tell a crossed or a shortened answer.

--- /dev/null
+++ b/standin/src/main/java/org/bulrushvale/standin/model/ModelRunner.java
@@ -0,0 +1,117 @@
+package org.bulrushvale.standin.model;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.bulrushvale.standin.http.Call;
+import org.bulrushvale.standin.http.Json;
+import org.bulrushvale.standin.stage.StageCall;
+import org.bulrushvale.standin.stage.StageObserver;
+import org.bulrushvale.standin.stage.StageOptions;
+import org.bulrushvale.standin.stage.StageServer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A model engine: batches calls in slots, caches prompt prefixes, streams tokens, starts cold and
+ * takes orders.
+ *
+ * <pre>{@code
+ * try (ModelRunner runner =
+ *         ModelRunner.builder().options(o -> o.slots(4).bearable(1).coldCompletions(3)).start()) {
+ *     runner.control("{\"poison\":\"PX\"}");
+ *     int port = runner.port();
+ * }
+ * }</pre>
+ *
+ * <p>Invariant: see {@link StageServer}. Thread safety: safe for use by any thread.
+ */
+public final class ModelRunner implements AutoCloseable {
+    private static final long DEFAULT_CACHE_BYTES = 4L << 20;
+
+    private final OrderBook mOrders = new OrderBook();
+    private volatile @Nullable StageServer mServer;
+
+    private ModelRunner() {}
+
+    /** Returns a builder of a small, warm engine. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    private StageServer server() {
+        StageServer server = mServer;
+        if (server == null) {
+            throw new IllegalStateException("not started");
+        }
+        return server;
+    }
+
+    private boolean handle(Call call) {
+        if (call.is("POST", "/v1/orders")) {
+            boolean honor = server().faults().honorFence();
+            boolean accepted = mOrders.accept(Json.parse(call.body()), honor);
+            call.respond(accepted ? 200 : 409, Json.object().put("accepted", accepted));
+            return true;
+        }
+        if (call.is("GET", "/control/orders")) {
+            call.respond(200, mOrders.toJson());
+            return true;
+        }
+        return false;
+    }
+
+    /** Returns the bound port. */
+    public int port() {
+        return server().port();
+    }
+
+    /** Returns the counts, as {@code GET /control/stats} does. */
+    public JsonNode stats() {
+        return server().stats();
+    }
+
+    /** Applies settings, as {@code POST /control} does. */
+    public void control(String json) {
+        server().control(json);
+    }
+
+    @Override
+    public void close() {
+        server().close();
+    }
+
+    /** Follows the limit of the call. Thread safety: stateless. */
+    private static final class TokenLimit implements StageObserver {
+        @Override
+        public int tokens(StageCall call, int byDefault) {
+            return call.maxTokens() > 0 ? call.maxTokens() : byDefault;
+        }
+    }
+
+    /** Collects the options. Thread safety: not safe; used by one thread. */
+    public static final class Builder {
+        private final StageOptions.Builder mOptions =
+                StageOptions.builder()
+                        .name("model")
+                        .baseTime(Duration.ofMillis(20))
+                        .tokenTime(Duration.ofMillis(5))
+                        .cacheBytes(DEFAULT_CACHE_BYTES);
+
+        private Builder() {}
+
+        /** Changes options. */
+        public Builder options(Consumer<StageOptions.Builder> change) {
+            change.accept(mOptions);
+            return this;
+        }
+
+        /** Starts the engine. */
+        public ModelRunner start() throws IOException {
+            ModelRunner runner = new ModelRunner();
+            runner.mServer = StageServer.create(mOptions.build(), new TokenLimit(), runner::handle);
+            runner.server().open();
+            return runner;
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bulrushvale/standin/model/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of a model engine. */
+package org.bulrushvale.standin.model;
--- /dev/null
+++ b/standin/src/main/java/org/bulrushvale/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of the systems outside this repository, for tests and the quickstart. */
+package org.bulrushvale.standin;
--- /dev/null
+++ b/standin/src/main/java/org/bulrushvale/standin/plain/PlainService.java
@@ -0,0 +1,121 @@
+package org.bulrushvale.standin.plain;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.Consumer;
+import org.bulrushvale.kernel.time.Clock;
+import org.bulrushvale.standin.http.Call;
+import org.bulrushvale.standin.stage.StageCall;
+import org.bulrushvale.standin.stage.StageObserver;
+import org.bulrushvale.standin.stage.StageOptions;
+import org.bulrushvale.standin.stage.StageOutput;
+import org.bulrushvale.standin.stage.StageServer;
+
+/**
+ * A plain service: it runs every call that reaches it, also a repeated one, and records each run.
+ *
+ * <pre>{@code
+ * service.ledger().stream().filter(run -> run.requestId().equals(id)).count(); // at most 1
+ * }</pre>
+ *
+ * <p>Invariant: a run is in the ledger before its answer is sent, and stays there after a crash of
+ * the service within the process. Thread safety: safe for use by any thread.
+ */
+public final class PlainService implements AutoCloseable {
+    private final StageServer mServer;
+    private final Ledger mLedger;
+
+    private PlainService(StageServer server, Ledger ledger) {
+        mServer = server;
+        mLedger = ledger;
+    }
+
+    /** Returns a builder of a small, warm service. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns the bound port. */
+    public int port() {
+        return mServer.port();
+    }
+
+    /** Returns every run so far. */
+    public List<LedgerEntry> ledger() {
+        return List.copyOf(mLedger.mEntries);
+    }
+
+    /** Returns the counts, as {@code GET /control/stats} does. */
+    public JsonNode stats() {
+        return mServer.stats();
+    }
+
+    /** Applies settings, as {@code POST /control} does. */
+    public void control(String json) {
+        mServer.control(json);
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+    }
+
+    /** Collects the options. Thread safety: not safe; used by one thread. */
+    public static final class Builder {
+        private final StageOptions.Builder mOptions =
+                StageOptions.builder()
+                        .name("plain")
+                        .baseTime(Duration.ofMillis(10))
+                        .tokenTime(Duration.ofNanos(1));
+
+        private Builder() {}
+
+        /** Changes options. */
+        public Builder options(Consumer<StageOptions.Builder> change) {
+            change.accept(mOptions);
+            return this;
+        }
+
+        /** Starts the service. */
+        public PlainService start() throws IOException {
+            Ledger ledger = new Ledger();
+            StageServer server = StageServer.create(mOptions.build(), ledger, ledger::handle);
+            server.open();
+            return new PlainService(server, ledger);
+        }
+    }
+
+    /** Records runs. Thread safety: safe for use by any thread. */
+    private static final class Ledger implements StageObserver {
+        private final List<LedgerEntry> mEntries = Collections.synchronizedList(new ArrayList<>());
+
+        @Override
+        public void started(StageCall call) {
+            mEntries.add(
+                    new LedgerEntry(
+                            call.requestId(),
+                            call.attemptId(),
+                            call.workspace(),
+                            call.stage(),
+                            StageOutput.sha256Hex(call.input()),
+                            Clock.system().now().toEpochMilli()));
+        }
+
+        @Override
+        public boolean isCancellable() {
+            return false;
+        }
+
+        private boolean handle(Call call) {
+            if (!call.is("GET", "/control/ledger")) {
+                return false;
+            }
+            call.respond(200, mEntries);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bulrushvale/standin/pool/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of an encoder, retriever or reranker. */
+package org.bulrushvale.standin.pool;
--- /dev/null
+++ b/standin/src/test/java/org/bulrushvale/standin/PlainServiceTest.java
@@ -0,0 +1,50 @@
+package org.bulrushvale.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.bulrushvale.standin.plain.LedgerEntry;
+import org.bulrushvale.standin.plain.PlainService;
+import org.bulrushvale.standin.stage.StageOutput;
+import org.testng.annotations.Test;
+
+/** Guards against a ledger that misses runs, which would hide a repeated call from tests. */
+public class PlainServiceTest {
+    @Test
+    public void repeated_calls_all_run_and_are_recorded() throws Exception {
+        try (PlainService service = PlainService.builder().start()) {
+            StandinClient client = new StandinClient(service.port());
+            client.stage("book", "a1", "").get(10, TimeUnit.SECONDS);
+            client.stage("book", "a2", "").get(10, TimeUnit.SECONDS);
+            assertThat(service.ledger())
+                    .extracting(LedgerEntry::attemptId)
+                    .containsExactly("a1", "a2");
+            assertThat(client.json("/control/ledger").path(0).path("body_sha256").asText())
+                    .isEqualTo(StageOutput.sha256Hex("in"));
+        }
+    }
+
+    @Test
+    public void run_without_an_answer_is_recorded() throws Exception {
+        try (PlainService service = PlainService.builder().start()) {
+            service.control("{\"drop_fraction\":1}");
+            StandinClient client = new StandinClient(service.port());
+            client.stage("book", "a1", "").handle((answer, error) -> error).get();
+            assertThat(service.ledger()).isNotEmpty();
+        }
+    }
+
+    @Test
+    public void running_call_cannot_be_cancelled() throws Exception {
+        try (PlainService service =
+                PlainService.builder().options(o -> o.baseTime(Duration.ofSeconds(30))).start()) {
+            StandinClient client = new StandinClient(service.port());
+            client.stage("book", "a1", "");
+            while (service.ledger().isEmpty()) {
+                Thread.onSpinWait();
+            }
+            assertThat(client.delete("/v1/attempts/a1")).isEqualTo(404);
+        }
+    }
+}
