Add the load tool

Experiments need arrivals that do not wait for earlier answers: latency therefore counts from the intended start, and an arrival above the limit of open requests is reported as unsent instead of being delayed. Answers are checked against the caller protocol.

--- /dev/null
+++ b/load/src/main/java/org/bulrushvale/load/client/package-info.java
@@ -0,0 +1,2 @@
+/** Requests to entries and the check of their answers. */
+package org.bulrushvale.load.client;
--- /dev/null
+++ b/load/src/main/java/org/bulrushvale/load/report/package-info.java
@@ -0,0 +1,2 @@
+/** Counts, latency histograms, report files and plots. */
+package org.bulrushvale.load.report;
--- /dev/null
+++ b/load/src/test/java/org/bulrushvale/load/LoadRunTest.java
@@ -0,0 +1,167 @@
+package org.bulrushvale.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bulrushvale.load.mix.Arrival;
+import org.bulrushvale.load.mix.Arrivals;
+import org.bulrushvale.load.mix.Mix;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against runs that lose arrivals, hide delays or report the wrong exit code. */
+public class LoadRunTest {
+    private static final String MIX =
+            "[load]\nrate = 100\nduration_s = 30\n[workspace w]\ntoken = w-token\n"
+                    + "[class ask]\nweight = 3\nstream = true\ndeadline_ms = 1000\n"
+                    + "[class book]\nidempotent = false\ndeadline_ms = 1000\n";
+
+    private final AtomicInteger mKeys = new AtomicInteger();
+    private final AtomicInteger mRequests = new AtomicInteger();
+    private Undertow mEntry;
+    private int mPort;
+    private Path mFolder;
+    private volatile boolean mCut;
+    private volatile long mDelayMs;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        mFolder = Files.createTempDirectory("load");
+        Files.writeString(mFolder.resolve("mix.ini"), MIX);
+        mCut = false;
+        mDelayMs = 0;
+        mKeys.set(0);
+        mRequests.set(0);
+        mEntry =
+                Undertow.builder()
+                        .addHttpListener(0, "127.0.0.1")
+                        .setHandler(this::answer)
+                        .setIoThreads(1)
+                        .setWorkerThreads(1)
+                        .build();
+        mEntry.start();
+        mPort = ((InetSocketAddress) mEntry.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        mEntry.stop();
+    }
+
+    private void answer(HttpServerExchange exchange) {
+        if (exchange.getRequestPath().equals("/v1/keys")) {
+            exchange.getResponseSender()
+                    .send("{\"key\":\"k" + mKeys.incrementAndGet() + "\",\"expires_in_ms\":1}");
+            return;
+        }
+        String id = "r" + mRequests.incrementAndGet();
+        String end = "{\"request_id\":\"" + id + "\",\"verdict\":\"RAN\",\"tokens\":1";
+        if (exchange.getRequestHeaders().contains("Idempotency-Key")) {
+            exchange.getResponseSender().send(end + ",\"output\":\"" + id + "\"}");
+            return;
+        }
+        exchange.getResponseHeaders().add(Headers.CONTENT_TYPE, "text/event-stream");
+        String body =
+                "data: {\"offset\":0,\"text\":\""
+                        + id
+                        + "\"}\n\n"
+                        + (mCut ? "" : "event: end\ndata: " + end + "}\n\n");
+        exchange.dispatch(
+                () ->
+                        exchange.getIoThread()
+                                .executeAfter(
+                                        () -> exchange.getResponseSender().send(body),
+                                        mDelayMs,
+                                        TimeUnit.MILLISECONDS));
+    }
+
+    private int run(String... more) {
+        String[] first = {
+            "--entry",
+            "http://127.0.0.1:" + mPort,
+            "--mix",
+            mFolder.resolve("mix.ini").toString(),
+            "--report",
+            mFolder.resolve("report.json").toString(),
+            "--plot",
+            mFolder.resolve("plot.svg").toString(),
+            "--count",
+            "40",
+            "--seed",
+            "7",
+            "--check-request-id"
+        };
+        String[] args = Arrays.copyOf(first, first.length + more.length);
+        System.arraycopy(more, 0, args, first.length, more.length);
+        return LoadMain.execute(args);
+    }
+
+    private JsonNode total() throws Exception {
+        return new ObjectMapper().readTree(mFolder.resolve("report.json").toFile()).path("total");
+    }
+
+    @Test
+    public void every_arrival_is_accounted_for() throws Exception {
+        assertThat(run("--min-attainment", "0.5")).isEqualTo(LoadMain.OK);
+        assertThat(total().path("sent").asInt()).isEqualTo(40);
+        assertThat(total().path("ok").asInt() + total().path("late").asInt()).isEqualTo(40);
+        assertThat(mKeys.get()).isPositive().isLessThan(40);
+        assertThat(Files.size(mFolder.resolve("plot.svg"))).isPositive();
+    }
+
+    @Test
+    public void streams_without_end_are_cut() throws Exception {
+        mCut = true;
+        assertThat(run("--fail-on-cut")).isEqualTo(LoadMain.CUT);
+        assertThat(total().path("cut").asInt()).isPositive();
+    }
+
+    @Test
+    public void answers_after_the_deadline_are_late() throws Exception {
+        mDelayMs = 1200;
+        assertThat(run("--min-attainment", "0.9")).isEqualTo(LoadMain.LOW_ATTAINMENT);
+        assertThat(total().path("late").asInt()).isPositive();
+    }
+
+    @Test
+    public void arrivals_above_the_limit_count_against_attainment() throws Exception {
+        mDelayMs = 300;
+        run("--max-in-flight", "1");
+        int unsent = total().path("unsent").asInt();
+        assertThat(unsent).isPositive();
+        assertThat(total().path("attainment").asDouble()).isLessThanOrEqualTo(1 - unsent / 40.0);
+    }
+
+    @Test
+    public void missing_entry_and_bad_mix_have_their_own_exit_codes() throws Exception {
+        mEntry.stop();
+        assertThat(run()).isEqualTo(LoadMain.UNREACHABLE);
+        Files.writeString(mFolder.resolve("mix.ini"), "[load]\nrate = 1\n");
+        assertThat(run()).isEqualTo(LoadMain.BAD_ARGUMENTS);
+    }
+
+    @Test
+    public void same_seed_gives_the_same_arrivals() throws Exception {
+        Mix mix = Mix.read(mFolder.resolve("mix.ini"));
+        Arrivals one = new Arrivals(mix, 100, 7);
+        Arrivals two = new Arrivals(mix, 100, 7);
+        long last = 0;
+        for (int i = 0; i < 100; i++) {
+            Arrival arrival = one.next();
+            assertThat(arrival).isEqualTo(two.next());
+            assertThat(arrival.intendedNanos()).isGreaterThanOrEqualTo(last);
+            last = arrival.intendedNanos();
+        }
+    }
+}
