Let tests read the counts of a stand-in after it crashed

An in-process crash ends the endpoint's thread, so that reading the ledger or the counts afterwards failed with a rejected task, which is just when a test needs them. After the thread has ended the task runs on the caller's thread instead; nothing else changes the state by then.

--- a/standin/src/main/java/org/bulrushvale/standin/http/HttpEndpoint.java
+++ b/standin/src/main/java/org/bulrushvale/standin/http/HttpEndpoint.java
@@ -38,6 +38,7 @@
 public final class HttpEndpoint implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(HttpEndpoint.class);
     private static final int BUFFER_BYTES = 4096;
+    private static final long TERMINATION_WAIT_MS = 2000;
     private static final Duration REBIND_INTERVAL = Duration.ofMillis(50);
 
     /** Which connections stay open without an answer. */
@@ -187,10 +188,15 @@
         }
     }
 
-    /** Runs a task on the endpoint's thread and waits for its result. */
+    /**
+     * Runs a task on the endpoint's thread and waits for its result. After {@link #close()} the
+     * task runs on the calling thread, so that tests can read the state of a crashed server.
+     */
     public <T> T call(Supplier<T> task) {
         try {
             return mExecutor.submit(task::get).get();
+        } catch (RejectedExecutionException closed) {
+            return afterTermination(task);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException("interrupted", e);
@@ -202,6 +208,18 @@
         }
     }
 
+    private <T> T afterTermination(Supplier<T> task) {
+        try {
+            if (!mExecutor.awaitTermination(TERMINATION_WAIT_MS, TimeUnit.MILLISECONDS)) {
+                throw new IllegalStateException("the endpoint's thread has not ended");
+            }
+            return task.get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
     /** Sets which connections are left without an answer. */
     public void silence(Silence silence) {
         mSilentAll = silence == Silence.ALL;
--- a/standin/src/test/java/org/bulrushvale/standin/PlainServiceTest.java
+++ b/standin/src/test/java/org/bulrushvale/standin/PlainServiceTest.java
@@ -1,6 +1,7 @@
 package org.bulrushvale.standin;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -47,4 +48,16 @@
             assertThat(client.delete("/v1/attempts/a1")).isEqualTo(404);
         }
     }
+
+    @Test
+    public void counts_and_ledger_survive_a_crash_in_the_process() throws Exception {
+        try (PlainService service = PlainService.builder().start()) {
+            StandinClient client = new StandinClient(service.port());
+            client.stage("book", "a1", "").get(10, TimeUnit.SECONDS);
+            service.control("{\"crash\":\"halt\"}");
+            assertThatThrownBy(() -> client.fetch("/v1/load")).isNotNull();
+            assertThat(service.ledger()).hasSize(1);
+            assertThat(service.stats().path("calls").asInt()).isEqualTo(1);
+        }
+    }
 }
