--- /dev/null
+++ b/bench/src/main/java/org/bulrushvale/bench/KeyAdmissionBenchmark.java
@@ -0,0 +1,50 @@
+package org.bulrushvale.bench;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.bulrushvale.decision.keys.BodyFingerprint;
+import org.bulrushvale.decision.keys.IdempotencyKey;
+import org.bulrushvale.decision.keys.KeyDecision;
+import org.bulrushvale.decision.keys.KeyMemory;
+import org.bulrushvale.decision.keys.KeyOutcome;
+import org.bulrushvale.decision.keys.KeyRoute;
+import org.bulrushvale.decision.keys.KeySecret;
+import org.bulrushvale.decision.keys.KeySpaces;
+import org.bulrushvale.kernel.time.Clock;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.State;
+
+/**
+ * Time to issue, check, admit and finish one idempotency key at its holder.
+ *
+ * <p>Thread safety: one state per benchmark thread.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class KeyAdmissionBenchmark {
+    private static final int MAX_RECORDS = 20_000;
+    private static final byte[] BODY = "{\"seat\":1}".getBytes(StandardCharsets.UTF_8);
+
+    private final KeySecret mSecret = KeySecret.of(new byte[32]);
+    private final KeySpaces mSpaces =
+            KeySpaces.create(
+                    1, mSecret, Clock.system(), KeyMemory.limitedTo(MAX_RECORDS, MAX_RECORDS));
+
+    /** Runs one key through its whole life; NOT_RUN at the end frees the record again. */
+    @Benchmark
+    public KeyDecision admitOneKey() throws BulrushvaleException {
+        String text = mSpaces.issuer().issue("granite", "seat-booking").toString();
+        IdempotencyKey key = IdempotencyKey.parse(text, mSecret, "granite", "seat-booking");
+        KeyRoute.Local route = (KeyRoute.Local) mSpaces.route(key);
+        BodyFingerprint body = BodyFingerprint.of("granite", "seat-booking", BODY);
+        KeyDecision decision = route.ledger().present(key, body);
+        route.ledger().finish(key, KeyOutcome.notRun());
+        return decision;
+    }
+}
