Let stand-in processes start with faults in force

A process that a poison input has ended is started again by its supervisor and must crash again on the same input, which needs the marker before the first request; setting it afterwards leaves a gap. Streams now also honour drop_fraction, which only complete answers did. A test checks that the load mixes name the published classes and tokens.

--- a/standin/src/main/java/org/bulrushvale/standin/StandinMain.java
+++ b/standin/src/main/java/org/bulrushvale/standin/StandinMain.java
@@ -96,6 +96,9 @@
         @Option(names = "--seed", defaultValue = "1", description = "Seed of random choices.")
         long mSeed = 1;
 
+        @Option(names = "--control", description = "First settings, as for POST /control.")
+        String mControl = "{}";
+
         StageOptions.Builder fill(StageOptions.Builder options) {
             options.host(mListen.mHost).port(mListen.mPort).seed(mSeed).haltOnCrash(true);
             options.coldCompletions(mCold);
@@ -134,7 +137,9 @@
 
         @Override
         public Integer call() throws IOException {
-            return serve(ModelRunner.builder().options(mStage::fill).start().port());
+            ModelRunner runner = ModelRunner.builder().options(mStage::fill).start();
+            runner.control(mStage.mControl);
+            return serve(runner.port());
         }
     }
 
@@ -148,7 +153,9 @@
 
         @Override
         public Integer call() throws IOException {
-            return serve(PoolServer.builder().options(mStage::fill).start().port());
+            PoolServer server = PoolServer.builder().options(mStage::fill).start();
+            server.control(mStage.mControl);
+            return serve(server.port());
         }
     }
 
@@ -162,7 +169,9 @@
 
         @Override
         public Integer call() throws IOException {
-            return serve(PlainService.builder().options(mStage::fill).start().port());
+            PlainService service = PlainService.builder().options(mStage::fill).start();
+            service.control(mStage.mControl);
+            return serve(service.port());
         }
     }
 
@@ -180,17 +189,21 @@
         @Option(names = "--rate-limit", defaultValue = "2000", description = "Calls per second.")
         int mRateLimit = 2000;
 
+        @Option(names = "--control", description = "First settings, as for POST /control.")
+        String mControl = "{}";
+
         @Override
         public Integer call() throws IOException {
-            return serve(
+            ConfigService service =
                     ConfigService.builder()
                             .host(mListen.mHost)
                             .port(mListen.mPort)
                             .rateLimit(mRateLimit)
                             .values(mValues)
                             .haltOnCrash(true)
-                            .start()
-                            .port());
+                            .start();
+            service.control(mControl);
+            return serve(service.port());
         }
     }
 }
--- a/standin/src/main/java/org/bulrushvale/standin/stage/StageEngine.java
+++ b/standin/src/main/java/org/bulrushvale/standin/stage/StageEngine.java
@@ -190,7 +190,7 @@
             mEndpoint.schedule(tokenTime(), () -> step(run));
             return;
         }
-        if (mFaults.errorFraction() > 0 && chance(mFaults.errorFraction())) {
+        if (chance(mFaults.errorFraction()) || chance(mFaults.dropFraction())) {
             mCounters.mErrors++;
             finish(run);
             stream.cut();
--- a/standin/src/test/java/org/bulrushvale/standin/ExamplesTest.java
+++ b/standin/src/test/java/org/bulrushvale/standin/ExamplesTest.java
@@ -61,4 +61,19 @@
             }
         }
     }
+
+    @Test(dataProvider = "sets")
+    public void mix_names_published_classes(String set, int entries) throws IOException {
+        String mix = Files.readString(Path.of("..", "examples", set, "mix.ini"));
+        for (JsonNode workClass : value(set, "classes")) {
+            assertThat(mix)
+                    .containsPattern(
+                            "\\[class "
+                                    + workClass.path("name").asText()
+                                    + "\\][^\\[]*idempotent = "
+                                    + workClass.path("idempotent").asBoolean());
+        }
+        List<String> workspaces = value(set, "workspaces-00").findValuesAsText("name");
+        assertThat(workspaces).allSatisfy(name -> assertThat(mix).contains(name + "-token"));
+    }
 }
