Apply the first faults of a stand-in before it listens

The faults given at the start were set after the port was bound. On a fixed port a client that retries could connect in between and meet a healthy server, so a restarted process could answer the poison input once. The builders now take the settings and apply them before the listener opens; all four subcommands were started once and reported the setting.

--- a/standin/src/main/java/org/bulrushvale/standin/StandinMain.java
+++ b/standin/src/main/java/org/bulrushvale/standin/StandinMain.java
@@ -137,8 +137,8 @@
 
         @Override
         public Integer call() throws IOException {
-            ModelRunner runner = ModelRunner.builder().options(mStage::fill).start();
-            runner.control(mStage.mControl);
+            ModelRunner runner =
+                    ModelRunner.builder().options(mStage::fill).control(mStage.mControl).start();
             return serve(runner.port());
         }
     }
@@ -153,8 +153,8 @@
 
         @Override
         public Integer call() throws IOException {
-            PoolServer server = PoolServer.builder().options(mStage::fill).start();
-            server.control(mStage.mControl);
+            PoolServer server =
+                    PoolServer.builder().options(mStage::fill).control(mStage.mControl).start();
             return serve(server.port());
         }
     }
@@ -169,8 +169,8 @@
 
         @Override
         public Integer call() throws IOException {
-            PlainService service = PlainService.builder().options(mStage::fill).start();
-            service.control(mStage.mControl);
+            PlainService service =
+                    PlainService.builder().options(mStage::fill).control(mStage.mControl).start();
             return serve(service.port());
         }
     }
@@ -201,8 +201,8 @@
                             .rateLimit(mRateLimit)
                             .values(mValues)
                             .haltOnCrash(true)
+                            .control(mControl)
                             .start();
-            service.control(mControl);
             return serve(service.port());
         }
     }
--- a/standin/src/main/java/org/bulrushvale/standin/config/ConfigService.java
+++ b/standin/src/main/java/org/bulrushvale/standin/config/ConfigService.java
@@ -294,8 +294,16 @@
         private int mRateLimit = 2000;
         private boolean mHaltOnCrash;
 
+        private String mControl = "{}";
+
         private Builder() {}
 
+        /** Sets faults that are in force before the first connection. */
+        public Builder control(String json) {
+            mControl = json;
+            return this;
+        }
+
         /** Sets the address to bind. */
         public Builder host(String host) {
             mHost = host;
@@ -353,6 +361,7 @@
         /** Starts the service with revision 1. */
         public ConfigService start() throws IOException {
             ConfigService service = new ConfigService(this);
+            service.control(mControl);
             service.mEndpoint.open();
             return service;
         }
--- a/standin/src/main/java/org/bulrushvale/standin/model/ModelRunner.java
+++ b/standin/src/main/java/org/bulrushvale/standin/model/ModelRunner.java
@@ -98,8 +98,16 @@
                         .tokenTime(Duration.ofMillis(5))
                         .cacheBytes(DEFAULT_CACHE_BYTES);
 
+        private String mControl = "{}";
+
         private Builder() {}
 
+        /** Sets faults that are in force before the first connection. */
+        public Builder control(String json) {
+            mControl = json;
+            return this;
+        }
+
         /** Changes options. */
         public Builder options(Consumer<StageOptions.Builder> change) {
             change.accept(mOptions);
@@ -110,6 +118,7 @@
         public ModelRunner start() throws IOException {
             ModelRunner runner = new ModelRunner();
             runner.mServer = StageServer.create(mOptions.build(), new TokenLimit(), runner::handle);
+            runner.server().control(mControl);
             runner.server().open();
             return runner;
         }
--- a/standin/src/main/java/org/bulrushvale/standin/plain/PlainService.java
+++ b/standin/src/main/java/org/bulrushvale/standin/plain/PlainService.java
@@ -72,8 +72,16 @@
                         .baseTime(Duration.ofMillis(10))
                         .tokenTime(Duration.ofNanos(1));
 
+        private String mControl = "{}";
+
         private Builder() {}
 
+        /** Sets faults that are in force before the first connection. */
+        public Builder control(String json) {
+            mControl = json;
+            return this;
+        }
+
         /** Changes options. */
         public Builder options(Consumer<StageOptions.Builder> change) {
             change.accept(mOptions);
@@ -84,6 +92,7 @@
         public PlainService start() throws IOException {
             Ledger ledger = new Ledger();
             StageServer server = StageServer.create(mOptions.build(), ledger, ledger::handle);
+            server.control(mControl);
             server.open();
             return new PlainService(server, ledger);
         }
--- a/standin/src/main/java/org/bulrushvale/standin/pool/PoolServer.java
+++ b/standin/src/main/java/org/bulrushvale/standin/pool/PoolServer.java
@@ -55,8 +55,16 @@
                         .baseTime(Duration.ofMillis(3))
                         .tokenTime(Duration.ofNanos(50_000));
 
+        private String mControl = "{}";
+
         private Builder() {}
 
+        /** Sets faults that are in force before the first connection. */
+        public Builder control(String json) {
+            mControl = json;
+            return this;
+        }
+
         /** Changes options. */
         public Builder options(Consumer<StageOptions.Builder> change) {
             change.accept(mOptions);
@@ -67,6 +75,7 @@
         public PoolServer start() throws IOException {
             StageServer server =
                     StageServer.create(mOptions.build(), new StageObserver() {}, call -> false);
+            server.control(mControl);
             server.open();
             return new PoolServer(server);
         }
