Explore all step orders of a small fleet that moves key spaces

Handover rules interact with lost, duplicated, late and reordered messages, restarts and pauses, so single cases do not show that a key runs at most once. The test drives the real classes of three entries with two keys and two bodies, breadth first over every order of steps, and checks: no key runs twice, no false NOT_RUN, no answer or joined run of another body.

Late forwards are not separate messages: a connection delivers a forward at most once and the decision depends only on the state at delivery.

--- a/decision/src/main/java/org/bulrushvale/decision/keys/KeyHandover.java
+++ b/decision/src/main/java/org/bulrushvale/decision/keys/KeyHandover.java
@@ -84,6 +84,12 @@
         }
     }
 
+    /** Returns the whole state, to compare states with each other. */
+    String describe() {
+        KeyOffer offer = mOffer;
+        return mState + ":" + (offer == null ? "-" : offer.toString());
+    }
+
     /**
      * Phases of a handover.
      *
--- a/decision/src/main/java/org/bulrushvale/decision/keys/KeyLedger.java
+++ b/decision/src/main/java/org/bulrushvale/decision/keys/KeyLedger.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 
@@ -186,6 +187,11 @@
         return mSpaceClock.nowMillis();
     }
 
+    /** Returns the whole state, to compare states with each other. */
+    String describe() {
+        return mState + "@" + nowMillis() + new TreeMap<>(mRecords).values();
+    }
+
     private void dropOldRecords(long now) {
         Iterator<KeyRecord> oldest = mByAge.iterator();
         List<KeyRecord> ended = new ArrayList<>();
--- a/decision/src/main/java/org/bulrushvale/decision/keys/KeySpaces.java
+++ b/decision/src/main/java/org/bulrushvale/decision/keys/KeySpaces.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import org.bulrushvale.kernel.time.Clock;
 
 /**
@@ -182,6 +184,14 @@
         return Adoption.ADOPTED;
     }
 
+    /** Returns the state that decides what runs here, to compare states with each other. */
+    String describe() {
+        StringBuilder text = new StringBuilder();
+        new TreeMap<>(mHeld).forEach((space, l) -> text.append(space).append(l.describe()));
+        new TreeMap<>(mHandovers).forEach((space, h) -> text.append(space).append(h.describe()));
+        return text.append(new TreeSet<>(mEverHeld)).toString();
+    }
+
     /**
      * Results of an offer at the successor.
      *
--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/keys/Fleet.java
@@ -0,0 +1,288 @@
+package org.bulrushvale.decision.keys;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.bulrushvale.decision.keys.KeyDecision.Kind;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.kernel.verdict.Verdict;
+
+/**
+ * Three entries with real {@link KeySpaces} on a network that loses, duplicates, delays and
+ * reorders messages; one state of the exploration.
+ *
+ * <p>A message that is never delivered counts as lost, an entry that takes no step as paused.
+ * Offers and presentations reach any entry, which covers every disagreement about the VM list. A
+ * forward is delivered at most once by its connection, and the decision depends only on the state
+ * at delivery, so a late forward is the same as a later presentation at the holder. Offers and
+ * acknowledgements may also be duplicated.
+ *
+ * <p>Invariants checked after every step: see {@link #violation()}. Thread safety: not safe.
+ */
+final class Fleet {
+    private static final KeySecret SECRET = KeySecret.of(new byte[32]);
+    private static final int ENTRIES = 3;
+    private static final String[] BODIES = {"a", "b"};
+    private static final BodyFingerprint[] FINGERPRINTS = {
+        new BodyFingerprint(0, 1), new BodyFingerprint(0, 2)
+    };
+    // Issued by the first incarnations of two entries; ledgers do not look at the signature.
+    private static final IdempotencyKey[] KEYS = {
+        new IdempotencyKey(1, 0, 0, 0, 0, ""), new IdempotencyKey(2, 0, 0, 0, 0, "")
+    };
+
+    private final HandoverRules mRules;
+    private final ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
+    private final KeySpaces[] mEntries = new KeySpaces[ENTRIES];
+    private final List<Message> mNetwork = new ArrayList<>();
+    private final List<Run> mRuns = new ArrayList<>();
+    private final Set<List<Long>> mOffered = new HashSet<>();
+    private final int[] mBudget;
+    private long mNextIncarnation = 1;
+    private String mViolation = "";
+
+    /** Budgets: presentations, offers, duplicates, restarts, clock steps. */
+    Fleet(HandoverRules rules, int... budget) {
+        mRules = rules;
+        mBudget = budget.clone();
+        for (int i = 0; i < ENTRIES; i++) {
+            mEntries[i] = newEntry();
+        }
+    }
+
+    private KeySpaces newEntry() {
+        KeyMemory memory = KeyMemory.limitedTo(8, 100);
+        return new KeySpaces(mNextIncarnation++, SECRET, mClock, memory, mRules);
+    }
+
+    /** Returns the first violated property, or an empty text. */
+    String violation() {
+        return mViolation;
+    }
+
+    /** Returns every step that is possible now. */
+    List<int[]> steps() {
+        List<int[]> steps = new ArrayList<>();
+        for (int e = 0; e < ENTRIES; e++) {
+            for (int k = 0; mBudget[0] > 0 && k < KEYS.length; k++) {
+                if (!(mEntries[e].route(KEYS[k]) instanceof KeyRoute.Local)) {
+                    continue; // answered MAY_HAVE_RUN, which is never false and changes nothing
+                }
+                for (int b = 0; b < BODIES.length; b++) {
+                    steps.add(new int[] {'P', e, k, b});
+                }
+            }
+            for (int s = 0; mBudget[1] > 0 && s < KEYS.length; s++) {
+                for (int to = 0; to < ENTRIES; to++) {
+                    if (to != e && mayTryOffer(e, s)) {
+                        steps.add(new int[] {'O', e, s, to});
+                    }
+                }
+            }
+            if (mBudget[3] > 0) {
+                steps.add(new int[] {'R', e});
+            }
+        }
+        for (int m = 0; m < mNetwork.size(); m++) {
+            steps.add(new int[] {'D', m, 0});
+            if (mBudget[2] > 0) {
+                steps.add(new int[] {'D', m, 1});
+            }
+        }
+        for (int r = 0; r < mRuns.size(); r++) {
+            for (int end = 0; mRuns.get(r).mEnd == Run.RUNNING && end < 3; end++) {
+                steps.add(new int[] {'F', r, end});
+            }
+        }
+        if (mBudget[4] > 0) {
+            steps.add(new int[] {'T'});
+        }
+        return steps;
+    }
+
+    private boolean mayTryOffer(int entry, int key) {
+        long space = KEYS[key].incarnation();
+        KeySpaces spaces = mEntries[entry];
+        return spaces.held().contains(space)
+                || mOffered.contains(List.of(spaces.incarnation(), space));
+    }
+
+    /** Takes one step. */
+    void take(int[] step) {
+        switch (step[0]) {
+            case 'P' -> present(step[1], KEYS[step[2]], step[3]);
+            case 'O' -> offer(step[1], KEYS[step[2]].incarnation(), step[3]);
+            case 'D' -> deliver(step[1], step[2] == 1);
+            case 'F' -> finish(mRuns.get(step[1]), step[2]);
+            case 'R' -> restart(step[1]);
+            case 'T' -> {
+                mBudget[4]--;
+                mClock.advance(Duration.ofMinutes(16));
+            }
+            default -> throw new AssertionError();
+        }
+    }
+
+    private void present(int entry, IdempotencyKey key, int body) {
+        mBudget[0]--;
+        KeyLedger ledger = ((KeyRoute.Local) mEntries[entry].route(key)).ledger();
+        KeyDecision decision = ledger.present(key, FINGERPRINTS[body]);
+        Kind kind = decision.kind();
+        if (kind == Kind.RUN) {
+            mRuns.add(new Run(entry, key, body, ledger));
+            long possible = mRuns.stream().filter(r -> r.mKey == key && r.mayHaveRun()).count();
+            require(possible <= 1, "key ran twice");
+        } else if (kind.verdict() == Verdict.NOT_RUN) {
+            boolean ran =
+                    mRuns.stream()
+                            .anyMatch(r -> r.mKey == key && r.mBody == body && r.mayHaveRun());
+            require(!ran, "false NOT_RUN by " + kind);
+        } else if (kind == Kind.REPLAY) {
+            KeyOutcome outcome = decision.outcome();
+            require(BODIES[body].equals(outcome.output()), "answer of another body");
+        } else if (kind == Kind.JOIN) {
+            boolean same =
+                    mRuns.stream().anyMatch(r -> r.mKey == key && r.mBody == body && r.isRunning());
+            require(same, "joined a run of another body");
+        }
+    }
+
+    private void require(boolean holds, String property) {
+        if (!holds && mViolation.isEmpty()) {
+            mViolation = property;
+        }
+    }
+
+    private void offer(int from, long space, int to) {
+        mBudget[1]--;
+        long successor = mEntries[to].incarnation();
+        mOffered.add(List.of(mEntries[from].incarnation(), space));
+        mEntries[from]
+                .offer(space, "vm" + to, successor)
+                .map(KeyOffer::encode)
+                .ifPresent(o -> mNetwork.add(new Message('o', to, from, o)));
+    }
+
+    private void deliver(int index, boolean keepCopy) {
+        Message message = mNetwork.get(index);
+        if (keepCopy) {
+            mBudget[2]--;
+        } else {
+            mNetwork.remove(index);
+        }
+        int to = message.mTo;
+        switch (message.mKind) {
+            case 'o' -> {
+                KeyOffer offer = decode(message.mOffer);
+                if (mEntries[to].adopt(offer).isAcknowledged()) {
+                    mNetwork.add(new Message('a', message.mFrom, to, message.mOffer));
+                }
+            }
+            case 'a' -> {
+                KeyOffer offer = decode(message.mOffer);
+                mEntries[to].acknowledge(offer.space(), offer.successor());
+            }
+            default -> throw new AssertionError();
+        }
+    }
+
+    private static KeyOffer decode(byte[] offer) {
+        try {
+            return KeyOffer.decode(offer);
+        } catch (BulrushvaleException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private void finish(Run run, int end) {
+        run.mEnd = end;
+        run.mLedger.finish(
+                run.mKey,
+                switch (end) {
+                    case Run.DONE -> KeyOutcome.done(200, BODIES[run.mBody]);
+                    case Run.UNKNOWN -> KeyOutcome.unknown();
+                    default -> KeyOutcome.notRun();
+                });
+    }
+
+    private void restart(int entry) {
+        mBudget[3]--;
+        mEntries[entry] = newEntry();
+        // What a dead process had sent may have run.
+        mRuns.stream()
+                .filter(r -> r.mEntry == entry && r.isRunning())
+                .forEach(r -> r.mEnd = Run.UNKNOWN);
+    }
+
+    /** Returns a text that is equal for states with the same future. */
+    String canonical() {
+        StringBuilder text = new StringBuilder(Arrays.toString(mBudget));
+        for (KeySpaces entry : mEntries) {
+            text.append('|').append(entry.incarnation()).append(entry.describe());
+        }
+        text.append(mNetwork.stream().map(Message::toString).sorted().collect(Collectors.toList()));
+        return text.append(mRuns.stream().map(Run::toString).sorted().collect(Collectors.toList()))
+                .toString();
+    }
+
+    /** An offer or an acknowledgement in the network. */
+    private static final class Message {
+        private final char mKind;
+        private final int mTo;
+        private final int mFrom;
+        private final byte[] mOffer;
+
+        Message(char kind, int to, int from, byte[] offer) {
+            mKind = kind;
+            mTo = to;
+            mFrom = from;
+            mOffer = offer;
+        }
+
+        @Override
+        public String toString() {
+            return "" + mKind + mTo + mFrom + HexFormat.of().formatHex(mOffer);
+        }
+    }
+
+    /** One run of a key. */
+    private static final class Run {
+        static final int RUNNING = -1;
+        static final int DONE = 0;
+        static final int UNKNOWN = 1;
+        static final int NOT_RUN = 2;
+
+        private final int mEntry;
+        private final IdempotencyKey mKey;
+        private final int mBody;
+        private final KeyLedger mLedger;
+        private int mEnd = RUNNING;
+
+        Run(int entry, IdempotencyKey key, int body, KeyLedger ledger) {
+            mEntry = entry;
+            mKey = key;
+            mBody = body;
+            mLedger = ledger;
+        }
+
+        boolean isRunning() {
+            return mEnd == RUNNING;
+        }
+
+        boolean mayHaveRun() {
+            return mEnd != NOT_RUN;
+        }
+
+        @Override
+        public String toString() {
+            return mEntry + "," + mKey.incarnation() + ',' + mBody + ',' + mEnd;
+        }
+    }
+}
