Add the peer transport

Processes of the fleet need links that prove who is at the other end, stay bounded and tell a caller whether a failed request may have been delivered. One selector thread serves all peers. Each process dials the peers that it sends to and answers return on the same connection, which avoids choosing between two simultaneous connections. The transport never sends a message again by itself: a repeated forward could run a key whose first presentation was answered NOT_RUN.

Silence is not judged in the round after a pause of the own process, because unread data may wait in the socket.

--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
@@ -0,0 +1,297 @@
+package org.bulrushvale.adapters.peer;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.bulrushvale.kernel.verdict.Verdict;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Converts messages to frames and back: 4 bytes of length, then type, correlation and fields in
+ * MessagePack.
+ *
+ * <p>Invariants: a frame is at most {@link #MAX_FRAME_BYTES} long without its length; reading
+ * allocates no more than the frame holds and accepts no surplus bytes. Thread safety: stateless.
+ */
+final class PeerCodec {
+    static final int MAX_FRAME_BYTES = (1 << 20) + (64 << 10);
+    static final int LENGTH_BYTES = 4;
+
+    private PeerCodec() {}
+
+    /**
+     * A message with its correlation: 0 for one-way messages, positive for requests, negative for
+     * the answer to the request of the opposite number.
+     */
+    record Envelope(long correlation, PeerMessage message) {}
+
+    static ByteBuffer encode(long correlation, PeerMessage message) throws PeerException {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            Type type = Type.of(message);
+            out.packInt(type.ordinal()).packLong(correlation);
+            write(message, out);
+            byte[] payload = out.toByteArray();
+            if (payload.length > MAX_FRAME_BYTES) {
+                throw PeerException.rejected(
+                        PeerReject.FRAME_TOO_LONG, "message exceeds the frame limit");
+            }
+            ByteBuffer frame = ByteBuffer.allocate(LENGTH_BYTES + payload.length);
+            return frame.putInt(payload.length).put(payload).flip();
+        } catch (IOException e) {
+            throw new AssertionError("writing to memory does not fail", e);
+        }
+    }
+
+    static Envelope decode(byte[] payload) throws PeerException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+            Reader in = new Reader(unpacker, payload.length);
+            int type = unpacker.unpackInt();
+            if (type < 0 || type >= Type.values().length) {
+                throw malformed("unknown message type");
+            }
+            long correlation = unpacker.unpackLong();
+            PeerMessage message = read(Type.values()[type], in);
+            if (unpacker.hasNext()) {
+                throw malformed("surplus bytes");
+            }
+            return new Envelope(correlation, message);
+        } catch (IOException | MessagePackException | IllegalArgumentException e) {
+            throw malformed(e.getClass().getSimpleName());
+        }
+    }
+
+    private static PeerException malformed(String detail) {
+        return PeerException.rejected(
+                PeerReject.FRAME_MALFORMED, "frame cannot be decoded: " + detail);
+    }
+
+    private static void write(PeerMessage message, MessageBufferPacker out) throws IOException {
+        if (message instanceof PeerMessage.Gossip gossip) {
+            writeGossip(gossip, out);
+        } else if (message instanceof PeerMessage.ConfigFetch fetch) {
+            writeStrings(fetch.names(), out);
+        } else if (message instanceof PeerMessage.ConfigValues values) {
+            out.packArrayHeader(values.values().size());
+            for (PeerMessage.ConfigValue v : values.values()) {
+                out.packString(v.name()).packLong(v.revision()).packString(v.json());
+            }
+        } else if (message instanceof PeerMessage.Forward f) {
+            out.packString(f.requestId()).packString(f.workspace()).packString(f.workClass());
+            out.packString(f.key()).packLong(f.deadlineMillis());
+            writeBytes(f.body(), out);
+            out.packInt(f.maxTokens());
+        } else if (message instanceof PeerMessage.ForwardReply r) {
+            out.packString(r.requestId()).packInt(r.status()).packString(r.errorCode());
+            out.packInt(r.verdict().ordinal()).packString(r.output()).packString(r.stagesJson());
+        } else if (message instanceof PeerMessage.PoisonNotice notice) {
+            writePoison(notice.poison(), out);
+        } else if (message instanceof PeerMessage.KeyHandover handover) {
+            writeBytes(handover.offer(), out);
+        } else if (message instanceof PeerMessage.KeyHandoverAck ack) {
+            out.packString(ack.space()).packString(ack.successor()).packBoolean(ack.accepted());
+        } else if (message instanceof PeerMessage.Leaving leaving) {
+            writeSender(leaving.sender(), out);
+        } else if (message instanceof PeerMessage.Hello hello) {
+            out.packInt(hello.version()).packString(hello.fleet());
+            writeSender(hello.sender(), out);
+            writeBytes(hello.nonce(), out);
+        } else if (message instanceof PeerMessage.Proof proof) {
+            writeBytes(proof.mac(), out);
+        }
+    }
+
+    private static void writeGossip(PeerMessage.Gossip gossip, MessageBufferPacker out)
+            throws IOException {
+        writeSender(gossip.sender(), out);
+        PeerMessage.ConfigState config = gossip.config();
+        out.packLong(config.revision()).packString(config.digest());
+        out.packLong(config.confirmationAgeMillis());
+        out.packLong(gossip.vmListVersion()).packLong(gossip.vmListAgeMillis());
+        out.packArrayHeader(gossip.warmth().size());
+        for (PeerMessage.Warmth w : gossip.warmth()) {
+            out.packString(w.server()).packString(w.epoch());
+            out.packBoolean(w.warm()).packLong(w.sequence());
+        }
+        writePoison(gossip.poison(), out);
+        out.packBoolean(gossip.draining());
+        writeStrings(gossip.heldKeySpaces(), out);
+    }
+
+    private static void writeSender(PeerMessage.Sender sender, MessageBufferPacker out)
+            throws IOException {
+        out.packString(sender.vm()).packString(sender.incarnation());
+    }
+
+    private static void writePoison(List<PeerMessage.Poison> poison, MessageBufferPacker out)
+            throws IOException {
+        out.packArrayHeader(poison.size());
+        for (PeerMessage.Poison p : poison) {
+            out.packString(p.fingerprint()).packInt(p.strikes()).packLong(p.remainingMillis());
+        }
+    }
+
+    private static void writeStrings(List<String> texts, MessageBufferPacker out)
+            throws IOException {
+        out.packArrayHeader(texts.size());
+        for (String text : texts) {
+            out.packString(text);
+        }
+    }
+
+    private static void writeBytes(byte[] bytes, MessageBufferPacker out) throws IOException {
+        out.packBinaryHeader(bytes.length).writePayload(bytes);
+    }
+
+    private static PeerMessage read(Type type, Reader in) throws IOException {
+        MessageUnpacker raw = in.mRaw;
+        return switch (type) {
+            case GOSSIP -> readGossip(in);
+            case CONFIG_FETCH -> new PeerMessage.ConfigFetch(in.list(in::text));
+            case CONFIG_VALUES ->
+                    new PeerMessage.ConfigValues(
+                            in.list(
+                                    () ->
+                                            new PeerMessage.ConfigValue(
+                                                    in.text(), raw.unpackLong(), in.text())));
+            case FORWARD ->
+                    new PeerMessage.Forward(
+                            in.text(),
+                            in.text(),
+                            in.text(),
+                            in.text(),
+                            raw.unpackLong(),
+                            in.bytes(),
+                            raw.unpackInt());
+            case FORWARD_REPLY ->
+                    new PeerMessage.ForwardReply(
+                            in.text(),
+                            raw.unpackInt(),
+                            in.text(),
+                            in.verdict(),
+                            in.text(),
+                            in.text());
+            case POISON_NOTICE -> new PeerMessage.PoisonNotice(in.list(in::poison));
+            case POISON_ACK -> new PeerMessage.PoisonAck();
+            case KEY_HANDOVER -> new PeerMessage.KeyHandover(in.bytes());
+            case KEY_HANDOVER_ACK ->
+                    new PeerMessage.KeyHandoverAck(in.text(), in.text(), raw.unpackBoolean());
+            case LEAVING -> new PeerMessage.Leaving(in.sender());
+            case HEARTBEAT -> new PeerMessage.Heartbeat();
+            case HELLO ->
+                    new PeerMessage.Hello(raw.unpackInt(), in.text(), in.sender(), in.bytes());
+            case PROOF -> new PeerMessage.Proof(in.bytes());
+        };
+    }
+
+    private static PeerMessage readGossip(Reader in) throws IOException {
+        MessageUnpacker raw = in.mRaw;
+        return new PeerMessage.Gossip(
+                in.sender(),
+                new PeerMessage.ConfigState(raw.unpackLong(), in.text(), raw.unpackLong()),
+                raw.unpackLong(),
+                raw.unpackLong(),
+                in.list(
+                        () ->
+                                new PeerMessage.Warmth(
+                                        in.text(),
+                                        in.text(),
+                                        raw.unpackBoolean(),
+                                        raw.unpackLong())),
+                in.list(in::poison),
+                raw.unpackBoolean(),
+                in.list(in::text));
+    }
+
+    /** Message types in wire order; new ones are only added at the end. */
+    private enum Type {
+        GOSSIP(PeerMessage.Gossip.class),
+        CONFIG_FETCH(PeerMessage.ConfigFetch.class),
+        CONFIG_VALUES(PeerMessage.ConfigValues.class),
+        FORWARD(PeerMessage.Forward.class),
+        FORWARD_REPLY(PeerMessage.ForwardReply.class),
+        POISON_NOTICE(PeerMessage.PoisonNotice.class),
+        POISON_ACK(PeerMessage.PoisonAck.class),
+        KEY_HANDOVER(PeerMessage.KeyHandover.class),
+        KEY_HANDOVER_ACK(PeerMessage.KeyHandoverAck.class),
+        LEAVING(PeerMessage.Leaving.class),
+        HEARTBEAT(PeerMessage.Heartbeat.class),
+        HELLO(PeerMessage.Hello.class),
+        PROOF(PeerMessage.Proof.class);
+
+        private final Class<? extends PeerMessage> mClass;
+
+        Type(Class<? extends PeerMessage> type) {
+            mClass = type;
+        }
+
+        static Type of(PeerMessage message) {
+            for (Type type : values()) {
+                if (type.mClass.isInstance(message)) {
+                    return type;
+                }
+            }
+            throw new AssertionError(message.getClass());
+        }
+    }
+
+    /** One item of a list. */
+    private interface Item<T> {
+        T read() throws IOException;
+    }
+
+    /** Reads fields with lengths bounded by the frame. */
+    private static final class Reader {
+        private final MessageUnpacker mRaw;
+        private final int mFrameBytes;
+
+        Reader(MessageUnpacker raw, int frameBytes) {
+            mRaw = raw;
+            mFrameBytes = frameBytes;
+        }
+
+        String text() throws IOException {
+            return new String(payload(mRaw.unpackRawStringHeader()), StandardCharsets.UTF_8);
+        }
+
+        byte[] bytes() throws IOException {
+            return payload(mRaw.unpackBinaryHeader());
+        }
+
+        private byte[] payload(int length) throws IOException {
+            if (length > mFrameBytes - mRaw.getTotalReadBytes()) {
+                throw new IllegalArgumentException("length exceeds the frame");
+            }
+            return mRaw.readPayload(length);
+        }
+
+        <T> List<T> list(Item<T> item) throws IOException {
+            int size = mRaw.unpackArrayHeader();
+            List<T> items = new ArrayList<>();
+            for (int i = 0; i < size; i++) {
+                items.add(item.read());
+            }
+            return items;
+        }
+
+        PeerMessage.Sender sender() throws IOException {
+            return new PeerMessage.Sender(text(), text());
+        }
+
+        PeerMessage.Poison poison() throws IOException {
+            return new PeerMessage.Poison(text(), mRaw.unpackInt(), mRaw.unpackLong());
+        }
+
+        Verdict verdict() throws IOException {
+            int ordinal = mRaw.unpackInt();
+            if (ordinal < 0 || ordinal >= Verdict.values().length) {
+                throw new IllegalArgumentException("unknown verdict");
+            }
+            return Verdict.values()[ordinal];
+        }
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -0,0 +1,180 @@
+package org.bulrushvale.adapters.peer;
+
+import java.util.List;
+import org.bulrushvale.kernel.verdict.Verdict;
+
+/**
+ * A message between two processes of the fleet.
+ *
+ * <p>Invariant: byte arrays are not changed after construction. Thread safety: immutable.
+ */
+public sealed interface PeerMessage {
+    /**
+     * Periodic state of the sender; ages are in milliseconds.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record Gossip(
+            Sender sender,
+            ConfigState config,
+            long vmListVersion,
+            long vmListAgeMillis,
+            List<Warmth> warmth,
+            List<Poison> poison,
+            boolean draining,
+            List<String> heldKeySpaces)
+            implements PeerMessage {
+        public Gossip {
+            warmth = List.copyOf(warmth);
+            poison = List.copyOf(poison);
+            heldKeySpaces = List.copyOf(heldKeySpaces);
+        }
+    }
+
+    /**
+     * Process that a message speaks for.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record Sender(String vm, String incarnation) {}
+
+    /**
+     * Configuration that the sender holds.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record ConfigState(long revision, String digest, long confirmationAgeMillis) {}
+
+    /**
+     * Announced warmth of a backend server.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record Warmth(String server, String epoch, boolean warm, long sequence) {}
+
+    /**
+     * Strikes against a request fingerprint.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record Poison(String fingerprint, int strikes, long remainingMillis) {}
+
+    /**
+     * Asks for published values by name.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record ConfigFetch(List<String> names) implements PeerMessage {
+        public ConfigFetch {
+            names = List.copyOf(names);
+        }
+    }
+
+    /**
+     * Published values.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record ConfigValues(List<ConfigValue> values) implements PeerMessage {
+        public ConfigValues {
+            values = List.copyOf(values);
+        }
+    }
+
+    /**
+     * One published value.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record ConfigValue(String name, long revision, String json) {}
+
+    /**
+     * A keyed request for the holder of its key.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record Forward(
+            String requestId,
+            String workspace,
+            String workClass,
+            String key,
+            long deadlineMillis,
+            byte[] body,
+            int maxTokens)
+            implements PeerMessage {}
+
+    /**
+     * Outcome of a forwarded request; the error code is empty when there is none.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record ForwardReply(
+            String requestId,
+            int status,
+            String errorCode,
+            Verdict verdict,
+            String output,
+            String stagesJson)
+            implements PeerMessage {}
+
+    /**
+     * A suspicion or conviction that must be known before a caller is answered.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record PoisonNotice(List<Poison> poison) implements PeerMessage {
+        public PoisonNotice {
+            poison = List.copyOf(poison);
+        }
+    }
+
+    /**
+     * Acknowledges a {@link PoisonNotice}.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record PoisonAck() implements PeerMessage {}
+
+    /**
+     * An encoded offer of a key space.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record KeyHandover(byte[] offer) implements PeerMessage {}
+
+    /**
+     * Answer to a {@link KeyHandover}.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record KeyHandoverAck(String space, String successor, boolean accepted)
+            implements PeerMessage {}
+
+    /**
+     * The sender shuts down.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record Leaving(Sender sender) implements PeerMessage {}
+
+    /**
+     * Keeps a link alive and is echoed; handled by the transport itself.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record Heartbeat() implements PeerMessage {}
+
+    /**
+     * First message of both sides of a connection.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record Hello(int version, String fleet, Sender sender, byte[] nonce) implements PeerMessage {}
+
+    /**
+     * Proof that the sender knows the shared secret.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record Proof(byte[] mac) implements PeerMessage {}
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerReactor.java
@@ -0,0 +1,513 @@
+package org.bulrushvale.adapters.peer;
+
+import io.micrometer.core.instrument.Counter;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Selector loop of the transport.
+ *
+ * <p>Invariants: all links and dialled peers are touched by the loop thread only; a fault of one
+ * link closes that link and never the loop; arrived bytes are read before silence is judged, so
+ * that a paused process does not close links that hold unread data.
+ *
+ * <p>Thread safety: public and package methods other than the loop's own may be called from any
+ * thread.
+ */
+final class PeerReactor implements PeerLink.Sink {
+    private static final Logger LOG = Logger.getLogger(PeerReactor.class);
+    private static final int MAX_LINKS = 2_048;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
+
+    private final PeerTransport.Builder mSettings;
+    private final String mFleet;
+    private final PeerMessage.Sender mSelf;
+    private final byte[] mSecret;
+    private final PeerListener mListener;
+    private final Selector mSelector;
+    private final ServerSocketChannel mServer;
+    private final InetSocketAddress mAddress;
+    private final Thread mThread;
+    private final Queue<Runnable> mTasks = new ConcurrentLinkedQueue<>();
+    private final Map<String, SendBudget> mBudgets = new ConcurrentHashMap<>();
+    private final Map<String, LinkCut> mCuts = new ConcurrentHashMap<>();
+    private final Map<String, DialledPeer> mPeers = new ConcurrentHashMap<>();
+    private final Set<PeerLink> mLinks = new HashSet<>();
+    private final AtomicLong mNextCorrelation = new AtomicLong(1);
+    private final SplittableRandom mRandom = new SplittableRandom();
+    private final Counter mDropped;
+    private final Object mSelectorLock = new Object();
+    private volatile boolean mClosed;
+    private boolean mFinished;
+    private long mLastRoundNanos;
+
+    private PeerReactor(PeerTransport.Builder settings) throws IOException {
+        mSettings = settings;
+        mFleet = Objects.requireNonNull(settings.mFleet);
+        mSelf = Objects.requireNonNull(settings.mSender);
+        mSecret = Objects.requireNonNull(settings.mSecret);
+        mListener = Objects.requireNonNull(settings.mListener);
+        mDropped = settings.mMeters.counter("bulrushvale.peer.sends.dropped");
+        mSelector = Selector.open();
+        mServer = ServerSocketChannel.open();
+        try {
+            mServer.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            mServer.bind(settings.mBind);
+            mServer.configureBlocking(false);
+            mServer.register(mSelector, SelectionKey.OP_ACCEPT);
+            mAddress = (InetSocketAddress) mServer.getLocalAddress();
+        } catch (IOException e) {
+            mServer.close();
+            mSelector.close();
+            throw e;
+        }
+        mLastRoundNanos = now();
+        mThread = new Thread(this::loop, "peer-transport");
+        mThread.setDaemon(true);
+    }
+
+    static PeerReactor start(PeerTransport.Builder settings) throws IOException {
+        PeerReactor reactor = new PeerReactor(settings);
+        reactor.mThread.start();
+        return reactor;
+    }
+
+    InetSocketAddress address() {
+        return mAddress;
+    }
+
+    boolean send(String vm, PeerMessage message) {
+        SendBudget budget = budget(vm);
+        ByteBuffer bytes;
+        try {
+            bytes = PeerCodec.encode(0, message);
+        } catch (PeerException e) {
+            mDropped.increment();
+            return false;
+        }
+        if (mClosed || !budget.reserve(bytes.remaining())) {
+            mDropped.increment();
+            return false;
+        }
+        post(() -> submit(vm, OutFrame.oneWay(bytes, budget)));
+        return true;
+    }
+
+    CompletableFuture<PeerMessage> request(String vm, PeerMessage message, Duration timeout) {
+        CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+        long correlation = mNextCorrelation.getAndIncrement();
+        SendBudget budget = budget(vm);
+        ByteBuffer bytes;
+        try {
+            bytes = PeerCodec.encode(correlation, message);
+        } catch (PeerException e) {
+            answer.completeExceptionally(e);
+            return answer;
+        }
+        if (mClosed || !budget.reserve(bytes.remaining())) {
+            mDropped.increment();
+            answer.completeExceptionally(PeerException.undelivered("queue to the peer is full"));
+            return answer;
+        }
+        long deadline = now() + timeout.toNanos();
+        post(() -> submit(vm, OutFrame.request(bytes, budget, correlation, deadline, answer)));
+        return answer;
+    }
+
+    void cut(String vm, LinkCut cut) {
+        mCuts.put(vm, cut);
+        post(
+                () -> {
+                    for (PeerLink link : List.copyOf(mLinks)) {
+                        if (link.belongsTo(vm)) {
+                            applyCut(link, cut);
+                        }
+                    }
+                });
+    }
+
+    private void applyCut(PeerLink link, LinkCut cut) {
+        if (cut == LinkCut.CLOSED) {
+            close(link, "link cut");
+        } else if (cut == LinkCut.SILENT) {
+            link.silence();
+        }
+    }
+
+    private LinkCut cutOf(String vm) {
+        return mCuts.getOrDefault(vm, LinkCut.NONE);
+    }
+
+    void close() {
+        mClosed = true;
+        post(() -> {});
+        try {
+            mThread.join(CLOSE_TIMEOUT.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private SendBudget budget(String vm) {
+        return mBudgets.computeIfAbsent(vm, name -> new SendBudget(mSettings.mQueueBytes));
+    }
+
+    private long now() {
+        return mSettings.mClock.monotonicNanos();
+    }
+
+    private void post(Runnable task) {
+        mTasks.add(task);
+        synchronized (mSelectorLock) {
+            if (!mFinished) {
+                mSelector.wakeup();
+                return;
+            }
+        }
+        // The loop has ended, so the task fails its request on this thread.
+        runTasks();
+    }
+
+    private void loop() {
+        while (!mClosed) {
+            try {
+                mSelector.select(waitMillis());
+            } catch (IOException e) {
+                LOG.error("selector failed", e);
+            }
+            runTasks();
+            mSelector.selectedKeys().forEach(this::handle);
+            mSelector.selectedKeys().clear();
+            runTimers();
+        }
+        shutDown();
+    }
+
+    private long waitMillis() {
+        long now = now();
+        long period = Math.min(mSettings.mHeartbeat.toNanos(), mSettings.mSilence.toNanos()) / 2;
+        long next = now + period;
+        for (DialledPeer peer : mPeers.values()) {
+            next = peer.nextDeadlineNanos(next);
+        }
+        return Math.max(1, (next - now) / NANOS_PER_MILLI + 1);
+    }
+
+    private void runTasks() {
+        Runnable task = mTasks.poll();
+        while (task != null) {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.error("task of the peer transport failed", e);
+            }
+            task = mTasks.poll();
+        }
+    }
+
+    private void shutDown() {
+        List.copyOf(mLinks).forEach(link -> close(link, "transport closed"));
+        synchronized (mSelectorLock) {
+            mFinished = true;
+            try {
+                mServer.close();
+                mSelector.close();
+            } catch (IOException e) {
+                LOG.debug("error on close", e);
+            }
+        }
+        runTasks();
+    }
+
+    private void submit(String vm, OutFrame frame) {
+        DialledPeer peer =
+                mPeers.computeIfAbsent(
+                        vm,
+                        name ->
+                                new DialledPeer(
+                                        name,
+                                        budget(name),
+                                        mSettings.mMinBackoff.toNanos(),
+                                        mSettings.mMaxBackoff.toNanos()));
+        if (mClosed || (peer.link() == null && !dial(peer))) {
+            mDropped.increment();
+            frame.fail("peer is not connected");
+            return;
+        }
+        if (frame.isRequest()) {
+            peer.open(frame);
+        }
+        PeerLink link = peer.link();
+        if (link == null || !link.isOpen()) {
+            peer.wait(frame);
+            return;
+        }
+        write(link, frame);
+    }
+
+    private void write(PeerLink link, OutFrame frame) {
+        try {
+            link.write(frame);
+        } catch (IOException e) {
+            close(link, "write failed");
+        }
+    }
+
+    private boolean dial(DialledPeer peer) {
+        Optional<InetSocketAddress> address = mSettings.mResolver.apply(peer.vm());
+        boolean refused = address.isEmpty() || cutOf(peer.vm()) == LinkCut.CLOSED;
+        if (refused || !peer.mayDial(now())) {
+            return false;
+        }
+        try {
+            SocketChannel channel = SocketChannel.open();
+            PeerLink link = register(channel, SelectionKey.OP_CONNECT, peer.vm(), peer.budget());
+            peer.use(link);
+            if (cutOf(peer.vm()) == LinkCut.SILENT) {
+                link.silence();
+            }
+            if (channel.connect(address.orElseThrow())) {
+                link.sendHello();
+            }
+            return true;
+        } catch (IOException | PeerException e) {
+            PeerLink link = peer.link();
+            if (link == null) {
+                peer.lost("connection failed", now(), mRandom);
+            } else {
+                close(link, "connection failed");
+            }
+            return false;
+        }
+    }
+
+    private PeerLink register(
+            SocketChannel channel, int operations, @Nullable String vm, SendBudget budget)
+            throws IOException {
+        channel.configureBlocking(false);
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        Handshake handshake = new Handshake(vm != null, mSecret, mFleet, mSelf);
+        SelectionKey key = channel.register(mSelector, operations);
+        PeerLink link = new PeerLink(channel, key, handshake, vm, budget, now());
+        key.attach(link);
+        mLinks.add(link);
+        return link;
+    }
+
+    private void handle(SelectionKey key) {
+        if (key.attachment() instanceof PeerLink link) {
+            handleLink(key, link);
+        } else if (key.isValid()) {
+            accept();
+        }
+    }
+
+    private void accept() {
+        try {
+            SocketChannel channel = mServer.accept();
+            if (channel != null && !admit(channel)) {
+                channel.close();
+            }
+        } catch (IOException | RuntimeException e) {
+            LOG.warnf("cannot accept a connection: %s", e.getMessage());
+        }
+    }
+
+    private boolean admit(SocketChannel channel) throws IOException {
+        InetAddress address = ((InetSocketAddress) channel.getRemoteAddress()).getAddress();
+        if (!mSettings.mAccept.test(address)) {
+            reject(
+                    address,
+                    PeerException.rejected(
+                            PeerReject.ADDRESS_NOT_LISTED, "address is not on the VM list"));
+            return false;
+        }
+        if (mLinks.size() >= MAX_LINKS) {
+            return false;
+        }
+        SendBudget budget = new SendBudget(mSettings.mQueueBytes);
+        PeerLink link = register(channel, SelectionKey.OP_READ, null, budget);
+        try {
+            link.sendHello();
+        } catch (IOException | PeerException e) {
+            close(link, "connection failed");
+        }
+        return true;
+    }
+
+    private void handleLink(SelectionKey key, PeerLink link) {
+        try {
+            if (key.isValid() && key.isConnectable() && link.finishConnect()) {
+                key.interestOps(SelectionKey.OP_READ);
+                link.sendHello();
+            }
+            if (key.isValid() && key.isReadable()) {
+                link.read(this, now());
+                applyCutToNewPeer(link);
+            }
+            if (key.isValid() && key.isWritable()) {
+                link.flush();
+            }
+        } catch (PeerException e) {
+            reject(addressOf(link), e);
+            close(link, e.detail());
+        } catch (IOException e) {
+            close(link, "connection failed");
+        } catch (RuntimeException e) {
+            LOG.error("link closed after an internal error", e);
+            close(link, "internal error");
+        }
+    }
+
+    private void applyCutToNewPeer(PeerLink link) {
+        PeerMessage.Sender peer = link.peer();
+        if (peer != null && !link.isDialled()) {
+            applyCut(link, cutOf(peer.vm()));
+        }
+    }
+
+    private @Nullable DialledPeer dialledPeer(PeerLink link) {
+        String vm = link.dialledVm();
+        DialledPeer peer = vm == null ? null : mPeers.get(vm);
+        return peer != null && peer.link() == link ? peer : null;
+    }
+
+    private InetAddress addressOf(PeerLink link) {
+        try {
+            return link.address();
+        } catch (IOException e) {
+            return mAddress.getAddress();
+        }
+    }
+
+    private void reject(InetAddress address, PeerException error) {
+        PeerReject reason = error.reason();
+        if (reason == null) {
+            return;
+        }
+        String name = reason.isFrame() ? "frames" : "peers";
+        mSettings
+                .mMeters
+                .counter("bulrushvale.peer." + name + ".rejected", "reason", reason.tag())
+                .increment();
+        LOG.warnf("link to %s closed: %s", address.getHostAddress(), error.detail());
+        mListener.rejected(address, error);
+    }
+
+    private void close(PeerLink link, String detail) {
+        if (!mLinks.remove(link)) {
+            return;
+        }
+        link.close();
+        DialledPeer peer = dialledPeer(link);
+        if (peer != null) {
+            peer.lost(detail, now(), mRandom);
+        }
+    }
+
+    private void runTimers() {
+        long now = now();
+        long silence = mSettings.mSilence.toNanos();
+        // After a pause of this process the next round reads what has arrived in the meantime.
+        boolean paused = now - mLastRoundNanos > silence / 2 + silence / 4;
+        mLastRoundNanos = now;
+        for (PeerLink link : new ArrayList<>(mLinks)) {
+            if (!paused && link.isSilent(now, silence)) {
+                reject(
+                        addressOf(link),
+                        PeerException.rejected(PeerReject.SILENT, "link went silent"));
+                close(link, "link went silent");
+            } else if (link.isHeartbeatDue(now, mSettings.mHeartbeat.toNanos())) {
+                send(link, 0, new PeerMessage.Heartbeat());
+            }
+        }
+        for (DialledPeer peer : mPeers.values()) {
+            peer.failOverdue(now);
+            if (peer.isForgettable(now)) {
+                mPeers.remove(peer.vm());
+                mBudgets.remove(peer.vm());
+            }
+        }
+    }
+
+    private void send(PeerLink link, long correlation, PeerMessage message) {
+        try {
+            ByteBuffer bytes = PeerCodec.encode(correlation, message);
+            if (mLinks.contains(link) && link.budget().reserve(bytes.remaining())) {
+                write(link, OutFrame.oneWay(bytes, link.budget()));
+            } else {
+                mDropped.increment();
+            }
+        } catch (PeerException e) {
+            mDropped.increment();
+        }
+    }
+
+    @Override
+    public void opened(PeerLink link) {
+        DialledPeer peer = dialledPeer(link);
+        if (peer != null) {
+            peer.opened().forEach(frame -> write(link, frame));
+        }
+    }
+
+    @Override
+    public void message(PeerLink link, PeerCodec.Envelope envelope) throws PeerException {
+        long correlation = envelope.correlation();
+        PeerMessage message = envelope.message();
+        PeerMessage.Sender from = link.peer();
+        if (message instanceof PeerMessage.Heartbeat) {
+            if (!link.isDialled()) {
+                send(link, 0, message);
+            }
+        } else if (link.isDialled() && correlation < 0) {
+            DialledPeer peer = dialledPeer(link);
+            if (peer != null) {
+                peer.answer(-correlation, message);
+            }
+        } else if (!link.isDialled() && correlation >= 0 && from != null) {
+            PeerListener.Reply reply =
+                    answer -> {
+                        if (correlation > 0) {
+                            post(() -> send(link, -correlation, answer));
+                        }
+                    };
+            deliver(from, message, reply);
+        } else {
+            throw PeerException.rejected(
+                    PeerReject.FRAME_UNEXPECTED, "answer and request are mixed up");
+        }
+    }
+
+    private void deliver(PeerMessage.Sender from, PeerMessage message, PeerListener.Reply reply) {
+        try {
+            mListener.received(from, message, reply);
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "listener failed on a message from %s", from.vm());
+        }
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerTransport.java
@@ -0,0 +1,195 @@
+package org.bulrushvale.adapters.peer;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.bulrushvale.kernel.time.Clock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Messages between the processes of one fleet over TCP.
+ *
+ * <pre>{@code
+ * PeerTransport transport =
+ *         PeerTransport.builder()
+ *                 .fleet("granite").sender("como-1", incarnation).secret(secret)
+ *                 .bind(address).resolver(vmList::peerAddress).accept(vmList::contains)
+ *                 .listener(listener).start();
+ * transport.request("como-2", forward, Duration.ofSeconds(4)).whenComplete(...);
+ * }</pre>
+ *
+ * <p>Invariants: a message is delivered at most once and is never sent again by the transport; a
+ * request that fails with {@code NOT_RUN} never reached the peer. One thread serves all peers; each
+ * process dials the peers that it sends to, and answers return on the connection of the request.
+ *
+ * <p>Thread safety: all methods may be called from any thread; futures are completed by the
+ * transport's thread, so that their actions must not block.
+ */
+public final class PeerTransport implements AutoCloseable {
+    private final PeerReactor mReactor;
+
+    private PeerTransport(PeerReactor reactor) {
+        mReactor = reactor;
+    }
+
+    /** Returns a builder with default limits. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns the address that peers connect to. */
+    public InetSocketAddress address() {
+        return mReactor.address();
+    }
+
+    /**
+     * Sends a one-way message; returns false when it was dropped because the peer's queue is full
+     * or the message exceeds the frame limit.
+     */
+    public boolean send(String peer, PeerMessage message) {
+        return mReactor.send(peer, message);
+    }
+
+    /**
+     * Sends a request. The future fails with a {@link PeerException} whose verdict is {@code
+     * NOT_RUN} when the peer did not receive the request and {@code MAY_HAVE_RUN} when it may have.
+     */
+    public CompletableFuture<PeerMessage> request(
+            String peer, PeerMessage message, Duration timeout) {
+        return mReactor.request(peer, message, timeout);
+    }
+
+    /** Injects a fault on all links to a peer, for tests. */
+    public void cut(String peer, LinkCut cut) {
+        mReactor.cut(peer, cut);
+    }
+
+    @Override
+    public void close() {
+        mReactor.close();
+    }
+
+    /**
+     * Settings of a transport.
+     *
+     * <p>Invariant: fleet, sender, secret and listener are set before the start. Thread safety: not
+     * safe.
+     */
+    public static final class Builder {
+        private static final int MIN_SECRET_BYTES = 16;
+
+        @Nullable String mFleet;
+        PeerMessage.@Nullable Sender mSender;
+        byte @Nullable [] mSecret;
+        @Nullable PeerListener mListener;
+        InetSocketAddress mBind = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        Predicate<InetAddress> mAccept = address -> false;
+        Function<String, Optional<InetSocketAddress>> mResolver = vm -> Optional.empty();
+        MeterRegistry mMeters = new SimpleMeterRegistry();
+        Clock mClock = Clock.system();
+        Duration mHeartbeat = Duration.ofSeconds(1);
+        Duration mSilence = Duration.ofSeconds(3);
+        Duration mMinBackoff = Duration.ofMillis(100);
+        Duration mMaxBackoff = Duration.ofSeconds(2);
+        int mQueueBytes = 4 << 20;
+
+        private Builder() {}
+
+        /** Sets the name of the fleet; peers of another fleet are rejected. */
+        public Builder fleet(String fleet) {
+            mFleet = fleet;
+            return this;
+        }
+
+        /** Sets the name of this VM and the incarnation of this process. */
+        public Builder sender(String vm, String incarnation) {
+            mSender = new PeerMessage.Sender(vm, incarnation);
+            return this;
+        }
+
+        /** Sets the shared secret, at least 16 bytes. */
+        public Builder secret(byte[] secret) {
+            mSecret = secret.clone();
+            return this;
+        }
+
+        /** Sets the address to listen on; port 0 picks a free one. */
+        public Builder bind(InetSocketAddress address) {
+            mBind = address;
+            return this;
+        }
+
+        /** Sets which addresses may connect; called for each connection. */
+        public Builder accept(Predicate<InetAddress> accept) {
+            mAccept = accept;
+            return this;
+        }
+
+        /** Sets where a peer listens; called for each connection attempt. */
+        public Builder resolver(Function<String, Optional<InetSocketAddress>> resolver) {
+            mResolver = resolver;
+            return this;
+        }
+
+        /** Sets who receives messages. */
+        public Builder listener(PeerListener listener) {
+            mListener = listener;
+            return this;
+        }
+
+        /** Sets where counters are registered. */
+        public Builder meters(MeterRegistry meters) {
+            mMeters = meters;
+            return this;
+        }
+
+        /** Sets the period of heartbeats and the silence after which a link is closed. */
+        public Builder heartbeat(Duration period, Duration silence) {
+            mHeartbeat = period;
+            mSilence = silence;
+            return this;
+        }
+
+        /** Sets the first and the longest delay between connection attempts. */
+        public Builder backoff(Duration first, Duration longest) {
+            mMinBackoff = first;
+            mMaxBackoff = longest;
+            return this;
+        }
+
+        /** Sets how many bytes may wait to be written to one peer. */
+        public Builder queueBytes(int bytes) {
+            mQueueBytes = bytes;
+            return this;
+        }
+
+        /** Sets the clock. */
+        public Builder clock(Clock clock) {
+            mClock = clock;
+            return this;
+        }
+
+        /** Binds the address and starts the transport's thread. */
+        public PeerTransport start() throws PeerException {
+            Objects.requireNonNull(mFleet, "fleet");
+            Objects.requireNonNull(mSender, "sender");
+            Objects.requireNonNull(mListener, "listener");
+            if (mSecret == null || mSecret.length < MIN_SECRET_BYTES) {
+                throw new IllegalArgumentException("the shared secret needs at least 16 bytes");
+            }
+            try {
+                return new PeerTransport(PeerReactor.start(this));
+            } catch (IOException e) {
+                throw PeerException.bindFailed("cannot listen on " + mBind + ": " + e.getMessage());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between the system's own processes over TCP with MessagePack. */
+package org.bulrushvale.adapters.peer;
--- /dev/null
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
@@ -0,0 +1,97 @@
+package org.bulrushvale.adapters.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.bulrushvale.kernel.verdict.Verdict;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against fields that are lost on the wire and damaged frames that are not rejected. */
+public class PeerCodecTest {
+    private static final long SEED = 411L;
+    private static final PeerMessage.Sender SENDER = new PeerMessage.Sender("como-1", "0abc");
+    private static final PeerMessage.Poison POISON = new PeerMessage.Poison("ff01", 2, 900_000);
+
+    @DataProvider
+    public Object[][] messages() {
+        return new Object[][] {
+            {
+                new PeerMessage.Gossip(
+                        SENDER,
+                        new PeerMessage.ConfigState(7, "d1", 12),
+                        3,
+                        45,
+                        List.of(new PeerMessage.Warmth("runner-1", "e1", true, 9)),
+                        List.of(POISON),
+                        true,
+                        List.of("0abc", "0def"))
+            },
+            {new PeerMessage.ConfigFetch(List.of("classes", "domains"))},
+            {new PeerMessage.ConfigValues(List.of(new PeerMessage.ConfigValue("c", 4, "[]")))},
+            {new PeerMessage.Forward("r", "w", "c", "v1.k", 900, "{è}".getBytes(), 16)},
+            {new PeerMessage.ForwardReply("r", 503, "BACKEND_FAILED", Verdict.RAN, "è", "[]")},
+            {new PeerMessage.PoisonNotice(List.of(POISON, POISON))},
+            {new PeerMessage.PoisonAck()},
+            {new PeerMessage.KeyHandover(new byte[] {1, 2, 3})},
+            {new PeerMessage.KeyHandoverAck("0abc", "0def", true)},
+            {new PeerMessage.Leaving(SENDER)},
+            {new PeerMessage.Heartbeat()},
+            {new PeerMessage.Hello(1, "granite", SENDER, new byte[32])},
+            {new PeerMessage.Proof(new byte[32])},
+        };
+    }
+
+    private static byte[] payload(PeerMessage message) throws PeerException {
+        ByteBuffer frame = PeerCodec.encode(5, message);
+        byte[] payload = new byte[frame.getInt()];
+        frame.get(payload);
+        assertThat(frame.hasRemaining()).isFalse();
+        return payload;
+    }
+
+    @Test(dataProvider = "messages")
+    public void every_message_is_read_back_and_every_truncation_is_rejected(PeerMessage message)
+            throws PeerException {
+        byte[] payload = payload(message);
+        PeerCodec.Envelope read = PeerCodec.decode(payload);
+        assertThat(read.correlation()).isEqualTo(5);
+        assertThat(read.message()).usingRecursiveComparison().isEqualTo(message);
+        for (int length = 0; length < payload.length; length++) {
+            byte[] cut = java.util.Arrays.copyOf(payload, length);
+            assertThatThrownBy(() -> PeerCodec.decode(cut)).isInstanceOf(PeerException.class);
+        }
+        byte[] surplus = java.util.Arrays.copyOf(payload, payload.length + 1);
+        assertThatThrownBy(() -> PeerCodec.decode(surplus)).isInstanceOf(PeerException.class);
+    }
+
+    @Test
+    public void damaged_frames_end_in_a_message_or_a_typed_error() throws PeerException {
+        System.out.println("seed " + SEED);
+        SplittableRandom random = new SplittableRandom(SEED);
+        byte[] good = payload((PeerMessage) messages()[0][0]);
+        int rejected = 0;
+        for (int i = 0; i < 50_000; i++) {
+            byte[] damaged = good.clone();
+            for (int n = random.nextInt(1, 4); n > 0; n--) {
+                damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
+            }
+            try {
+                PeerCodec.decode(damaged);
+            } catch (PeerException e) {
+                assertThat(e.reason()).isEqualTo(PeerReject.FRAME_MALFORMED);
+                rejected++;
+            }
+        }
+        assertThat(rejected).isPositive();
+    }
+
+    @Test
+    public void a_message_above_the_frame_limit_is_refused_before_it_is_sent() {
+        PeerMessage large = new PeerMessage.KeyHandover(new byte[PeerCodec.MAX_FRAME_BYTES]);
+        assertThatThrownBy(() -> PeerCodec.encode(0, large)).isInstanceOf(PeerException.class);
+    }
+}
