--- /dev/null
+++ b/cli/src/main/java/org/bulrushvale/cli/BurnCommand.java
@@ -0,0 +1,71 @@
+package org.bulrushvale.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.bulrushvale.decision.attainment.AttainmentSnapshot;
+import org.bulrushvale.decision.attainment.BurnReport;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.jspecify.annotations.Nullable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/**
+ * Prints attainment and error budgets merged over all entries.
+ *
+ * <p>Invariant: an entry without usable figures is named as missing. Thread safety: not safe; used
+ * by the main thread.
+ */
+@Command(
+        name = "burn",
+        description = "Show attainment, error budgets and cost, merged over all entries.")
+final class BurnCommand implements Callable<Integer> {
+    @Mixin private final EntryOptions mOptions = new EntryOptions();
+
+    @Option(names = "--html", paramLabel = "FILE", description = "also write an HTML page")
+    private @Nullable Path mHtml;
+
+    private final PrintWriter mOut;
+
+    BurnCommand(PrintWriter out) {
+        mOut = out;
+    }
+
+    @Override
+    public Integer call() throws CliException {
+        Map<String, Optional<AttainmentSnapshot>> snapshots = new LinkedHashMap<>();
+        HostPort entry = mOptions.entry();
+        try (EntryClient client = mOptions.client()) {
+            Fleet.ask(client, entry, "/v1/burn")
+                    .forEach((name, json) -> snapshots.put(name, json.flatMap(BurnCommand::read)));
+        }
+        BurnReport report = BurnReport.of(snapshots);
+        if (mHtml != null) {
+            try {
+                Files.writeString(mHtml, BurnPage.of(report, Clock.systemUTC().instant()));
+            } catch (IOException e) {
+                throw CliException.refused("cannot write " + mHtml);
+            }
+        }
+        boolean json = mOptions.output() == OutputFormat.JSON;
+        mOut.print(json ? BurnView.json(report).toPrettyString() + "\n" : BurnView.table(report));
+        mOut.flush();
+        return CliException.OK;
+    }
+
+    private static Optional<AttainmentSnapshot> read(JsonNode json) {
+        try {
+            return Optional.of(AttainmentSnapshot.fromJson(json.toString()));
+        } catch (BulrushvaleException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/bulrushvale/cli/OutputFormat.java
@@ -0,0 +1,13 @@
+package org.bulrushvale.cli;
+
+/**
+ * How a command prints its result.
+ *
+ * <p>Thread safety: immutable.
+ */
+enum OutputFormat {
+    /** Aligned columns for people. */
+    TABLE,
+    /** One JSON document for programs. */
+    JSON
+}
--- /dev/null
+++ b/cli/src/test/java/org/bulrushvale/cli/FakeEntry.java
@@ -0,0 +1,79 @@
+package org.bulrushvale.cli;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * Answers fixed JSON on an ephemeral loopback port.
+ *
+ * <p>Thread safety: safe for use by any thread.
+ */
+final class FakeEntry implements AutoCloseable {
+    private final Map<String, String> mAnswers = new ConcurrentHashMap<>();
+    private final List<String> mCalls = new CopyOnWriteArrayList<>();
+    private final Undertow mServer =
+            Undertow.builder()
+                    .addHttpListener(0, "127.0.0.1", this::handle)
+                    .setIoThreads(1)
+                    .setWorkerThreads(1)
+                    .build();
+
+    FakeEntry() {
+        mServer.start();
+    }
+
+    FakeEntry answer(String path, String json) {
+        mAnswers.put(path, json);
+        return this;
+    }
+
+    /** Returns path, authorization, key and body of each call. */
+    List<String> calls() {
+        return mCalls;
+    }
+
+    String address() {
+        return "127.0.0.1:"
+                + ((InetSocketAddress) mServer.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    private void handle(HttpServerExchange exchange) {
+        exchange.getRequestReceiver()
+                .receiveFullString(
+                        (received, body) -> {
+                            mCalls.add(
+                                    String.join(
+                                            " ",
+                                            received.getRequestPath(),
+                                            header(received, "Authorization"),
+                                            header(received, "Idempotency-Key"),
+                                            body));
+                            String json = mAnswers.get(received.getRequestPath());
+                            received.setStatusCode(json == null ? 503 : 200);
+                            received.getResponseHeaders()
+                                    .put(Headers.CONTENT_TYPE, "application/json");
+                            received.getResponseSender()
+                                    .send(
+                                            json == null
+                                                    ? "{\"title\":\"Overloaded\","
+                                                            + "\"verdict\":\"NOT_RUN\"}"
+                                                    : json);
+                        });
+    }
+
+    private static String header(HttpServerExchange exchange, String name) {
+        String value = exchange.getRequestHeaders().getFirst(name);
+        return value == null ? "-" : value;
+    }
+
+    @Override
+    public void close() {
+        mServer.stop();
+    }
+}
