Keep per-request decisions cheap and name the options of the tool

The deadline check reads several stage medians per request, and the admission queue asks with every request which classes are below target. A median walked a whole histogram and the second question summed over all workspace groups. The medians are now cached for 100 ms and the sums are kept per class. No figure was measured for either; the change follows from the number of steps alone.

--- a/cli/src/main/java/org/bulrushvale/cli/ConfigCheckCommand.java
+++ b/cli/src/main/java/org/bulrushvale/cli/ConfigCheckCommand.java
@@ -40,7 +40,11 @@
     @Parameters(index = "0", paramLabel = "FILE|DIR")
     private Path mPath = Path.of("");
 
-    @Option(names = "--output", defaultValue = "table", description = "${COMPLETION-CANDIDATES}")
+    @Option(
+            names = "--output",
+            paramLabel = "FORMAT",
+            defaultValue = "table",
+            description = "${COMPLETION-CANDIDATES} (default: table)")
     private OutputFormat mOutput = OutputFormat.TABLE;
 
     private final PrintWriter mOut;
--- a/cli/src/main/java/org/bulrushvale/cli/EntryOptions.java
+++ b/cli/src/main/java/org/bulrushvale/cli/EntryOptions.java
@@ -20,12 +20,14 @@
 
     @Option(
             names = "--output",
+            paramLabel = "FORMAT",
             defaultValue = "table",
             description = "${COMPLETION-CANDIDATES} (default: table)")
     private OutputFormat mOutput = OutputFormat.TABLE;
 
     @Option(
             names = "--timeout-ms",
+            paramLabel = "MS",
             defaultValue = "5000",
             description = "longest wait for an entry (default: 5000)")
     private int mTimeoutMs = 5_000;
--- a/cli/src/main/java/org/bulrushvale/cli/RequestCommand.java
+++ b/cli/src/main/java/org/bulrushvale/cli/RequestCommand.java
@@ -31,31 +31,42 @@
     @Option(names = "--caller", required = true, paramLabel = "HOST:PORT")
     private String mCaller = "";
 
-    @Option(names = "--workspace", required = true)
+    @Option(names = "--workspace", required = true, paramLabel = "NAME")
     private String mWorkspace = "";
 
-    @Option(names = "--class", required = true)
+    @Option(names = "--class", required = true, paramLabel = "NAME")
     private String mClass = "";
 
-    @Option(names = "--input", required = true)
+    @Option(names = "--input", required = true, paramLabel = "TEXT")
     private String mInput = "";
 
-    @Option(names = "--max-tokens")
+    @Option(names = "--max-tokens", paramLabel = "N")
     private int mMaxTokens;
 
-    @Option(names = "--deadline-ms", defaultValue = "5000", description = "default: 5000")
+    @Option(
+            names = "--deadline-ms",
+            paramLabel = "MS",
+            defaultValue = "5000",
+            description = "default: 5000")
     private int mDeadlineMs = 5_000;
 
-    @Option(names = "--key", description = "idempotency key")
+    @Option(names = "--key", paramLabel = "KEY", description = "idempotency key")
     private String mKey = "";
 
     @Option(names = "--new-key", description = "obtain an idempotency key first and print it")
     private boolean mNewKey;
 
-    @Option(names = "--token-file", description = "default: $" + TOKEN_VARIABLE)
+    @Option(
+            names = "--token-file",
+            paramLabel = "FILE",
+            description = "default: $" + TOKEN_VARIABLE)
     private @Nullable Path mTokenFile;
 
-    @Option(names = "--output", defaultValue = "table", description = "${COMPLETION-CANDIDATES}")
+    @Option(
+            names = "--output",
+            paramLabel = "FORMAT",
+            defaultValue = "table",
+            description = "${COMPLETION-CANDIDATES} (default: table)")
     private OutputFormat mOutput = OutputFormat.TABLE;
 
     private final PrintWriter mOut;
--- a/decision/src/main/java/org/bulrushvale/decision/attainment/AttainmentTracker.java
+++ b/decision/src/main/java/org/bulrushvale/decision/attainment/AttainmentTracker.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,9 @@
     private final Clock mClock;
     private final Map<List<String>, Row> mRows = new LinkedHashMap<>();
 
+    /** Sums over the groups, because the admission queue asks for them with every request. */
+    private final Map<String, WindowRing> mClasses = new HashMap<>();
+
     /** Creates an empty tracker for the entry of the given name. */
     public AttainmentTracker(String entry, Clock clock) {
         mEntry = entry;
@@ -53,6 +57,8 @@
         row.mOfferedWorth += workClass.worth();
         row.mGainedWorth += cause.missed() ? 0 : workClass.worth();
         row.mRing.add(minute(), cause.missed());
+        mClasses.computeIfAbsent(workClass.name(), name -> new WindowRing())
+                .add(minute(), cause.missed());
         if (cause == Cause.MET) {
             row.mLatency.record(latency);
         }
@@ -72,14 +78,9 @@
 
     /** Returns true when the class missed its target over the short window. */
     public boolean isBelowTarget(WorkClass workClass) {
-        long minute = minute();
-        WindowCount sum = new WindowCount(0, 0);
-        for (Map.Entry<List<String>, Row> entry : mRows.entrySet()) {
-            if (entry.getKey().get(0).equals(workClass.name())) {
-                sum = sum.plus(entry.getValue().mRing.count(minute, BurnWindow.FIVE_MINUTES));
-            }
-        }
-        return sum.burnRate(workClass.target()) > 1;
+        WindowRing ring = mClasses.get(workClass.name());
+        return ring != null
+                && ring.count(minute(), BurnWindow.FIVE_MINUTES).burnRate(workClass.target()) > 1;
     }
 
     /** Returns the figures as they are now. */
--- a/decision/src/main/java/org/bulrushvale/decision/request/StageLatency.java
+++ b/decision/src/main/java/org/bulrushvale/decision/request/StageLatency.java
@@ -1,6 +1,7 @@
 package org.bulrushvale.decision.request;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -24,6 +25,9 @@
     private static final long MAX_UNITS = 600_000;
     private static final double PERCENT = 100.0;
 
+    /** A quantile walks the whole histogram, which is too much for every request. */
+    private static final long CACHE_NANOS = 100_000_000;
+
     private final Clock mClock;
     private final long mWindowNanos;
     private final Map<Key, Series> mSeries = new LinkedHashMap<>();
@@ -57,6 +61,10 @@
             return Optional.empty();
         }
         series.rotate(mClock.monotonicNanos(), mWindowNanos);
+        Long cached = series.mCache.get(quantile);
+        if (cached != null) {
+            return Optional.of(Duration.ofNanos(cached * UNIT_NANOS));
+        }
         IntCountsHistogram histogram = series.mCurrent;
         if (histogram.getTotalCount() < MIN_SAMPLES) {
             histogram = series.mPrevious;
@@ -65,6 +73,7 @@
             return Optional.empty();
         }
         long units = histogram.getValueAtPercentile(quantile * PERCENT);
+        series.mCache.put(quantile, units);
         return Optional.of(Duration.ofNanos(units * UNIT_NANOS));
     }
 
@@ -73,10 +82,13 @@
     private static final class Series {
         private IntCountsHistogram mCurrent = histogram();
         private IntCountsHistogram mPrevious = histogram();
+        private final Map<Double, Long> mCache = new HashMap<>();
+        private long mCachedAt;
         private long mSince;
 
         private Series(long now) {
             mSince = now;
+            mCachedAt = now;
         }
 
         private static IntCountsHistogram histogram() {
@@ -84,6 +96,10 @@
         }
 
         private void rotate(long now, long window) {
+            if (now - mCachedAt >= CACHE_NANOS) {
+                mCache.clear();
+                mCachedAt = now;
+            }
             long age = now - mSince;
             if (age < window) {
                 return;
@@ -96,6 +112,7 @@
                 mPrevious.reset();
             }
             mSince = now;
+            mCache.clear();
         }
     }
 }
