--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/AttemptListener.java
@@ -0,0 +1,33 @@
+package org.bulrushvale.adapters.backend;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Receives what happens to one attempt, in order.
+ *
+ * <p>Invariant: exactly one of {@link #completed}, {@link #refused} and {@link #failed} is called
+ * last; {@link #sent} is called before the first byte of the request is handed to the socket.
+ * Thread safety: called by one I/O thread at a time.
+ */
+public interface AttemptListener {
+    /** A new connection is being opened. */
+    void connecting();
+
+    /** From now on the server may run the attempt. */
+    void sent();
+
+    /** A piece of streamed text arrived for this attempt. */
+    void text(long offset, String text);
+
+    /** A response that names another attempt arrived; its content is dropped. */
+    void foreign(String attemptId);
+
+    /** The complete result arrived; {@code output} is a missing node for a stream. */
+    void completed(JsonNode output, int tokens, long serviceMillis);
+
+    /** The server states that it did not start the attempt. */
+    void refused(int status);
+
+    /** The attempt ended without a complete result. */
+    void failed(BackendFailure failure, String detail);
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendClient.java
@@ -0,0 +1,239 @@
+package org.bulrushvale.adapters.backend;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.client.ClientRequest;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.bulrushvale.adapters.settings.EntrySettings;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * HTTP/1.1 client towards backend servers.
+ *
+ * <pre>{@code
+ * BackendClient client = BackendClient.start(settings.backend(), server -> markCold(server));
+ * BackendClient.Attempt attempt = client.run(address, call, listener);
+ * attempt.abort();
+ * }</pre>
+ *
+ * <p>Invariant: a connection carries one exchange at a time and is reused only after a complete
+ * response. The loss listener is called once for each connection that closes unexpectedly, before
+ * any report on a newer connection. Thread safety: all methods may be called from any thread.
+ */
+public final class BackendClient implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int BUFFER_BYTES = 8_192;
+    private static final int MAX_REPORT_BYTES = 65_536;
+    private static final int OK = 200;
+
+    private final EntrySettings.Backend mSettings;
+    private final Consumer<String> mOnLoss;
+    private final XnioWorker mWorker;
+    private final ByteBufferPool mBuffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+    private final Map<BackendAddress, ConnectionPool> mPools = new ConcurrentHashMap<>();
+
+    private BackendClient(
+            EntrySettings.Backend settings, Consumer<String> onLoss, XnioWorker worker) {
+        mSettings = settings;
+        mOnLoss = onLoss;
+        mWorker = worker;
+    }
+
+    /**
+     * Starts a client.
+     *
+     * @param onLoss receives the name of a server to which a connection closed or went silent
+     */
+    public static BackendClient start(EntrySettings.Backend settings, Consumer<String> onLoss)
+            throws BulrushvaleException {
+        OptionMap options =
+                OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 2)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.THREAD_DAEMON, true)
+                        .set(Options.WORKER_NAME, "backend")
+                        .getMap();
+        try {
+            XnioWorker worker =
+                    Xnio.getInstance(BackendClient.class.getClassLoader()).createWorker(options);
+            return new BackendClient(settings, onLoss, worker);
+        } catch (IOException e) {
+            throw new BulrushvaleException(
+                    ErrorCode.INTERNAL, Verdict.NOT_RUN, "backend client cannot start");
+        }
+    }
+
+    /**
+     * A running attempt.
+     *
+     * <p>Thread safety: may be used from any thread.
+     */
+    @FunctionalInterface
+    public interface Attempt {
+        /** Closes the attempt's connection; has no effect on an attempt that has ended. */
+        void abort();
+    }
+
+    /** Sends one attempt of a stage. */
+    public Attempt run(BackendAddress address, StageCall call, AttemptListener listener)
+            throws BulrushvaleException {
+        ClientRequest request =
+                new ClientRequest()
+                        .setMethod(Methods.POST)
+                        .setPath("/v1/stages/" + encode(call.stage()));
+        if (call.stream()) {
+            request.getRequestHeaders().put(Headers.ACCEPT, "text/event-stream");
+        }
+        byte[] body;
+        try {
+            body = JSON.writeValueAsBytes(call.body());
+        } catch (JsonProcessingException e) {
+            throw new BulrushvaleException(
+                    ErrorCode.INTERNAL, Verdict.NOT_RUN, "stage input cannot be written");
+        }
+        StageAttempt attempt =
+                new StageAttempt(call.attemptId(), listener, mSettings.maxAnswerBytes());
+        return start(address, request, body, attempt, call.progressTimeout())::abort;
+    }
+
+    /** Asks the server to cancel an attempt; the answer is ignored. */
+    public void cancel(BackendAddress address, String attemptId) {
+        ClientRequest request =
+                new ClientRequest()
+                        .setMethod(Methods.DELETE)
+                        .setPath("/v1/attempts/" + encode(attemptId));
+        var unused =
+                start(
+                        address,
+                        request,
+                        new byte[0],
+                        new WholeBody((status, body) -> {}, (failure, detail) -> {}),
+                        mSettings.progressTimeout());
+    }
+
+    /** Reads the load report of a server. */
+    public void readLoad(
+            BackendAddress address,
+            Consumer<LoadReport> onReport,
+            Consumer<BackendFailure> onFailure) {
+        ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath("/v1/load");
+        WholeBody handler =
+                new WholeBody(
+                        (status, body) -> {
+                            try {
+                                if (status != OK) {
+                                    onFailure.accept(BackendFailure.STATUS);
+                                    return;
+                                }
+                                onReport.accept(LoadReport.parse(JSON.readTree(body)));
+                            } catch (IOException | BulrushvaleException e) {
+                                onFailure.accept(BackendFailure.MALFORMED);
+                            }
+                        },
+                        (failure, detail) -> onFailure.accept(failure));
+        var unused = start(address, request, new byte[0], handler, mSettings.progressTimeout());
+    }
+
+    @Override
+    public void close() {
+        mPools.values().forEach(ConnectionPool::closeAll);
+        mWorker.shutdownNow();
+    }
+
+    private HttpExchange start(
+            BackendAddress address,
+            ClientRequest request,
+            byte[] body,
+            ExchangeHandler handler,
+            Duration progressTimeout) {
+        ConnectionPool pool =
+                mPools.computeIfAbsent(address, key -> new ConnectionPool(key.name(), mOnLoss));
+        HttpExchange exchange =
+                new HttpExchange(pool, address, request, body, handler, progressTimeout);
+        exchange.start(mWorker, mBuffers, mSettings.connectTimeout());
+        return exchange;
+    }
+
+    private static String encode(String segment) {
+        return URLEncoder.encode(segment, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+
+    /**
+     * Receives a complete response body.
+     *
+     * <p>Thread safety: implementations are called by one I/O thread.
+     */
+    @FunctionalInterface
+    private interface BodyConsumer {
+        void accept(int status, byte[] body);
+    }
+
+    /**
+     * Receives a failure.
+     *
+     * <p>Thread safety: implementations are called by one I/O thread.
+     */
+    @FunctionalInterface
+    private interface FailureConsumer {
+        void accept(BackendFailure failure, String detail);
+    }
+
+    /**
+     * Collects a small response.
+     *
+     * <p>Thread safety: used by one I/O thread at a time.
+     */
+    private static final class WholeBody implements ExchangeHandler {
+        private final BodyConsumer mOnBody;
+        private final FailureConsumer mOnFailure;
+        private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
+        private int mStatus;
+
+        WholeBody(BodyConsumer onBody, FailureConsumer onFailure) {
+            mOnBody = onBody;
+            mOnFailure = onFailure;
+        }
+
+        @Override
+        public void head(int status, boolean notRun, boolean eventStream) {
+            mStatus = status;
+        }
+
+        @Override
+        public boolean body(ByteBuffer bytes) {
+            while (bytes.hasRemaining()) {
+                mBytes.write(bytes.get());
+            }
+            return mBytes.size() <= MAX_REPORT_BYTES;
+        }
+
+        @Override
+        public void end() {
+            mOnBody.accept(mStatus, mBytes.toByteArray());
+        }
+
+        @Override
+        public void failed(BackendFailure failure, String detail) {
+            mOnFailure.accept(failure, detail);
+        }
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ConnectionPool.java
@@ -0,0 +1,123 @@
+package org.bulrushvale.adapters.backend;
+
+import io.undertow.client.ClientConnection;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.xnio.IoUtils;
+
+/**
+ * Persistent connections to one backend server.
+ *
+ * <p>Invariant: once any connection closes that this side did not mean to close, no connection
+ * opened before that moment is used again, so that later load reports come from a newer connection.
+ * Each connection carries one exchange at a time. Thread safety: all methods may be called from any
+ * thread.
+ */
+final class ConnectionPool {
+    // Enough for the slots of one server; more idle connections only cost memory.
+    private static final int MAX_IDLE = 64;
+
+    private final String mServer;
+    private final Consumer<String> mOnLoss;
+    private final Deque<Lease> mIdle = new ArrayDeque<>();
+    private long mGeneration;
+
+    ConnectionPool(String server, Consumer<String> onLoss) {
+        mServer = server;
+        mOnLoss = onLoss;
+    }
+
+    /**
+     * A connection together with the generation in which it was opened.
+     *
+     * <p>Thread safety: {@code mDeliberate} is volatile; the rest is immutable.
+     */
+    static final class Lease {
+        private final ClientConnection mConnection;
+        private final long mGeneration;
+        private volatile boolean mDeliberate;
+
+        private Lease(ClientConnection connection, long generation) {
+            mConnection = connection;
+            mGeneration = generation;
+        }
+
+        ClientConnection connection() {
+            return mConnection;
+        }
+    }
+
+    synchronized long generation() {
+        return mGeneration;
+    }
+
+    /** Registers a connection whose opening began in the given generation. */
+    Lease adopt(ClientConnection connection, long generation) {
+        Lease lease = new Lease(connection, generation);
+        connection.addCloseListener(closed -> closed(lease));
+        return lease;
+    }
+
+    synchronized @Nullable Lease takeIdle() {
+        for (Lease lease = mIdle.pollLast(); lease != null; lease = mIdle.pollLast()) {
+            if (lease.mConnection.isOpen()) {
+                return lease;
+            }
+        }
+        return null;
+    }
+
+    /** Returns a connection after a complete exchange. */
+    void release(Lease lease) {
+        synchronized (this) {
+            boolean current = lease.mGeneration == mGeneration;
+            if (current && lease.mConnection.isOpen() && mIdle.size() < MAX_IDLE) {
+                mIdle.addLast(lease);
+                return;
+            }
+        }
+        close(lease);
+    }
+
+    /** Closes a connection without treating the close as a sign of trouble at the server. */
+    void close(Lease lease) {
+        lease.mDeliberate = true;
+        IoUtils.safeClose(lease.mConnection);
+    }
+
+    /** Closes a connection that went wrong; the server may have restarted. */
+    void discard(Lease lease) {
+        closed(lease);
+        close(lease);
+    }
+
+    void closeAll() {
+        takeAll().forEach(this::close);
+    }
+
+    private void closed(Lease lease) {
+        boolean lost = false;
+        synchronized (this) {
+            mIdle.remove(lease);
+            if (!lease.mDeliberate) {
+                lease.mDeliberate = true;
+                mGeneration++;
+                lost = true;
+            }
+        }
+        if (lost) {
+            closeAll();
+            mOnLoss.accept(mServer);
+        }
+    }
+
+    private synchronized List<Lease> takeAll() {
+        List<Lease> leases = new ArrayList<>(mIdle);
+        mIdle.clear();
+        return leases;
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/LoadReport.java
@@ -0,0 +1,49 @@
+package org.bulrushvale.adapters.backend;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+
+/**
+ * Load report of a backend server.
+ *
+ * <p>Invariant: it was read on a connection opened after the last close of any connection to that
+ * server. Thread safety: immutable.
+ *
+ * @param server name that the server states
+ * @param epoch changes when the server process restarts
+ * @param warm true when the server states that it is warm
+ * @param slots concurrent requests when warm
+ * @param bearable concurrent requests when cold
+ * @param running requests that run
+ * @param queued requests that wait
+ * @param ageMillis age of the figures
+ */
+public record LoadReport(
+        String server,
+        String epoch,
+        boolean warm,
+        int slots,
+        int bearable,
+        int running,
+        int queued,
+        long ageMillis) {
+    static LoadReport parse(JsonNode json) throws BulrushvaleException {
+        if (!json.path("server").isTextual() || !json.hasNonNull("epoch")) {
+            throw new BulrushvaleException(
+                    ErrorCode.BACKEND_FAILED,
+                    Verdict.NOT_RUN,
+                    "load report without server or epoch");
+        }
+        return new LoadReport(
+                json.path("server").asText(),
+                json.path("epoch").asText(),
+                json.path("state").asText().equals("warm"),
+                json.path("slots").asInt(1),
+                json.path("bearable").asInt(1),
+                json.path("running").asInt(0),
+                json.path("queued").asInt(0),
+                json.path("age_ms").asLong(0));
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/StageCall.java
@@ -0,0 +1,48 @@
+package org.bulrushvale.adapters.backend;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+
+/**
+ * One attempt of one stage, as it is sent to a backend server.
+ *
+ * <p>Invariant: {@code attemptId} is unique in the fleet. Thread safety: immutable.
+ *
+ * @param stage stage name
+ * @param attemptId id that the engine echoes
+ * @param requestId request that the attempt belongs to
+ * @param workspace workspace of the request
+ * @param input input of the stage
+ * @param maxTokens most tokens to generate; 0 leaves it to the engine
+ * @param resumeFrom offset from which a stream continues
+ * @param stream true to ask for an event stream
+ * @param progressTimeout longest time without a byte from the server
+ */
+public record StageCall(
+        String stage,
+        String attemptId,
+        String requestId,
+        String workspace,
+        JsonNode input,
+        int maxTokens,
+        long resumeFrom,
+        boolean stream,
+        Duration progressTimeout) {
+    ObjectNode body() {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put("attempt_id", attemptId);
+        body.put("request_id", requestId);
+        body.put("workspace", workspace);
+        body.set("input", input);
+        if (maxTokens > 0) {
+            body.put("max_tokens", maxTokens);
+        }
+        body.put("resume_from", resumeFrom);
+        body.put("priority", 0);
+        body.put("prefix", "");
+        body.put("stream", stream);
+        return body;
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP client side towards backend servers. */
+package org.bulrushvale.adapters.backend;
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/package-info.java
@@ -0,0 +1,2 @@
+/** External interfaces of the entry daemon. */
+package org.bulrushvale.adapters;
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/EntrySettings.java
@@ -0,0 +1,103 @@
+package org.bulrushvale.adapters.settings;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Checked settings of one entry daemon.
+ *
+ * <p>Invariant: every value satisfies its rule in {@link SettingsCheck}. Thread safety: immutable.
+ *
+ * @param entry identity of this process
+ * @param caller caller listener
+ * @param operator operator listener
+ * @param peer peer transport
+ * @param platform platform service
+ * @param backend backend client
+ * @param log log output
+ * @param drain graceful shutdown
+ */
+public record EntrySettings(
+        Entry entry,
+        Caller caller,
+        Operator operator,
+        Peer peer,
+        Platform platform,
+        Backend backend,
+        Log log,
+        Drain drain) {
+    /**
+     * Identity of this process.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Entry(String vm, String failureDomain, String region, String fleet) {}
+
+    /**
+     * Address and limits of the caller listener.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Caller(
+            String address,
+            int port,
+            int maxBodyBytes,
+            int maxHeaderBytes,
+            Duration readTimeout,
+            int maxConcurrent,
+            int maxStreams,
+            int queueLength) {}
+
+    /**
+     * Address of the operator listener and the client addresses that it answers.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Operator(String address, int port, List<String> allowedAddresses) {}
+
+    /**
+     * Address of the peer transport, the fleet's shared secret, and peers to use while the VM list
+     * cannot be read.
+     *
+     * <p>Invariant: {@link #toString()} hides the secret. Thread safety: immutable.
+     */
+    public record Peer(String address, int port, String secret, List<String> peers) {
+        @Override
+        public String toString() {
+            return "Peer[address=" + address + ", port=" + port + ", peers=" + peers + "]";
+        }
+    }
+
+    /**
+     * Where the platform publishes the configuration and the VM list.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Platform(URI configUrl, URI vmsUrl) {}
+
+    /**
+     * Limits of the backend client.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Backend(
+            Duration connectTimeout,
+            Duration progressTimeout,
+            Duration loadInterval,
+            int maxAnswerBytes) {}
+
+    /**
+     * Log output.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Log(boolean json, String level) {}
+
+    /**
+     * Limits of a graceful shutdown.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Drain(Duration readinessDelay, Duration requestTimeout) {}
+}
