--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/request/DeadlineBudget.java
@@ -0,0 +1,59 @@
+package org.bulrushvale.decision.request;
+
+import java.time.Duration;
+import java.util.List;
+import org.bulrushvale.decision.config.Pipeline;
+import org.bulrushvale.decision.config.Stage;
+
+/**
+ * Compares the time that a request has left with the median time of its remaining stages.
+ *
+ * <p>Invariant: stages without enough observations count as zero, so a new stage is never refused
+ * for lack of data. Thread safety: not safe; owned by the event loop.
+ */
+public final class DeadlineBudget {
+    private static final double MEDIAN = 0.5;
+
+    private final StageLatency mLatency;
+
+    /** Creates a budget that reads the given observations. */
+    public DeadlineBudget(StageLatency latency) {
+        mLatency = latency;
+    }
+
+    /**
+     * Whether a request may go on.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public enum Outlook {
+        /** Nothing has started and the deadline cannot be met: refuse as not run. */
+        REFUSE_EARLY,
+        /** Start the next stage. */
+        GO_ON,
+        /** Earlier stages have run and the deadline cannot be met: cancel the rest. */
+        STOP
+    }
+
+    /** Returns the estimated time from the start of a stage to the end of the pipeline. */
+    public Duration estimate(String workClass, Pipeline pipeline, int nextStage) {
+        List<Stage> stages = pipeline.stages();
+        Duration sum = Duration.ZERO;
+        for (Stage stage : stages.subList(nextStage, stages.size())) {
+            sum =
+                    sum.plus(
+                            mLatency.quantile(workClass, stage.name(), MEDIAN)
+                                    .orElse(Duration.ZERO));
+        }
+        return sum;
+    }
+
+    /** Returns whether a request may start a stage with the given time left. */
+    public Outlook outlook(String workClass, Pipeline pipeline, int nextStage, Duration remaining) {
+        boolean late = remaining.isNegative() || remaining.isZero();
+        if (!late && remaining.compareTo(estimate(workClass, pipeline, nextStage)) >= 0) {
+            return Outlook.GO_ON;
+        }
+        return nextStage == 0 ? Outlook.REFUSE_EARLY : Outlook.STOP;
+    }
+}
