Add the caller listener and the metrics registry

Callers need typed errors for every bad input while the process keeps serving. Undertow does not read a connection while a request is processed, so a disconnect would be noticed only at the answer; the listener reads the connection itself instead. Relying on write errors alone was ruled out because a whole answer is written only at the end.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/AttemptListener.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/AttemptListener.java
@@ -1,13 +1,11 @@
 package org.bulrushvale.adapters.backend;
 
-import com.fasterxml.jackson.databind.JsonNode;
-
 /**
  * Receives what happens to one attempt, in order.
  *
- * <p>Invariant: exactly one of {@link #completed}, {@link #refused} and {@link #failed} is called
- * last; {@link #sent} is called before the first byte of the request is handed to the socket.
- * Thread safety: called by one I/O thread at a time.
+ * <p>Invariant: exactly one of {@link #completed}, {@link #streamEnded}, {@link #refused} and
+ * {@link #failed} is called last; {@link #sent} is called before the first byte of the request is
+ * handed to the socket. Thread safety: called by one I/O thread at a time.
  */
 public interface AttemptListener {
     /** A new connection is being opened. */
@@ -22,8 +20,11 @@
     /** A response that names another attempt arrived; its content is dropped. */
     void foreign(String attemptId);
 
-    /** The complete result arrived; {@code output} is a missing node for a stream. */
-    void completed(JsonNode output, int tokens, long serviceMillis);
+    /** The complete result arrived in one piece. */
+    void completed(String output, long tokens);
+
+    /** The end event of the stream arrived. */
+    void streamEnded(long tokens);
 
     /** The server states that it did not start the attempt. */
     void refused(int status);
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/StageAttempt.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/StageAttempt.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -106,7 +105,9 @@
             return true;
         }
         if (event.equals("end")) {
-            complete(MissingNode.getInstance(), json);
+            if (mEnded.compareAndSet(false, true)) {
+                mListener.streamEnded(json.path("tokens").asLong(0));
+            }
         } else if (json.path("offset").isIntegralNumber() && json.path("text").isTextual()) {
             mListener.text(json.path("offset").asLong(), json.path("text").asText());
         } else {
@@ -145,8 +146,10 @@
             fail(BackendFailure.FOREIGN, "response belongs to another attempt");
         } else if (!json.path("complete").asBoolean(false)) {
             fail(BackendFailure.TRUNCATED, "response not marked complete");
-        } else {
-            complete(json.path("output"), json);
+        } else if (!json.path("output").isTextual()) {
+            fail(BackendFailure.MALFORMED, "response without output text");
+        } else if (mEnded.compareAndSet(false, true)) {
+            mListener.completed(json.path("output").asText(), json.path("tokens").asLong(0));
         }
     }
 
@@ -159,13 +162,6 @@
         fail(failure, detail);
     }
 
-    private void complete(JsonNode output, JsonNode json) {
-        if (mEnded.compareAndSet(false, true)) {
-            int tokens = json.path("tokens").asInt(0);
-            mListener.completed(output, tokens, json.path("service_ms").asLong(0));
-        }
-    }
-
     private void fail(BackendFailure failure, String detail) {
         if (mEnded.compareAndSet(false, true)) {
             mListener.failed(failure, detail);
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/StageCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/StageCall.java
@@ -1,6 +1,5 @@
 package org.bulrushvale.adapters.backend;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
@@ -25,7 +24,7 @@
         String attemptId,
         String requestId,
         String workspace,
-        JsonNode input,
+        String input,
         int maxTokens,
         long resumeFrom,
         boolean stream,
@@ -35,7 +34,7 @@
         body.put("attempt_id", attemptId);
         body.put("request_id", requestId);
         body.put("workspace", workspace);
-        body.set("input", input);
+        body.put("input", input);
         if (maxTokens > 0) {
             body.put("max_tokens", maxTokens);
         }
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
@@ -0,0 +1,278 @@
+package org.bulrushvale.adapters.caller;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bulrushvale.adapters.metrics.EntryMetrics;
+import org.bulrushvale.adapters.settings.EntrySettings;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+import org.xnio.XnioExecutor;
+
+/**
+ * HTTP listener for callers.
+ *
+ * <pre>{@code
+ * CallerServer server = CallerServer.start(settings.caller(), port, metrics);
+ * server.port();
+ * server.stop();
+ * }</pre>
+ *
+ * <p>Invariant: every request gets one answer; the limits on headers, body, reading time and
+ * concurrency are checked before the daemon sees it. Thread safety: all methods may be called from
+ * any thread.
+ */
+public final class CallerServer {
+    private static final int IO_THREADS = 2;
+    private static final int IDLE_TIMEOUT_MS = 60_000;
+
+    private final EntrySettings.Caller mSettings;
+    private final CallerPort mPort;
+    private final EntryMetrics mMetrics;
+    private final AtomicInteger mRunning = new AtomicInteger();
+    private final AtomicInteger mStreams = new AtomicInteger();
+    private final Undertow mServer;
+    private volatile boolean mDraining;
+
+    private CallerServer(EntrySettings.Caller settings, CallerPort port, EntryMetrics metrics) {
+        mSettings = settings;
+        mPort = port;
+        mMetrics = metrics;
+        mServer =
+                Undertow.builder()
+                        .addHttpListener(settings.port(), settings.address(), this::handle)
+                        .setIoThreads(IO_THREADS)
+                        .setWorkerThreads(1)
+                        // Twice the limit, so that a moderate excess gets a typed answer.
+                        .setServerOption(
+                                UndertowOptions.MAX_HEADER_SIZE, 2 * settings.maxHeaderBytes())
+                        .setServerOption(
+                                UndertowOptions.MAX_ENTITY_SIZE, (long) settings.maxBodyBytes())
+                        .setServerOption(
+                                UndertowOptions.REQUEST_PARSE_TIMEOUT,
+                                (int) settings.readTimeout().toMillis())
+                        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MS)
+                        .build();
+    }
+
+    /** Starts the listener. */
+    public static CallerServer start(
+            EntrySettings.Caller settings, CallerPort port, EntryMetrics metrics)
+            throws BulrushvaleException {
+        CallerServer server = new CallerServer(settings, port, metrics);
+        try {
+            server.mServer.start();
+        } catch (RuntimeException e) {
+            throw new BulrushvaleException(
+                    ErrorCode.INTERNAL,
+                    Verdict.NOT_RUN,
+                    "caller listener cannot use " + settings.address() + ":" + settings.port());
+        }
+        return server;
+    }
+
+    /** Returns the TCP port. */
+    public int port() {
+        InetSocketAddress address =
+                (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
+        return address.getPort();
+    }
+
+    /** Returns the number of requests in progress. */
+    public int running() {
+        return mRunning.get();
+    }
+
+    /** Refuses new requests; connections close after their current answer. */
+    public void drain() {
+        mDraining = true;
+    }
+
+    /** Closes the listener and all connections. */
+    public void stop() {
+        mServer.stop();
+    }
+
+    private void handle(HttpServerExchange exchange) {
+        if (mDraining) {
+            exchange.setPersistent(false);
+        }
+        String route = exchange.getRequestMethod() + " " + exchange.getRequestPath();
+        switch (route) {
+            case "POST /v1/requests" -> readBody(exchange, this::onRequest);
+            case "POST /v1/keys" -> readBody(exchange, this::onKeyRequest);
+            case "GET /livez" -> text(exchange, 200, "live\n");
+            case "GET /readyz" -> onReadyz(exchange);
+            case "GET /metrics" -> text(exchange, 200, mMetrics.scrape());
+            default -> refuse(exchange, ErrorCode.NOT_FOUND, "no such resource");
+        }
+    }
+
+    private void onReadyz(HttpServerExchange exchange) {
+        String reason = mPort.notReadyReason();
+        text(exchange, reason.isEmpty() ? 200 : 503, reason.isEmpty() ? "ready\n" : reason + "\n");
+    }
+
+    private void readBody(HttpServerExchange exchange, Receiver.FullBytesCallback next) {
+        if (mDraining) {
+            refuse(exchange, ErrorCode.DRAINING, "entry is shutting down");
+            return;
+        }
+        if (headerBytes(exchange) > mSettings.maxHeaderBytes()) {
+            exchange.setPersistent(false);
+            refuse(exchange, ErrorCode.MALFORMED_REQUEST, "headers larger than the limit");
+            return;
+        }
+        if (mRunning.incrementAndGet() > mSettings.maxConcurrent()) {
+            mRunning.decrementAndGet();
+            refuse(exchange, ErrorCode.OVERLOADED, "too many requests in progress");
+            return;
+        }
+        exchange.addExchangeCompleteListener(
+                (done, chain) -> {
+                    mRunning.decrementAndGet();
+                    chain.proceed();
+                });
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> receive(exchange, next));
+    }
+
+    private void receive(HttpServerExchange exchange, Receiver.FullBytesCallback next) {
+        // Covers the whole body, so that a sender of one byte at a time is cut off as well.
+        XnioExecutor.Key timer =
+                exchange.getIoThread()
+                        .executeAfter(
+                                () -> slowSender(exchange),
+                                mSettings.readTimeout().toMillis(),
+                                TimeUnit.MILLISECONDS);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (same, body) -> {
+                            timer.remove();
+                            next.handle(same, body);
+                        },
+                        (same, error) -> {
+                            timer.remove();
+                            same.setPersistent(false);
+                            boolean tooLarge =
+                                    error instanceof Receiver.RequestToLargeException
+                                            || error
+                                                    instanceof
+                                                    io.undertow.server.RequestTooBigException;
+                            refuse(
+                                    same,
+                                    tooLarge
+                                            ? ErrorCode.BODY_TOO_LARGE
+                                            : ErrorCode.MALFORMED_REQUEST,
+                                    tooLarge
+                                            ? "body larger than the limit"
+                                            : "body not received completely");
+                        });
+    }
+
+    private void slowSender(HttpServerExchange exchange) {
+        if (!exchange.isRequestComplete() && !exchange.isResponseStarted()) {
+            exchange.setPersistent(false);
+            refuse(
+                    exchange,
+                    ErrorCode.REQUEST_TIMEOUT,
+                    "body not received within the read timeout");
+            // Ending the exchange would wait for the rest of the body.
+            exchange.getIoThread()
+                    .executeAfter(
+                            () -> org.xnio.IoUtils.safeClose(exchange.getConnection()),
+                            1,
+                            TimeUnit.SECONDS);
+        }
+    }
+
+    private void onRequest(HttpServerExchange exchange, byte[] body) {
+        CallerRequest request;
+        try {
+            request = RequestParser.parse(exchange.getRequestHeaders(), body);
+        } catch (BulrushvaleException e) {
+            refuse(exchange, e.code(), e.detail());
+            return;
+        }
+        if (request.stream()) {
+            if (mStreams.incrementAndGet() > mSettings.maxStreams()) {
+                mStreams.decrementAndGet();
+                refuse(exchange, ErrorCode.OVERLOADED, "too many streams");
+                return;
+            }
+            exchange.addExchangeCompleteListener(
+                    (done, chain) -> {
+                        mStreams.decrementAndGet();
+                        chain.proceed();
+                    });
+        }
+        HttpReply reply = new HttpReply(exchange, request.stream(), mMetrics::answered);
+        DisconnectWatch.watch(exchange, mPort.submit(request, reply));
+    }
+
+    private void onKeyRequest(HttpServerExchange exchange, byte[] body) {
+        HttpReply reply = new HttpReply(exchange, false, mMetrics::answered);
+        try {
+            String[] names = RequestParser.parseKeyRequest(body);
+            String token = RequestParser.tokenDigest(exchange.getRequestHeaders());
+            mPort.issueKey(names[0], names[1], token, new HttpKeyReply(exchange, reply));
+        } catch (BulrushvaleException e) {
+            refuse(exchange, e.code(), e.detail());
+        }
+    }
+
+    private void refuse(HttpServerExchange exchange, ErrorCode code, String detail) {
+        boolean keyed = RequestParser.hasKey(exchange.getRequestHeaders());
+        Problem problem = Problem.refusal(code, detail, keyed);
+        mMetrics.answered(code.httpStatus());
+        new HttpReply(exchange, false, mMetrics::answered)
+                .whole(code.httpStatus(), "application/problem+json", problem.json());
+    }
+
+    private static void text(HttpServerExchange exchange, int status, String text) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; charset=utf-8");
+        exchange.getResponseSender().send(text);
+    }
+
+    private static long headerBytes(HttpServerExchange exchange) {
+        long bytes = 0;
+        for (HeaderValues values : exchange.getRequestHeaders()) {
+            for (String value : values) {
+                bytes += values.getHeaderName().length() + value.length();
+            }
+        }
+        return bytes;
+    }
+
+    /**
+     * Answers a request for a key.
+     *
+     * <p>Thread safety: may be called from any thread.
+     */
+    private record HttpKeyReply(HttpServerExchange exchange, HttpReply reply)
+            implements CallerPort.KeyReply {
+        @Override
+        public void issued(String key, Duration expiresIn) {
+            ObjectNode json = JsonNodeFactory.instance.objectNode();
+            json.put("key", key);
+            json.put("expires_in_ms", expiresIn.toMillis());
+            exchange.getIoThread().execute(() -> reply.whole(200, "application/json", json));
+        }
+
+        @Override
+        public void fail(Problem problem) {
+            reply.fail(problem);
+        }
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/Problem.java
@@ -0,0 +1,66 @@
+package org.bulrushvale.adapters.caller;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import java.util.OptionalLong;
+import org.bulrushvale.kernel.verdict.Advice;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+
+/**
+ * An error for a caller, in the form of RFC 9457.
+ *
+ * <p>Invariant: the detail holds no secret and no request body. Thread safety: immutable.
+ *
+ * @param code error code
+ * @param verdict whether the request may have run
+ * @param advice what the caller may do next
+ * @param detail explanation
+ * @param retryAfterMs time after which a retry makes sense
+ */
+public record Problem(
+        ErrorCode code, Verdict verdict, Advice advice, String detail, OptionalLong retryAfterMs) {
+    // Long enough for a burst to pass, short against a deadline of 5 s.
+    private static final long RETRY_AFTER_MS = 200;
+
+    /**
+     * Returns the refusal of a request that this entry has not started. An earlier presentation of
+     * the same idempotency key may have run elsewhere, so a keyed request is never called not run.
+     */
+    public static Problem refusal(ErrorCode code, String detail, boolean keyed) {
+        Verdict verdict = keyed ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+        Advice advice = code.defaultAdvice();
+        if (keyed && (advice == Advice.RETRY || advice == Advice.CHECK_BEFORE_RETRY)) {
+            advice = Advice.RETRY_SAME_KEY;
+        }
+        return new Problem(code, verdict, advice, detail, retryAfter(code));
+    }
+
+    /** Returns the error of a request that was started. */
+    public static Problem failure(ErrorCode code, Verdict verdict, Advice advice, String detail) {
+        return new Problem(code, verdict, advice, detail, retryAfter(code));
+    }
+
+    private static OptionalLong retryAfter(ErrorCode code) {
+        return switch (code) {
+            case OVERLOADED, NO_BACKEND, ISOLATED, NOT_CONFIGURED, DRAINING ->
+                    OptionalLong.of(RETRY_AFTER_MS);
+            default -> OptionalLong.empty();
+        };
+    }
+
+    ObjectNode json() {
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        String type = code.name().toLowerCase(Locale.ROOT).replace('_', '-');
+        json.put("type", "urn:bulrushvale:problem:" + type);
+        json.put("title", code.title());
+        json.put("status", code.httpStatus());
+        json.put("detail", detail);
+        json.put("code", code.name());
+        json.put("verdict", verdict.name());
+        json.put("advice", advice.name());
+        retryAfterMs.ifPresent(millis -> json.put("retry_after_ms", millis));
+        return json;
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP listener for callers. */
+package org.bulrushvale.adapters.caller;
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
@@ -0,0 +1,50 @@
+package org.bulrushvale.adapters.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.function.Supplier;
+
+/**
+ * Metrics of one entry daemon.
+ *
+ * <p>Invariant: label values come from the published configuration or from fixed sets, so that
+ * callers cannot add time series. Thread safety: all methods may be called from any thread.
+ */
+public final class EntryMetrics {
+    private final PrometheusMeterRegistry mRegistry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+    /** Counts a finished request of a known class. */
+    public void requestEnded(String workClass, String code, String verdict, Duration elapsed) {
+        Timer.builder("bulrushvale.requests")
+                .tag("class", workClass)
+                .tag("code", code)
+                .tag("verdict", verdict)
+                .register(mRegistry)
+                .record(elapsed);
+    }
+
+    /** Counts an answer of the caller listener by HTTP status. */
+    public void answered(int status) {
+        count("bulrushvale.caller.answers", "status", Integer.toString(status));
+    }
+
+    /** Counts an event by a label from a fixed set. */
+    public void count(String name, String label, String value) {
+        Counter.builder(name).tag(label, value).register(mRegistry).increment();
+    }
+
+    /** Registers a gauge. */
+    public void gauge(String name, Supplier<Number> value) {
+        Gauge.builder(name, value).register(mRegistry);
+    }
+
+    /** Returns all metrics in Prometheus text format. */
+    public String scrape() {
+        return mRegistry.scrape();
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics in Prometheus text format. */
+package org.bulrushvale.adapters.metrics;
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/operator/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP listener for operators. */
+package org.bulrushvale.adapters.operator;
