Add the operator listener and the plug-in context

An attempt now asks before its first byte is handed to the socket whether it may still be sent: without this check a cancelled attempt could be reported as not run although its connection completed later.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/AttemptListener.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/AttemptListener.java
@@ -11,8 +11,11 @@
     /** A new connection is being opened. */
     void connecting();
 
-    /** From now on the server may run the attempt. */
-    void sent();
+    /**
+     * The first byte is about to be handed to the socket; from now on the server may run the
+     * attempt. Returns false when the attempt was given up and must not be sent.
+     */
+    boolean sent();
 
     /** A piece of streamed text arrived for this attempt. */
     void text(long offset, String text);
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ExchangeHandler.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ExchangeHandler.java
@@ -11,7 +11,10 @@
 interface ExchangeHandler {
     default void connecting() {}
 
-    default void sent() {}
+    /** The first byte is about to be handed to the socket; false forbids it. */
+    default boolean sent() {
+        return true;
+    }
 
     /** The status line and the headers arrived. */
     void head(int status, boolean notRun, boolean eventStream);
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
@@ -43,6 +43,7 @@
     private final AtomicBoolean mEnded = new AtomicBoolean();
     private volatile ConnectionPool.@Nullable Lease mLease;
     private volatile long mLastProgress;
+    private volatile boolean mConnected;
     private boolean mHeadSeen;
 
     HttpExchange(
@@ -107,22 +108,25 @@
     }
 
     private void connectTimedOut() {
-        if (mLease == null) {
+        if (!mConnected) {
             fail(BackendFailure.CONNECT, "connection timed out");
         }
     }
 
     private void send(ConnectionPool.Lease lease) {
-        synchronized (this) {
-            mLease = lease;
+        mConnected = true;
+        if (mEnded.get() || !mHandler.sent()) {
+            mPool.release(lease);
+            abort();
+            return;
         }
+        mLease = lease;
         if (mEnded.get()) {
-            mPool.release(lease);
+            mPool.close(lease);
             return;
         }
         mLastProgress = System.nanoTime();
         watchProgress(lease.connection().getIoThread(), mProgressTimeout.toNanos());
-        mHandler.sent();
         lease.connection()
                 .sendRequest(
                         mRequest,
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/StageAttempt.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/StageAttempt.java
@@ -43,8 +43,8 @@
     }
 
     @Override
-    public void sent() {
-        mListener.sent();
+    public boolean sent() {
+        return mListener.sent();
     }
 
     @Override
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerPlugin.java
@@ -0,0 +1,55 @@
+package org.bulrushvale.adapters.caller;
+
+import org.bulrushvale.adapters.EntryContext;
+import org.bulrushvale.kernel.plugin.Plugin;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The caller listener as a plug-in.
+ *
+ * <p>Invariant: starts last, so that no caller is answered before the rest runs. Thread safety:
+ * used by the daemon's main thread.
+ */
+public final class CallerPlugin implements Plugin<EntryContext> {
+    private static final int ORDER = 900;
+
+    private @Nullable CallerServer mServer;
+
+    @Override
+    public String name() {
+        return "caller";
+    }
+
+    @Override
+    public int order() {
+        return ORDER;
+    }
+
+    @Override
+    public void start(EntryContext context) throws BulrushvaleException {
+        CallerServer server =
+                CallerServer.start(
+                        context.settings().caller(),
+                        context.service(CallerPort.class),
+                        context.metrics());
+        mServer = server;
+        context.listening(name(), server.port());
+    }
+
+    @Override
+    public void drain() {
+        CallerServer server = mServer;
+        if (server != null) {
+            server.drain();
+        }
+    }
+
+    @Override
+    public void stop() {
+        CallerServer server = mServer;
+        if (server != null) {
+            server.stop();
+        }
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/operator/OperatorPlugin.java
@@ -0,0 +1,45 @@
+package org.bulrushvale.adapters.operator;
+
+import org.bulrushvale.adapters.EntryContext;
+import org.bulrushvale.kernel.plugin.Plugin;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The operator listener as a plug-in.
+ *
+ * <p>Invariant: keeps answering during a graceful shutdown. Thread safety: used by the daemon's
+ * main thread.
+ */
+public final class OperatorPlugin implements Plugin<EntryContext> {
+    private static final int ORDER = 100;
+
+    private @Nullable OperatorServer mServer;
+
+    @Override
+    public String name() {
+        return "operator";
+    }
+
+    @Override
+    public int order() {
+        return ORDER;
+    }
+
+    @Override
+    public void start(EntryContext context) throws BulrushvaleException {
+        OperatorServer server =
+                OperatorServer.start(
+                        context.settings().operator(), context.service(OperatorPort.class));
+        mServer = server;
+        context.listening(name(), server.port());
+    }
+
+    @Override
+    public void stop() {
+        OperatorServer server = mServer;
+        if (server != null) {
+            server.stop();
+        }
+    }
+}
