--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/AttemptLink.java
@@ -0,0 +1,194 @@
+package org.bulrushvale.daemon;
+
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.bulrushvale.adapters.backend.AttemptListener;
+import org.bulrushvale.adapters.backend.BackendClient;
+import org.bulrushvale.adapters.backend.BackendFailure;
+import org.bulrushvale.decision.config.BackendServer;
+import org.bulrushvale.decision.outcome.WireTrace;
+import org.bulrushvale.decision.request.AttemptId;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.verdict.Verdict;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Carries the events of one attempt from the I/O threads to the event loop.
+ *
+ * <p>Invariant: once {@link #verdictNow} has returned {@code NOT_RUN}, no byte of the attempt is
+ * sent. Thread safety: the listener methods are called by I/O threads, the others by the event
+ * loop.
+ */
+final class AttemptLink implements AttemptListener {
+    private final AttemptId mId;
+    private final BackendServer mServer;
+    private final WireTrace mTrace;
+    private final EventLoop mLoop;
+    private final Events mEvents;
+    private final long mStartNanos;
+    private final AtomicReference<Gate> mGate = new AtomicReference<>(Gate.OPEN);
+    private BackendClient.@Nullable Attempt mAttempt;
+    private boolean mReleased;
+
+    AttemptLink(
+            AttemptId id,
+            BackendServer server,
+            WireTrace trace,
+            EventLoop loop,
+            Events events,
+            long startNanos) {
+        mId = id;
+        mServer = server;
+        mTrace = trace;
+        mLoop = loop;
+        mEvents = events;
+        mStartNanos = startNanos;
+    }
+
+    private enum Gate {
+        OPEN,
+        SENT,
+        SHUT
+    }
+
+    /**
+     * Receives the events on the event loop.
+     *
+     * <p>Thread safety: owned by the event loop.
+     */
+    interface Events {
+        void onText(AttemptLink link, long offset, String text);
+
+        void onForeign(AttemptLink link, String attemptId);
+
+        void onCompleted(AttemptLink link, String output, long tokens);
+
+        void onStreamEnded(AttemptLink link, long tokens);
+
+        void onRefused(AttemptLink link, int status);
+
+        void onFailed(AttemptLink link, BackendFailure failure, String detail);
+    }
+
+    AttemptId id() {
+        return mId;
+    }
+
+    BackendServer server() {
+        return mServer;
+    }
+
+    WireTrace trace() {
+        return mTrace;
+    }
+
+    long startNanos() {
+        return mStartNanos;
+    }
+
+    void attach(BackendClient.Attempt attempt) {
+        mAttempt = attempt;
+    }
+
+    /** Returns true the first time only. */
+    boolean release() {
+        boolean first = !mReleased;
+        mReleased = true;
+        return first;
+    }
+
+    /** Returns the verdict at this moment and forbids sending if nothing was sent yet. */
+    Verdict verdictNow() {
+        if (!mGate.compareAndSet(Gate.OPEN, Gate.SHUT) && mGate.get() == Gate.SENT) {
+            // The event of the first byte may still be on its way to the event loop.
+            if (mTrace.maySend()) {
+                mTrace.on(WireTrace.Event.FIRST_BYTE);
+            }
+        }
+        return mTrace.verdict();
+    }
+
+    /** Gives the attempt up; true when the server may know it. */
+    boolean abort() {
+        Verdict verdict = verdictNow();
+        BackendClient.Attempt attempt = mAttempt;
+        if (attempt != null) {
+            attempt.abort();
+        }
+        return !verdict.isSafeToRepeat();
+    }
+
+    @Override
+    public void connecting() {
+        post(trace -> trace.on(WireTrace.Event.CONNECT_STARTED));
+    }
+
+    @Override
+    public boolean sent() {
+        if (!mGate.compareAndSet(Gate.OPEN, Gate.SENT)) {
+            return false;
+        }
+        post(trace -> trace.on(WireTrace.Event.FIRST_BYTE));
+        return true;
+    }
+
+    @Override
+    public void text(long offset, String text) {
+        post(trace -> mEvents.onText(this, offset, text));
+    }
+
+    @Override
+    public void foreign(String attemptId) {
+        post(trace -> mEvents.onForeign(this, attemptId));
+    }
+
+    @Override
+    public void completed(String output, long tokens) {
+        post(
+                trace -> {
+                    trace.on(WireTrace.Event.COMPLETE_ANSWER);
+                    mEvents.onCompleted(this, output, tokens);
+                });
+    }
+
+    @Override
+    public void streamEnded(long tokens) {
+        post(
+                trace -> {
+                    trace.on(WireTrace.Event.COMPLETE_ANSWER);
+                    mEvents.onStreamEnded(this, tokens);
+                });
+    }
+
+    @Override
+    public void refused(int status) {
+        post(
+                trace -> {
+                    trace.on(WireTrace.Event.TYPED_REFUSAL);
+                    mEvents.onRefused(this, status);
+                });
+    }
+
+    @Override
+    public void failed(BackendFailure failure, String detail) {
+        post(
+                trace -> {
+                    trace.on(event(failure));
+                    mEvents.onFailed(this, failure, detail);
+                });
+    }
+
+    private static WireTrace.Event event(BackendFailure failure) {
+        return switch (failure) {
+            case CONNECT -> WireTrace.Event.CONNECT_FAILED;
+            case RESET -> WireTrace.Event.RESET;
+            case SILENT -> WireTrace.Event.TIMEOUT;
+            case ABORTED -> WireTrace.Event.CANCEL;
+            case TRUNCATED, STATUS, TOO_LARGE, MALFORMED, FOREIGN -> WireTrace.Event.BAD_ANSWER;
+        };
+    }
+
+    private void post(Consumer<WireTrace> task) {
+        mLoop.execute(() -> task.accept(mTrace));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/CallerReplies.java
@@ -0,0 +1,60 @@
+package org.bulrushvale.daemon;
+
+import java.util.function.Consumer;
+import org.bulrushvale.adapters.caller.CallerAnswer;
+import org.bulrushvale.adapters.caller.CallerReply;
+import org.bulrushvale.adapters.caller.Problem;
+import org.bulrushvale.decision.request.RunDecision;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+
+/**
+ * Passes the end of a request on to its caller.
+ *
+ * <p>Invariant: a stream that had no piece gets the whole output as one piece before its end.
+ * Thread safety: owned by the event loop.
+ */
+final class CallerReplies implements ActiveRequest.Listener {
+    private final CallerReply mReply;
+    private final boolean mStream;
+    private final Consumer<ActiveRequest> mOnEnd;
+    private boolean mHasText;
+
+    CallerReplies(CallerReply reply, boolean stream, Consumer<ActiveRequest> onEnd) {
+        mReply = reply;
+        mStream = stream;
+        mOnEnd = onEnd;
+    }
+
+    @Override
+    public void text(long offset, String text) {
+        if (mStream) {
+            mHasText = true;
+            mReply.text(offset, text);
+        }
+    }
+
+    @Override
+    public void delivered(ActiveRequest request, RunDecision.Deliver answer) {
+        if (mStream && !mHasText) {
+            mReply.text(0, answer.output());
+        }
+        mReply.complete(
+                new CallerAnswer(
+                        request.id().toString(),
+                        answer.output(),
+                        answer.tokens(),
+                        ActiveRequest.costs(answer.stages())));
+        mOnEnd.accept(request);
+    }
+
+    @Override
+    public void failed(ActiveRequest request, ErrorCode code, Verdict verdict, String detail) {
+        BulrushvaleException error = new BulrushvaleException(code, verdict, detail);
+        mReply.fail(
+                Problem.failure(
+                        code, verdict, error.advice(request.workClass().idempotent()), detail));
+        mOnEnd.accept(request);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/CoreServices.java
@@ -0,0 +1,30 @@
+package org.bulrushvale.daemon;
+
+import java.util.SplittableRandom;
+import org.bulrushvale.adapters.backend.BackendClient;
+import org.bulrushvale.adapters.metrics.EntryMetrics;
+import org.bulrushvale.adapters.settings.EntrySettings;
+import org.bulrushvale.decision.request.DropCounts;
+import org.bulrushvale.decision.request.RepeatGate;
+import org.bulrushvale.decision.request.StageLatency;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.time.Clock;
+
+/**
+ * What every request in progress uses.
+ *
+ * <p>Thread safety: owned by the event loop; {@code loop}, {@code clock}, {@code client} and {@code
+ * metrics} may be used from any thread.
+ */
+record CoreServices(
+        EntrySettings settings,
+        EventLoop loop,
+        Clock clock,
+        BackendClient client,
+        EntryMetrics metrics,
+        ServerPicker picker,
+        WaitingAttempts waiting,
+        RepeatGate gate,
+        StageLatency latency,
+        DropCounts drops,
+        SplittableRandom random) {}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
@@ -0,0 +1,190 @@
+package org.bulrushvale.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.bulrushvale.adapters.caller.CallerPort;
+import org.bulrushvale.adapters.caller.CallerReply;
+import org.bulrushvale.adapters.caller.CallerRequest;
+import org.bulrushvale.adapters.caller.Problem;
+import org.bulrushvale.adapters.operator.OperatorPort;
+import org.bulrushvale.decision.config.ConfigDigest;
+import org.bulrushvale.decision.config.ConfigStore;
+import org.bulrushvale.decision.config.Pipeline;
+import org.bulrushvale.decision.config.PublishedConfig;
+import org.bulrushvale.decision.config.WorkClass;
+import org.bulrushvale.decision.config.Workspace;
+import org.bulrushvale.decision.request.DeadlineBudget;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+import org.jboss.logging.Logger;
+
+/**
+ * The decision state of one entry daemon and the operations on it.
+ *
+ * <p>Invariant: state is changed on the event loop only; every submitted request gets one answer.
+ * Thread safety: the port methods may be called from any thread, the rest is owned by the event
+ * loop.
+ */
+final class EntryCore implements CallerPort, OperatorPort {
+    private static final Logger LOG = Logger.getLogger(EntryCore.class);
+
+    private final CoreServices mCore;
+    private final ConfigStore mConfig;
+    private final DeadlineBudget mBudget;
+    private final Set<ActiveRequest> mActive = new HashSet<>();
+    private final Runnable mOnDrain;
+    private volatile boolean mDraining;
+    private volatile boolean mConfigured;
+
+    EntryCore(CoreServices core, ConfigStore config, Runnable onDrain) {
+        mCore = core;
+        mConfig = config;
+        mBudget = new DeadlineBudget(core.latency());
+        mOnDrain = onDrain;
+    }
+
+    // Caller port
+
+    @Override
+    public Call submit(CallerRequest request, CallerReply reply) {
+        AtomicReference<ActiveRequest> active = new AtomicReference<>();
+        boolean accepted = mCore.loop().offer(() -> accept(request, reply, active));
+        if (!accepted) {
+            reply.fail(
+                    Problem.refusal(
+                            ErrorCode.OVERLOADED, "entry is busy", request.key().isPresent()));
+            return () -> {};
+        }
+        return () ->
+                mCore.loop()
+                        .execute(
+                                () -> {
+                                    ActiveRequest started = active.get();
+                                    if (started != null) {
+                                        started.cancel();
+                                    }
+                                });
+    }
+
+    @Override
+    public void issueKey(String workspace, String workClass, String token, KeyReply reply) {
+        reply.fail(Problem.refusal(ErrorCode.NOT_FOUND, "keys are not available yet", false));
+    }
+
+    @Override
+    public String notReadyReason() {
+        if (mDraining) {
+            return "draining";
+        }
+        return mConfigured ? "" : "no published configuration yet";
+    }
+
+    private void accept(
+            CallerRequest request, CallerReply reply, AtomicReference<ActiveRequest> active) {
+        try {
+            ActiveRequest started = admit(request, reply);
+            active.set(started);
+            mActive.add(started);
+            started.start();
+        } catch (BulrushvaleException e) {
+            reply.fail(Problem.refusal(e.code(), e.detail(), request.key().isPresent()));
+            LOG.debugf("request refused: %s", e.code());
+        }
+    }
+
+    private ActiveRequest admit(CallerRequest request, CallerReply reply)
+            throws BulrushvaleException {
+        PublishedConfig config =
+                mConfig.config()
+                        .orElseThrow(() -> refusal(ErrorCode.NOT_CONFIGURED, "not configured"));
+        authorize(config, request.workspace(), request.tokenSha256());
+        WorkClass workClass =
+                config.workClass(request.workClass())
+                        .orElseThrow(() -> refusal(ErrorCode.UNKNOWN_CLASS, "unknown class"));
+        Pipeline pipeline =
+                config.pipeline(workClass.pipeline())
+                        .orElseThrow(() -> refusal(ErrorCode.INTERNAL, "pipeline is missing"));
+        if (!workClass.idempotent() && request.key().isEmpty()) {
+            throw refusal(ErrorCode.KEY_REQUIRED, "the class needs an idempotency key");
+        }
+        Duration deadline = workClass.deadline();
+        if (request.deadline().isPresent() && request.deadline().get().compareTo(deadline) < 0) {
+            deadline = request.deadline().get();
+        }
+        DeadlineBudget.Outlook outlook = mBudget.outlook(workClass.name(), pipeline, 0, deadline);
+        if (outlook != DeadlineBudget.Outlook.GO_ON) {
+            throw refusal(ErrorCode.DEADLINE_UNREACHABLE, "the stages take longer than is left");
+        }
+        CallerReplies replies = new CallerReplies(reply, request.stream(), this::ended);
+        return new ActiveRequest(mCore, request, workClass, pipeline, deadline, replies);
+    }
+
+    private void ended(ActiveRequest request) {
+        mActive.remove(request);
+    }
+
+    static void authorize(PublishedConfig config, String workspace, String tokenSha256)
+            throws BulrushvaleException {
+        Workspace known =
+                config.workspace(workspace)
+                        .orElseThrow(
+                                () -> refusal(ErrorCode.UNKNOWN_WORKSPACE, "unknown workspace"));
+        boolean same =
+                MessageDigest.isEqual(
+                        known.tokenSha256().getBytes(StandardCharsets.US_ASCII),
+                        tokenSha256.getBytes(StandardCharsets.US_ASCII));
+        if (!same) {
+            throw refusal(ErrorCode.UNAUTHORIZED, "workspace token missing or wrong");
+        }
+    }
+
+    private static BulrushvaleException refusal(ErrorCode code, String detail) {
+        return new BulrushvaleException(code, Verdict.NOT_RUN, detail);
+    }
+
+    // Configuration, called on the event loop
+
+    void offerConfig(long revision, Map<String, String> values) {
+        ConfigStore.Offer offer = mConfig.offer(revision, ConfigDigest.of(values), values);
+        mConfigured = mConfig.config().isPresent();
+        if (offer == ConfigStore.Offer.ACCEPTED) {
+            LOG.infof("configuration revision %d is in force", revision);
+            mCore.waiting().retryAll();
+        } else if (offer != ConfigStore.Offer.SAME) {
+            LOG.warnf("configuration revision %d not accepted: %s", revision, offer);
+        }
+    }
+
+    long configRevision() {
+        return mConfig.revision();
+    }
+
+    // Operator port
+
+    @Override
+    public boolean report(Report report, Consumer<JsonNode> onReport) {
+        return mCore.loop()
+                .offer(() -> onReport.accept(Reports.of(report, mConfig, mActive.size(), this)));
+    }
+
+    @Override
+    public void drain() {
+        mOnDrain.run();
+    }
+
+    void startDraining() {
+        mDraining = true;
+    }
+
+    int activeRequests() {
+        return mActive.size();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -0,0 +1,151 @@
+package org.bulrushvale.daemon;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.ServiceLoader;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import org.bulrushvale.adapters.EntryContext;
+import org.bulrushvale.adapters.backend.BackendClient;
+import org.bulrushvale.adapters.caller.CallerPort;
+import org.bulrushvale.adapters.metrics.EntryMetrics;
+import org.bulrushvale.adapters.operator.OperatorPort;
+import org.bulrushvale.adapters.settings.EntrySettings;
+import org.bulrushvale.decision.config.ConfigStore;
+import org.bulrushvale.decision.request.DropCounts;
+import org.bulrushvale.decision.request.StageLatency;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.plugin.Plugin;
+import org.bulrushvale.kernel.plugin.PluginRegistry;
+import org.bulrushvale.kernel.time.Clock;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+
+/**
+ * One entry daemon: event loop, backend client and plug-ins.
+ *
+ * <pre>{@code
+ * try (EntryDaemon daemon = EntryDaemon.start(settings)) {
+ *     daemon.awaitDrained();
+ * }
+ * }</pre>
+ *
+ * <p>Invariant: several daemons in one process share no state. Thread safety: {@link #drain} may be
+ * called from any thread; {@link #close} is called once.
+ */
+public final class EntryDaemon implements EntryContext, AutoCloseable {
+    private static final int RING_SLOTS = 4_096;
+    private static final Duration LATENCY_WINDOW = Duration.ofMinutes(1);
+    private static final Duration WAITING_TICK = Duration.ofMillis(20);
+
+    private final EntrySettings mSettings;
+    private final EntryMetrics mMetrics = new EntryMetrics();
+    private final Map<String, Integer> mPorts = new ConcurrentHashMap<>();
+    private final CountDownLatch mDrained = new CountDownLatch(1);
+    private final EventLoop mLoop;
+    private final BackendClient mClient;
+    private final EntryCore mCore;
+    private final PluginRegistry<EntryContext> mPlugins;
+    private final ConfigPoller mPoller;
+
+    private EntryDaemon(EntrySettings settings) throws BulrushvaleException {
+        mSettings = settings;
+        mLoop = EventLoop.start("core", RING_SLOTS);
+        mClient = BackendClient.start(settings.backend(), server -> {});
+        Clock clock = Clock.system();
+        ConfigStore config = ConfigStore.empty(clock);
+        CoreServices services =
+                new CoreServices(
+                        settings,
+                        mLoop,
+                        clock,
+                        mClient,
+                        mMetrics,
+                        new LeastOutstandingPicker(config),
+                        new WaitingAttempts(settings.caller().queueLength()),
+                        stage -> true,
+                        new StageLatency(clock, LATENCY_WINDOW),
+                        new DropCounts(),
+                        new SplittableRandom());
+        mCore = new EntryCore(services, config, this::drain);
+        mLoop.scheduleEvery(WAITING_TICK, services.waiting()::retryAll);
+        mPlugins = PluginRegistry.of(loadPlugins());
+        mPoller = ConfigPoller.start(settings.platform().configUrl(), mLoop, mCore);
+    }
+
+    /** Starts a daemon; it is ready once a configuration was read. */
+    public static EntryDaemon start(EntrySettings settings) throws BulrushvaleException {
+        EntryDaemon daemon = new EntryDaemon(settings);
+        try {
+            daemon.mPlugins.start(daemon);
+        } catch (BulrushvaleException | RuntimeException e) {
+            daemon.close();
+            throw e;
+        }
+        return daemon;
+    }
+
+    @SuppressWarnings("unchecked")
+    private static List<Plugin<EntryContext>> loadPlugins() {
+        List<Plugin<EntryContext>> plugins = new ArrayList<>();
+        for (Plugin<?> plugin : ServiceLoader.load(Plugin.class)) {
+            plugins.add((Plugin<EntryContext>) plugin);
+        }
+        return plugins;
+    }
+
+    /** Returns the TCP port of a listener. */
+    public Optional<Integer> port(String listener) {
+        return Optional.ofNullable(mPorts.get(listener));
+    }
+
+    /** Returns true when the daemon accepts requests. */
+    public boolean isReady() {
+        return mCore.notReadyReason().isEmpty();
+    }
+
+    /** Starts a graceful shutdown. */
+    public void drain() {
+        mCore.startDraining();
+        mDrained.countDown();
+    }
+
+    /** Waits until a graceful shutdown has ended. */
+    public void awaitDrained() throws InterruptedException {
+        mDrained.await();
+    }
+
+    @Override
+    public void close() {
+        mPoller.close();
+        mPlugins.stop();
+        mClient.close();
+        mLoop.close();
+    }
+
+    @Override
+    public EntrySettings settings() {
+        return mSettings;
+    }
+
+    @Override
+    public EntryMetrics metrics() {
+        return mMetrics;
+    }
+
+    @Override
+    public <T> T service(Class<T> type) {
+        if (type == CallerPort.class || type == OperatorPort.class) {
+            return type.cast(mCore);
+        }
+        throw new IllegalArgumentException("no such service: " + type.getName());
+    }
+
+    @Override
+    public void listening(String listener, int port) {
+        mPorts.put(listener, port);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/Reports.java
@@ -0,0 +1,80 @@
+package org.bulrushvale.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.bulrushvale.adapters.operator.OperatorPort;
+import org.bulrushvale.decision.config.BackendServer;
+import org.bulrushvale.decision.config.ConfigStore;
+import org.bulrushvale.decision.config.PublishedConfig;
+import org.bulrushvale.decision.config.WorkClass;
+
+/**
+ * Builds the reports of the operator listener.
+ *
+ * <p>Invariant: no report holds a secret, a token digest or a request body. Thread safety: called
+ * on the event loop.
+ */
+final class Reports {
+    private Reports() {}
+
+    static JsonNode of(OperatorPort.Report report, ConfigStore store, int active, EntryCore core) {
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        json.put("revision", store.revision());
+        switch (report) {
+            case STATUS -> {
+                String reason = core.notReadyReason();
+                json.put("ready", reason.isEmpty());
+                json.put("reason", reason);
+                json.put("active_requests", active);
+            }
+            case CONFIG -> config(json, store);
+            case CLASSES ->
+                    store.config().ifPresent(config -> classes(json.putArray("classes"), config));
+            case BACKENDS ->
+                    store.config().ifPresent(config -> backends(json.putArray("backends"), config));
+            case PEERS -> json.putArray("peers");
+            case BURN -> json.putArray("classes");
+            default -> throw new AssertionError(report);
+        }
+        return json;
+    }
+
+    private static void config(ObjectNode json, ConfigStore store) {
+        json.put("digest", store.digest());
+        store.confirmationAge().ifPresent(age -> json.put("confirmation_age_ms", age.toMillis()));
+        json.put("older_offers", store.olderCount());
+        ArrayNode refusals = json.putArray("refusals");
+        for (ConfigStore.Refusal refusal : store.refusals()) {
+            ObjectNode item = refusals.addObject();
+            item.put("revision", refusal.revision());
+            item.put("reason", refusal.reason().name());
+            ArrayNode faults = item.putArray("faults");
+            refusal.faults().forEach(fault -> faults.add(fault.toString()));
+        }
+    }
+
+    private static void classes(ArrayNode list, PublishedConfig config) {
+        for (WorkClass workClass : config.classes()) {
+            ObjectNode item = list.addObject();
+            item.put("name", workClass.name());
+            item.put("target", workClass.target());
+            item.put("deadline_ms", workClass.deadline().toMillis());
+            item.put("worth", workClass.worth());
+            item.put("pipeline", workClass.pipeline());
+            item.put("idempotent", workClass.idempotent());
+        }
+    }
+
+    private static void backends(ArrayNode list, PublishedConfig config) {
+        for (BackendServer server : config.backends()) {
+            ObjectNode item = list.addObject();
+            item.put("name", server.name());
+            item.put("pool", server.pool());
+            item.put("failure_domain", server.failureDomain());
+            item.put("slots", server.slots());
+            item.put("in_service", config.isInService(server));
+        }
+    }
+}
