--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
@@ -159,7 +159,10 @@
                 .receiveFullBytes(
                         (same, body) -> {
                             timer.remove();
-                            next.handle(same, body);
+                            // A body that arrives late is delivered inside a handler call, after
+                            // which Undertow would end the exchange unless it is dispatched.
+                            same.dispatch(
+                                    SameThreadExecutor.INSTANCE, () -> next.handle(same, body));
                         },
                         (same, error) -> {
                             timer.remove();
--- a/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
@@ -127,11 +127,14 @@
             } else if (decision instanceof RunDecision.Deliver answer) {
                 mDeadlineTimer.cancel();
                 mListener.delivered(this, answer);
+                mCore.metrics().requestEnded(mClass.name(), "OK", Verdict.RAN.name(), elapsed());
                 RequestLog.delivered(this, answer.stages());
             } else if (decision instanceof RunDecision.Fail fail) {
                 mDeadlineTimer.cancel();
                 Verdict verdict = mOutcome.verdict();
                 mListener.failed(this, fail.code(), verdict, fail.detail());
+                mCore.metrics()
+                        .requestEnded(mClass.name(), fail.code().name(), verdict.name(), elapsed());
                 String stage = mPipeline.stages().get(fail.stage()).name();
                 RequestLog.failed(this, stage, fail.code(), verdict, fail.detail());
             }
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -122,8 +122,8 @@
     public void close() {
         mPoller.close();
         mPlugins.stop();
-        mClient.close();
         mLoop.close();
+        mClient.close();
     }
 
     @Override
