Run keyed requests at most once and shut down gracefully

Requests of non-idempotent classes now present their key to the local key space: a second presentation joins or replays, an ambiguous run is never repeated. SIGTERM and the operator's drain lead through the drain sequence: readiness off, listener closed, requests ended. Undertow's own server builder closes its listener and its connections together, so it was ruled out; the caller listener now opens its accepting channel itself and closes only that first.

--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerAnswer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerAnswer.java
@@ -1,9 +1,13 @@
 package org.bulrushvale.adapters.caller;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -17,6 +21,8 @@
  * @param stages cost of each stage
  */
 public record CallerAnswer(String requestId, String output, long tokens, List<StageCost> stages) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
     public CallerAnswer {
         stages = List.copyOf(stages);
     }
@@ -28,6 +34,36 @@
      */
     public record StageCost(String stage, int attempts, Duration elapsed, long tokens) {}
 
+    /** Returns the answer as a JSON text, to be kept for a replay. */
+    public String toJson() {
+        return json(true).toString();
+    }
+
+    /** Returns the answer that {@link #toJson} wrote. */
+    public static CallerAnswer parse(String text) {
+        JsonNode json;
+        try {
+            json = JSON.readTree(text);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("not a recorded answer", e);
+        }
+        List<StageCost> stages = new ArrayList<>();
+        for (JsonNode stage : json.path("stages")) {
+            double micros = stage.path("elapsed_ms").asDouble() * 1_000;
+            stages.add(
+                    new StageCost(
+                            stage.path("stage").asText(),
+                            stage.path("attempts").asInt(),
+                            Duration.ofNanos(Math.round(micros) * 1_000),
+                            stage.path("tokens").asLong()));
+        }
+        return new CallerAnswer(
+                json.path("request_id").asText(),
+                json.path("output").asText(),
+                json.path("tokens").asLong(),
+                stages);
+    }
+
     ObjectNode json(boolean withOutput) {
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         json.put("request_id", requestId);
--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
@@ -2,13 +2,16 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.Undertow;
+import io.undertow.Handlers;
 import io.undertow.UndertowOptions;
 import io.undertow.io.Receiver;
+import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -18,7 +21,16 @@
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
+import org.jspecify.annotations.Nullable;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
 import org.xnio.XnioExecutor;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 /**
  * HTTP listener for callers.
@@ -36,34 +48,23 @@
 public final class CallerServer {
     private static final int IO_THREADS = 2;
     private static final int IDLE_TIMEOUT_MS = 60_000;
+    private static final int BUFFER_BYTES = 16_384;
+    private static final int BACKLOG = 1_024;
 
     private final EntrySettings.Caller mSettings;
     private final CallerPort mPort;
     private final EntryMetrics mMetrics;
     private final AtomicInteger mRunning = new AtomicInteger();
     private final AtomicInteger mStreams = new AtomicInteger();
-    private final Undertow mServer;
+    private volatile @Nullable XnioWorker mWorker;
+    private volatile @Nullable AcceptingChannel<StreamConnection> mAcceptor;
+    private volatile int mBoundPort;
     private volatile boolean mDraining;
 
     private CallerServer(EntrySettings.Caller settings, CallerPort port, EntryMetrics metrics) {
         mSettings = settings;
         mPort = port;
         mMetrics = metrics;
-        mServer =
-                Undertow.builder()
-                        .addHttpListener(settings.port(), settings.address(), this::handle)
-                        .setIoThreads(IO_THREADS)
-                        .setWorkerThreads(1)
-                        // Twice the limit, so that a moderate excess gets a typed answer.
-                        .setServerOption(
-                                UndertowOptions.MAX_HEADER_SIZE, 2 * settings.maxHeaderBytes())
-                        .setServerOption(
-                                UndertowOptions.MAX_ENTITY_SIZE, (long) settings.maxBodyBytes())
-                        .setServerOption(
-                                UndertowOptions.REQUEST_PARSE_TIMEOUT,
-                                (int) settings.readTimeout().toMillis())
-                        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MS)
-                        .build();
     }
 
     /** Starts the listener. */
@@ -72,8 +73,9 @@
             throws BulrushvaleException {
         CallerServer server = new CallerServer(settings, port, metrics);
         try {
-            server.mServer.start();
-        } catch (RuntimeException e) {
+            server.open();
+        } catch (IOException e) {
+            server.stop();
             throw new BulrushvaleException(
                     ErrorCode.INTERNAL,
                     Verdict.NOT_RUN,
@@ -82,11 +84,50 @@
         return server;
     }
 
+    private void open() throws IOException {
+        OptionMap options =
+                OptionMap.builder()
+                        // Twice the limit, so that a moderate excess gets a typed answer.
+                        .set(UndertowOptions.MAX_HEADER_SIZE, 2 * mSettings.maxHeaderBytes())
+                        .set(UndertowOptions.MAX_ENTITY_SIZE, (long) mSettings.maxBodyBytes())
+                        .set(
+                                UndertowOptions.REQUEST_PARSE_TIMEOUT,
+                                (int) mSettings.readTimeout().toMillis())
+                        .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MS)
+                        .getMap();
+        OptionMap threads =
+                OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, IO_THREADS)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.THREAD_DAEMON, true)
+                        .set(Options.WORKER_NAME, "caller")
+                        .getMap();
+        OptionMap sockets =
+                OptionMap.builder()
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.BACKLOG, BACKLOG)
+                        .getMap();
+        XnioWorker worker =
+                Xnio.getInstance(CallerServer.class.getClassLoader()).createWorker(threads);
+        mWorker = worker;
+        HttpOpenListener listener =
+                new HttpOpenListener(new DefaultByteBufferPool(true, BUFFER_BYTES), options);
+        listener.setRootHandler(Handlers.path().addPrefixPath("/", this::handle));
+        AcceptingChannel<StreamConnection> acceptor =
+                worker.createStreamConnectionServer(
+                        new InetSocketAddress(mSettings.address(), mSettings.port()),
+                        ChannelListeners.openListenerAdapter(listener),
+                        sockets);
+        mAcceptor = acceptor;
+        mBoundPort = acceptor.getLocalAddress(InetSocketAddress.class).getPort();
+        acceptor.resumeAccepts();
+    }
+
     /** Returns the TCP port. */
     public int port() {
-        InetSocketAddress address =
-                (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
-        return address.getPort();
+        return mBoundPort;
     }
 
     /** Returns the number of requests in progress. */
@@ -94,14 +135,22 @@
         return mRunning.get();
     }
 
-    /** Refuses new requests; connections close after their current answer. */
+    /**
+     * Accepts no new connections; open connections close after their next answer. The daemon still
+     * accepts or refuses the requests on them.
+     */
     public void drain() {
         mDraining = true;
+        IoUtils.safeClose(mAcceptor);
     }
 
     /** Closes the listener and all connections. */
     public void stop() {
-        mServer.stop();
+        IoUtils.safeClose(mAcceptor);
+        XnioWorker worker = mWorker;
+        if (worker != null) {
+            worker.shutdownNow();
+        }
     }
 
     private void handle(HttpServerExchange exchange) {
@@ -125,10 +174,6 @@
     }
 
     private void readBody(HttpServerExchange exchange, Receiver.FullBytesCallback next) {
-        if (mDraining) {
-            refuse(exchange, ErrorCode.DRAINING, "entry is shutting down");
-            return;
-        }
         if (headerBytes(exchange) > mSettings.maxHeaderBytes()) {
             exchange.setPersistent(false);
             refuse(exchange, ErrorCode.MALFORMED_REQUEST, "headers larger than the limit");
@@ -193,9 +238,7 @@
             // Ending the exchange would wait for the rest of the body.
             exchange.getIoThread()
                     .executeAfter(
-                            () -> org.xnio.IoUtils.safeClose(exchange.getConnection()),
-                            1,
-                            TimeUnit.SECONDS);
+                            () -> IoUtils.safeClose(exchange.getConnection()), 1, TimeUnit.SECONDS);
         }
     }
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/EntrySettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/EntrySettings.java
@@ -99,5 +99,6 @@
      *
      * <p>Thread safety: immutable.
      */
-    public record Drain(Duration readinessDelay, Duration requestTimeout) {}
+    public record Drain(
+            Duration readinessDelay, Duration settle, Duration grace, Duration handover) {}
 }
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsCheck.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsCheck.java
@@ -76,8 +76,10 @@
                             "level",
                             "INFO",
                             SettingKey.oneOf("ERROR", "WARN", "INFO", "DEBUG")),
-                    optional("drain", "readiness_delay_ms", "2000", SettingKey.range(0, 600_000)),
-                    optional("drain", "request_timeout_ms", "30000", MILLIS));
+                    optional("drain", "readiness_delay_ms", "4000", SettingKey.range(0, 600_000)),
+                    optional("drain", "settle_ms", "500", SettingKey.range(0, 600_000)),
+                    optional("drain", "grace_ms", "2000", MILLIS),
+                    optional("drain", "handover_ms", "5000", MILLIS));
 
     private SettingsCheck() {}
 
@@ -212,7 +214,9 @@
                 new Log(values.text("log", "format").equals("json"), values.text("log", "level")),
                 new Drain(
                         values.millis("drain", "readiness_delay_ms"),
-                        values.millis("drain", "request_timeout_ms")));
+                        values.millis("drain", "settle_ms"),
+                        values.millis("drain", "grace_ms"),
+                        values.millis("drain", "handover_ms")));
     }
 
     /**
--- a/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
@@ -65,7 +65,7 @@
                 RequestRun.builder(RequestId.random(core.random()), pipeline, core.clock())
                         .deadline(deadline)
                         .drops(core.drops())
-                        .gate(core.gate())
+                        .gate(core.budget())
                         .random(core.random().split())
                         .build();
         mDeadlineTimer = core.loop().schedule(deadline, this::onDeadline);
@@ -182,6 +182,9 @@
                         this,
                         mCore.clock().monotonicNanos());
         mLinks.put(id, link);
+        if (start.kind() == RunDecision.AttemptKind.FIRST) {
+            mCore.budget().onFirstAttempt(start.stage());
+        }
         StageCall call =
                 new StageCall(
                         start.stage().name(),
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/BulrushvaledMain.java
@@ -0,0 +1,85 @@
+package org.bulrushvale.daemon;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.bulrushvale.adapters.settings.EntrySettings;
+import org.bulrushvale.adapters.settings.SettingsCheck;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.jspecify.annotations.Nullable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * Entry point of the entry daemon.
+ *
+ * <p>Exit codes: 0 after a graceful shutdown, 2 for bad arguments or settings, 1 when the daemon
+ * cannot start. Thread safety: used by the main thread.
+ */
+@Command(
+        name = "bulrushvaled",
+        description = "Entry daemon: serves callers through the published pipelines.",
+        mixinStandardHelpOptions = true)
+public final class BulrushvaledMain implements Callable<Integer> {
+    private static final int BAD_SETTINGS = 2;
+
+    @Option(names = "--settings", required = true, description = "Settings file (INI).")
+    private @Nullable Path mSettings;
+
+    @Spec private @Nullable CommandSpec mSpec;
+
+    private BulrushvaledMain() {}
+
+    /** Runs the daemon until it is drained. */
+    public static void main(String[] args) {
+        LogSetup.selectManager();
+        System.exit(new CommandLine(new BulrushvaledMain()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws InterruptedException {
+        if (mSettings == null || mSpec == null) {
+            return BAD_SETTINGS;
+        }
+        PrintWriter err = mSpec.commandLine().getErr();
+        SettingsCheck.Result result;
+        try {
+            result = SettingsCheck.check(Files.readString(mSettings));
+        } catch (IOException e) {
+            err.println("settings file cannot be read: " + mSettings);
+            return BAD_SETTINGS;
+        }
+        result.faults().forEach(fault -> err.println(mSettings + ": " + fault));
+        if (result.settings().isEmpty()) {
+            return BAD_SETTINGS;
+        }
+        return run(result.settings().get(), err);
+    }
+
+    private static int run(EntrySettings settings, PrintWriter err) throws InterruptedException {
+        LogSetup.configure(settings.log());
+        try (EntryDaemon daemon = EntryDaemon.start(settings)) {
+            Thread onSignal = new Thread(() -> drainOnSignal(daemon), "drain-on-signal");
+            Runtime.getRuntime().addShutdownHook(onSignal);
+            daemon.awaitDrained();
+            return 0;
+        } catch (BulrushvaleException e) {
+            err.println("cannot start: " + e.detail());
+            return 1;
+        }
+    }
+
+    private static void drainOnSignal(EntryDaemon daemon) {
+        daemon.drain();
+        try {
+            daemon.awaitDrained();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/daemon/src/main/java/org/bulrushvale/daemon/CoreServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/CoreServices.java
@@ -5,8 +5,8 @@
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.settings.EntrySettings;
 import org.bulrushvale.decision.request.DropCounts;
-import org.bulrushvale.decision.request.RepeatGate;
 import org.bulrushvale.decision.request.StageLatency;
+import org.bulrushvale.decision.retry.RetryBudget;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
 
@@ -24,7 +24,7 @@
         EntryMetrics metrics,
         ServerPicker picker,
         WaitingAttempts waiting,
-        RepeatGate gate,
+        RetryBudget budget,
         StageLatency latency,
         DropCounts drops,
         SplittableRandom random) {}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/DrainDriver.java
@@ -0,0 +1,73 @@
+package org.bulrushvale.daemon;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import org.bulrushvale.adapters.settings.EntrySettings;
+import org.bulrushvale.decision.drain.DrainLimits;
+import org.bulrushvale.decision.drain.DrainSequence;
+import org.bulrushvale.decision.drain.DrainState;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.time.Clock;
+import org.jboss.logging.Logger;
+
+/**
+ * Runs the {@link DrainSequence} of the daemon and reports the states that it enters.
+ *
+ * <p>Invariant: the first state after serving is reported before {@link #begin} has returned on the
+ * event loop. Thread safety: owned by the event loop, but {@link #awaitStopped}.
+ */
+final class DrainDriver {
+    private static final Logger LOG = Logger.getLogger(DrainDriver.class);
+    private static final Duration TICK = Duration.ofMillis(20);
+
+    private final DrainSequence mSequence;
+    private final EventLoop mLoop;
+    private final Consumer<DrainState> mOnState;
+    private final CountDownLatch mStopped = new CountDownLatch(1);
+
+    DrainDriver(
+            EntrySettings.Drain settings,
+            Clock clock,
+            EventLoop loop,
+            Consumer<DrainState> onState) {
+        mSequence =
+                new DrainSequence(
+                        clock,
+                        new DrainLimits(
+                                settings.readinessDelay(),
+                                settings.settle(),
+                                settings.grace(),
+                                settings.handover()));
+        mLoop = loop;
+        mOnState = onState;
+    }
+
+    DrainSequence sequence() {
+        return mSequence;
+    }
+
+    void begin() {
+        if (mSequence.state() != DrainState.SERVING) {
+            return;
+        }
+        mSequence.begin();
+        enter(mSequence.state());
+        mLoop.scheduleEvery(TICK, () -> mSequence.tick().forEach(this::enter));
+    }
+
+    void awaitStopped() throws InterruptedException {
+        mStopped.await();
+    }
+
+    private void enter(DrainState state) {
+        LOG.infof("shutdown: %s, %d requests in progress", state, mSequence.inFlight());
+        mOnState.accept(state);
+        if (state == DrainState.STOPPED) {
+            if (mSequence.abandoned() > 0) {
+                LOG.warnf("%d requests had not ended", mSequence.abandoned());
+            }
+            mStopped.countDown();
+        }
+    }
+}
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
@@ -20,6 +20,7 @@
 import org.bulrushvale.decision.config.PublishedConfig;
 import org.bulrushvale.decision.config.WorkClass;
 import org.bulrushvale.decision.config.Workspace;
+import org.bulrushvale.decision.drain.DrainSequence;
 import org.bulrushvale.decision.request.DeadlineBudget;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
@@ -41,14 +42,23 @@
     private final DeadlineBudget mBudget;
     private final Set<ActiveRequest> mActive = new HashSet<>();
     private final Runnable mOnDrain;
+    private final KeyedRequests mKeys;
+    private final DrainSequence mDrain;
     private volatile boolean mDraining;
     private volatile boolean mConfigured;
 
-    EntryCore(CoreServices core, ConfigStore config, Runnable onDrain) {
+    EntryCore(
+            CoreServices core,
+            ConfigStore config,
+            KeyedRequests keys,
+            DrainSequence drain,
+            Runnable onDrain) {
         mCore = core;
         mConfig = config;
         mBudget = new DeadlineBudget(core.latency());
         mOnDrain = onDrain;
+        mKeys = keys;
+        mDrain = drain;
     }
 
     // Caller port
@@ -68,7 +78,8 @@
                         .execute(
                                 () -> {
                                     ActiveRequest started = active.get();
-                                    if (started != null) {
+                                    if (started != null
+                                            && !mKeys.isJoined(request.key().orElse(""))) {
                                         started.cancel();
                                     }
                                 });
@@ -76,7 +87,28 @@
 
     @Override
     public void issueKey(String workspace, String workClass, String token, KeyReply reply) {
-        reply.fail(Problem.refusal(ErrorCode.NOT_FOUND, "keys are not available yet", false));
+        boolean accepted =
+                mCore.loop().offer(() -> issueOnLoop(workspace, workClass, token, reply));
+        if (!accepted) {
+            reply.fail(Problem.refusal(ErrorCode.OVERLOADED, "entry is busy", false));
+        }
+    }
+
+    private void issueOnLoop(String workspace, String workClass, String token, KeyReply reply) {
+        try {
+            PublishedConfig config = config();
+            authorize(config, workspace, token);
+            if (config.workClass(workClass).isEmpty()) {
+                throw refusal(ErrorCode.UNKNOWN_CLASS, "unknown class");
+            }
+            if (mDraining) {
+                throw refusal(ErrorCode.DRAINING, "entry is shutting down");
+            }
+            String key = mKeys.spaces().issuer().issue(workspace, workClass).toString();
+            reply.issued(key, mKeys.spaces().issuer().lifetime());
+        } catch (BulrushvaleException e) {
+            reply.fail(Problem.refusal(e.code(), e.detail(), false));
+        }
     }
 
     @Override
@@ -90,31 +122,66 @@
     private void accept(
             CallerRequest request, CallerReply reply, AtomicReference<ActiveRequest> active) {
         try {
-            ActiveRequest started = admit(request, reply);
-            active.set(started);
-            mActive.add(started);
-            started.start();
+            PublishedConfig config = config();
+            authorize(config, request.workspace(), request.tokenSha256());
+            WorkClass workClass =
+                    config.workClass(request.workClass())
+                            .orElseThrow(() -> refusal(ErrorCode.UNKNOWN_CLASS, "unknown class"));
+            if (workClass.idempotent()) {
+                start(config, workClass, request, reply, active);
+                return;
+            }
+            if (request.key().isEmpty()) {
+                throw refusal(ErrorCode.KEY_REQUIRED, "the class needs an idempotency key");
+            }
+            present(config, workClass, request, reply, active);
         } catch (BulrushvaleException e) {
             reply.fail(Problem.refusal(e.code(), e.detail(), request.key().isPresent()));
             LOG.debugf("request refused: %s", e.code());
         }
     }
 
-    private ActiveRequest admit(CallerRequest request, CallerReply reply)
+    private void present(
+            PublishedConfig config,
+            WorkClass workClass,
+            CallerRequest request,
+            CallerReply reply,
+            AtomicReference<ActiveRequest> active) {
+        try {
+            mKeys.present(
+                    request,
+                    reply,
+                    recording -> startKeyed(config, workClass, request, recording, active));
+        } catch (BulrushvaleException e) {
+            // The fleet never issued this key, so the verdict of the exception holds.
+            reply.fail(Problem.failure(e.code(), e.verdict(), e.advice(false), e.detail()));
+        }
+    }
+
+    private void startKeyed(
+            PublishedConfig config,
+            WorkClass workClass,
+            CallerRequest request,
+            CallerReply recording,
+            AtomicReference<ActiveRequest> active) {
+        try {
+            start(config, workClass, request, recording, active);
+        } catch (BulrushvaleException e) {
+            // The holder knows that the key has not run.
+            recording.fail(Problem.failure(e.code(), Verdict.NOT_RUN, e.advice(false), e.detail()));
+        }
+    }
+
+    private void start(
+            PublishedConfig config,
+            WorkClass workClass,
+            CallerRequest request,
+            CallerReply reply,
+            AtomicReference<ActiveRequest> active)
             throws BulrushvaleException {
-        PublishedConfig config =
-                mConfig.config()
-                        .orElseThrow(() -> refusal(ErrorCode.NOT_CONFIGURED, "not configured"));
-        authorize(config, request.workspace(), request.tokenSha256());
-        WorkClass workClass =
-                config.workClass(request.workClass())
-                        .orElseThrow(() -> refusal(ErrorCode.UNKNOWN_CLASS, "unknown class"));
         Pipeline pipeline =
                 config.pipeline(workClass.pipeline())
                         .orElseThrow(() -> refusal(ErrorCode.INTERNAL, "pipeline is missing"));
-        if (!workClass.idempotent() && request.key().isEmpty()) {
-            throw refusal(ErrorCode.KEY_REQUIRED, "the class needs an idempotency key");
-        }
         Duration deadline = workClass.deadline();
         if (request.deadline().isPresent() && request.deadline().get().compareTo(deadline) < 0) {
             deadline = request.deadline().get();
@@ -123,12 +190,27 @@
         if (outlook != DeadlineBudget.Outlook.GO_ON) {
             throw refusal(ErrorCode.DEADLINE_UNREACHABLE, "the stages take longer than is left");
         }
+        long deadlineNanos = mCore.clock().monotonicNanos() + deadline.toNanos();
+        if (!mDrain.tryAccept(deadlineNanos)) {
+            throw refusal(ErrorCode.DRAINING, "entry is shutting down");
+        }
         CallerReplies replies = new CallerReplies(reply, request.stream(), this::ended);
-        return new ActiveRequest(mCore, request, workClass, pipeline, deadline, replies);
+        ActiveRequest started =
+                new ActiveRequest(mCore, request, workClass, pipeline, deadline, replies);
+        active.set(started);
+        mActive.add(started);
+        started.start();
     }
 
     private void ended(ActiveRequest request) {
-        mActive.remove(request);
+        if (mActive.remove(request)) {
+            mDrain.onEnded();
+        }
+    }
+
+    private PublishedConfig config() throws BulrushvaleException {
+        return mConfig.config()
+                .orElseThrow(() -> refusal(ErrorCode.NOT_CONFIGURED, "not configured"));
     }
 
     static void authorize(PublishedConfig config, String workspace, String tokenSha256)
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -1,5 +1,6 @@
 package org.bulrushvale.daemon;
 
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,7 +9,6 @@
 import java.util.ServiceLoader;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CountDownLatch;
 import org.bulrushvale.adapters.EntryContext;
 import org.bulrushvale.adapters.backend.BackendClient;
 import org.bulrushvale.adapters.caller.CallerPort;
@@ -16,8 +16,10 @@
 import org.bulrushvale.adapters.operator.OperatorPort;
 import org.bulrushvale.adapters.settings.EntrySettings;
 import org.bulrushvale.decision.config.ConfigStore;
+import org.bulrushvale.decision.drain.DrainState;
 import org.bulrushvale.decision.request.DropCounts;
 import org.bulrushvale.decision.request.StageLatency;
+import org.bulrushvale.decision.retry.RetryBudget;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.plugin.Plugin;
 import org.bulrushvale.kernel.plugin.PluginRegistry;
@@ -44,10 +46,10 @@
     private final EntrySettings mSettings;
     private final EntryMetrics mMetrics = new EntryMetrics();
     private final Map<String, Integer> mPorts = new ConcurrentHashMap<>();
-    private final CountDownLatch mDrained = new CountDownLatch(1);
     private final EventLoop mLoop;
     private final BackendClient mClient;
     private final EntryCore mCore;
+    private final DrainDriver mDrain;
     private final PluginRegistry<EntryContext> mPlugins;
     private final ConfigPoller mPoller;
 
@@ -66,11 +68,14 @@
                         mMetrics,
                         new LeastOutstandingPicker(config),
                         new WaitingAttempts(settings.caller().queueLength()),
-                        stage -> true,
+                        new RetryBudget(),
                         new StageLatency(clock, LATENCY_WINDOW),
                         new DropCounts(),
                         new SplittableRandom());
-        mCore = new EntryCore(services, config, this::drain);
+        mDrain = new DrainDriver(settings.drain(), clock, mLoop, this::onDrainState);
+        KeyedRequests keys =
+                new KeyedRequests(new SecureRandom().nextLong(), settings.peer().secret(), clock);
+        mCore = new EntryCore(services, config, keys, mDrain.sequence(), this::drain);
         mLoop.scheduleEvery(WAITING_TICK, services.waiting()::retryAll);
         mPlugins = PluginRegistry.of(loadPlugins());
         mPoller = ConfigPoller.start(settings.platform().configUrl(), mLoop, mCore);
@@ -107,15 +112,24 @@
         return mCore.notReadyReason().isEmpty();
     }
 
+    private void onDrainState(DrainState state) {
+        switch (state) {
+            case UNREADY -> mCore.startDraining();
+            case LISTENERS_CLOSED -> mPlugins.drain();
+            // Key spaces are not handed over before the peer transport is in place.
+            case HANDING_OVER -> mDrain.sequence().onHandedOver();
+            default -> {}
+        }
+    }
+
     /** Starts a graceful shutdown. */
     public void drain() {
-        mCore.startDraining();
-        mDrained.countDown();
+        mLoop.execute(mDrain::begin);
     }
 
     /** Waits until a graceful shutdown has ended. */
     public void awaitDrained() throws InterruptedException {
-        mDrained.await();
+        mDrain.awaitStopped();
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/KeyedRequests.java
@@ -0,0 +1,194 @@
+package org.bulrushvale.daemon;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bulrushvale.adapters.caller.CallerAnswer;
+import org.bulrushvale.adapters.caller.CallerReply;
+import org.bulrushvale.adapters.caller.CallerRequest;
+import org.bulrushvale.adapters.caller.Problem;
+import org.bulrushvale.decision.keys.BodyFingerprint;
+import org.bulrushvale.decision.keys.IdempotencyKey;
+import org.bulrushvale.decision.keys.KeyDecision;
+import org.bulrushvale.decision.keys.KeyLedger;
+import org.bulrushvale.decision.keys.KeyMemory;
+import org.bulrushvale.decision.keys.KeyOutcome;
+import org.bulrushvale.decision.keys.KeyRoute;
+import org.bulrushvale.decision.keys.KeySecret;
+import org.bulrushvale.decision.keys.KeySpaces;
+import org.bulrushvale.kernel.time.Clock;
+import org.bulrushvale.kernel.verdict.Advice;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+
+/**
+ * Decides for requests of non-idempotent classes whether they run here, join a running request or
+ * replay a recorded answer.
+ *
+ * <p>Invariant: every {@link #present} that returns a reply to run with is followed by exactly one
+ * end of that reply. Thread safety: owned by the event loop.
+ */
+final class KeyedRequests {
+    // About 1 MB of records and 4 MB of outputs, within the control state of 32 MB.
+    private static final int MAX_RECORDS = 20_000;
+    private static final long MAX_OUTPUT_CHARS = 2_000_000;
+
+    private final KeySpaces mSpaces;
+    private final KeySecret mSecret;
+    private final Map<String, List<CallerReply>> mJoined = new HashMap<>();
+
+    KeyedRequests(long incarnation, String secret, Clock clock) {
+        mSecret = KeySecret.of(secret.getBytes(StandardCharsets.UTF_8));
+        KeyMemory memory = KeyMemory.limitedTo(MAX_RECORDS, MAX_OUTPUT_CHARS);
+        mSpaces = KeySpaces.create(incarnation, mSecret, clock, memory);
+    }
+
+    KeySpaces spaces() {
+        return mSpaces;
+    }
+
+    /**
+     * Presents the key of a request.
+     *
+     * @param run receives the reply that records the end of the run
+     */
+    void present(CallerRequest request, CallerReply reply, Runner run) throws BulrushvaleException {
+        IdempotencyKey key =
+                IdempotencyKey.parse(
+                        request.key().orElse(""),
+                        mSecret,
+                        request.workspace(),
+                        request.workClass());
+        KeyRoute route = mSpaces.route(key);
+        if (route instanceof KeyRoute.Local local) {
+            presentLocally(key, local.ledger(), request, reply, run);
+        } else if (route instanceof KeyRoute.Peer) {
+            fail(reply, ErrorCode.KEY_HOLDER_UNREACHABLE, Verdict.MAY_HAVE_RUN);
+        } else {
+            fail(reply, ErrorCode.KEY_HOLDER_LOST, Verdict.MAY_HAVE_RUN);
+        }
+    }
+
+    /**
+     * Starts the run of a keyed request.
+     *
+     * <p>Thread safety: owned by the event loop.
+     */
+    @FunctionalInterface
+    interface Runner {
+        void run(CallerReply recording);
+    }
+
+    /** Returns true when other callers wait for the run of this key. */
+    boolean isJoined(String key) {
+        return !mJoined.getOrDefault(key, List.of()).isEmpty();
+    }
+
+    private void presentLocally(
+            IdempotencyKey key,
+            KeyLedger ledger,
+            CallerRequest request,
+            CallerReply reply,
+            Runner run) {
+        KeyDecision decision = ledger.present(key, fingerprint(request));
+        switch (decision.kind()) {
+            case RUN -> {
+                mJoined.put(key.toString(), new ArrayList<>());
+                run.run(new RecordingReply(key, ledger, reply));
+            }
+            case JOIN -> mJoined.computeIfAbsent(key.toString(), k -> new ArrayList<>()).add(reply);
+            case REPLAY -> replay(decision.outcome(), request.stream(), reply);
+            default -> {
+                ErrorCode code = decision.kind().errorCode();
+                Verdict verdict = decision.kind().verdict();
+                fail(
+                        reply,
+                        code == null ? ErrorCode.INTERNAL : code,
+                        verdict == null ? Verdict.MAY_HAVE_RUN : verdict);
+            }
+        }
+    }
+
+    private static void replay(
+            @org.jspecify.annotations.Nullable KeyOutcome outcome,
+            boolean stream,
+            CallerReply reply) {
+        String output = outcome == null ? null : outcome.output();
+        CallerAnswer answer =
+                output == null
+                        ? new CallerAnswer("", "", 0, List.of())
+                        : CallerAnswer.parse(output);
+        if (stream) {
+            reply.text(0, answer.output());
+        }
+        reply.complete(answer);
+    }
+
+    private static BodyFingerprint fingerprint(CallerRequest request) {
+        String body = request.maxTokens() + "\n" + request.session() + "\n" + request.input();
+        return BodyFingerprint.of(
+                request.workspace(), request.workClass(), body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void fail(CallerReply reply, ErrorCode code, Verdict verdict) {
+        Advice advice = code.defaultAdvice();
+        if (advice == Advice.RETRY) {
+            advice = Advice.RETRY_SAME_KEY;
+        }
+        reply.fail(Problem.failure(code, verdict, advice, code.title()));
+    }
+
+    /**
+     * Records the end of a keyed run and passes it on to all callers that wait for it.
+     *
+     * <p>Invariant: the record is written before any caller is answered. Thread safety: owned by
+     * the event loop.
+     */
+    private final class RecordingReply implements CallerReply {
+        private final IdempotencyKey mKey;
+        private final KeyLedger mLedger;
+        private final CallerReply mFirst;
+
+        RecordingReply(IdempotencyKey key, KeyLedger ledger, CallerReply first) {
+            mKey = key;
+            mLedger = ledger;
+            mFirst = first;
+        }
+
+        @Override
+        public void text(long offset, String text) {
+            mFirst.text(offset, text);
+        }
+
+        @Override
+        public void complete(CallerAnswer answer) {
+            mLedger.finish(mKey, KeyOutcome.done(200, answer.toJson()));
+            mFirst.complete(answer);
+            for (CallerReply joined : leave()) {
+                joined.complete(answer);
+            }
+        }
+
+        @Override
+        public void fail(Problem problem) {
+            boolean notRun = problem.verdict() == Verdict.NOT_RUN;
+            mLedger.finish(mKey, notRun ? KeyOutcome.notRun() : KeyOutcome.unknown());
+            Advice advice =
+                    notRun && problem.advice() == Advice.RETRY
+                            ? Advice.RETRY_SAME_KEY
+                            : problem.advice();
+            Problem keyed =
+                    Problem.failure(problem.code(), problem.verdict(), advice, problem.detail());
+            mFirst.fail(keyed);
+            leave().forEach(joined -> joined.fail(keyed));
+        }
+
+        private List<CallerReply> leave() {
+            List<CallerReply> joined = mJoined.remove(mKey.toString());
+            return joined == null ? List.of() : joined;
+        }
+    }
+}
