Require a seeded source of nonces and tighten the run simulation

RequestRun fell back to a random source seeded by the system clock, which the decision module must not read; the builder now requires the source.

--- a/decision/src/main/java/org/bulrushvale/decision/request/RequestRun.java
+++ b/decision/src/main/java/org/bulrushvale/decision/request/RequestRun.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Function;
@@ -12,12 +13,13 @@
 import org.bulrushvale.kernel.time.Clock;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One request on its way through the stages of its pipeline.
  *
  * <pre>{@code
- * RequestRun run = RequestRun.builder(id, pipeline, clock).gate(budget).build();
+ * RequestRun run = RequestRun.builder(id, pipeline, clock).random(random).gate(budget).build();
  * for (RunDecision next : run.start("input")) { ... }
  * }</pre>
  *
@@ -48,7 +50,7 @@
         mId = builder.mId;
         mClock = builder.mClock;
         mGate = builder.mGate;
-        mRandom = builder.mRandom;
+        mRandom = Objects.requireNonNull(builder.mRandom, "random");
         mDrops = builder.mDrops;
         mDeadlineNanos = mClock.monotonicNanos() + builder.mDeadline.toNanos();
         mMaxAttempts = builder.mMaxAttempts;
@@ -339,7 +341,7 @@
         private final Pipeline mPipeline;
         private final Clock mClock;
         private RepeatGate mGate = stage -> false;
-        private SplittableRandom mRandom = new SplittableRandom();
+        private @Nullable SplittableRandom mRandom;
         private DropCounts mDrops = new DropCounts();
         private Duration mDeadline = Duration.ofSeconds(5);
         private int mMaxAttempts = 3;
@@ -356,7 +358,7 @@
             return this;
         }
 
-        /** Sets the source of the attempt nonces. */
+        /** Sets the source of the attempt nonces; required, as it is the caller's to seed. */
         public Builder random(SplittableRandom random) {
             mRandom = random;
             return this;
--- a/decision/src/test/java/org/bulrushvale/decision/request/RequestRunTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/request/RequestRunTest.java
@@ -133,6 +133,7 @@
                         RequestId.random(new SplittableRandom(7)),
                         new Pipeline("p", List.of(stage)),
                         mClock)
+                .random(new SplittableRandom(8))
                 .gate(any -> true)
                 .build();
     }
--- a/decision/src/test/java/org/bulrushvale/decision/request/RunSimulation.java
+++ b/decision/src/test/java/org/bulrushvale/decision/request/RunSimulation.java
@@ -253,6 +253,8 @@
         check(mEnds == 0, "started after the end");
         check(stage == mStage, "started a stage out of order");
         check(start.input().equals(mExpectedInput), "input is not the accepted output");
+        long earlier = mIssued.stream().filter(id -> id.stage() == stage).count();
+        check(start.earlier().size() == earlier, "earlier attempts are not those of the stage");
         boolean mayRepeat = start.stage().repeatable() || !mRuns.containsKey(stage);
         check(mayRepeat, "sent a stage again that must not be repeated");
     }
