--- a/decision/src/main/java/org/bulrushvale/decision/keys/KeyHandover.java
+++ b/decision/src/main/java/org/bulrushvale/decision/keys/KeyHandover.java
@@ -9,7 +9,7 @@
  * <pre>{@code
  * KeyHandover handover = spaces.beginHandover(space);   // admits nothing new
  * if (handover.isReady()) {                             // no request runs
- *     handover.offerTo("como-2", incarnation).ifPresent(offer -> send(offer.encode()));
+ *     spaces.offer(space, "como-2", incarnation).ifPresent(offer -> send(offer.encode()));
  * }
  * }</pre>
  *
@@ -57,7 +57,7 @@
      * was acknowledged. Requests that still run are offered with an unknown outcome, so a caller
      * that can wait does so until {@link #isReady()}.
      */
-    public Optional<KeyOffer> offerTo(String vm, long incarnation) {
+    Optional<KeyOffer> offerTo(String vm, long incarnation) {
         KeyOffer earlier = mOffer;
         if (mState == State.ACKNOWLEDGED || !mRules.mayOffer(earlier, incarnation)) {
             return Optional.empty();
@@ -76,7 +76,7 @@
     }
 
     /** Notes that the successor has taken the space; releases the snapshot. */
-    public void acknowledge(long successor) {
+    void acknowledge(long successor) {
         KeyOffer offer = mOffer;
         if (offer != null && offer.successor() == successor) {
             mState = State.ACKNOWLEDGED;
--- a/decision/src/main/java/org/bulrushvale/decision/keys/KeyLedger.java
+++ b/decision/src/main/java/org/bulrushvale/decision/keys/KeyLedger.java
@@ -92,7 +92,11 @@
         return mRecords.size();
     }
 
-    /** Decides what to do with a request that presents a key. */
+    /**
+     * Decides what to do with a request that presents a key. A forwarded request must arrive here
+     * at most once, as the peer transport guarantees: a late duplicate of a presentation that was
+     * answered {@code NOT_RUN} could run after that answer.
+     */
     public KeyDecision present(IdempotencyKey key, BodyFingerprint body) {
         if (key.incarnation() != mSpace) {
             throw new IllegalArgumentException("the key belongs to another space");
