Queue waiting attempts by admission policy, hedge and report attainment

Attempts that find no free slot now wait in one admission queue per pool, ordered by target, slack and share; the queue bound gives a typed refusal at once.

--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/HttpReply.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/HttpReply.java
@@ -10,7 +10,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
@@ -23,6 +25,8 @@
  * used on the exchange's I/O thread only.
  */
 final class HttpReply implements CallerReply {
+    private static final Logger LOG = Logger.getLogger(HttpReply.class);
+
     // A reader this far behind is treated as gone, so that it cannot fill the memory.
     private static final int MAX_PENDING_BYTES = 1 << 20;
 
@@ -172,6 +176,10 @@
     }
 
     private void onIoThread(Runnable task) {
-        mExchange.getIoThread().execute(task);
+        try {
+            mExchange.getIoThread().execute(task);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("answer dropped, the listener has stopped");
+        }
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
@@ -12,8 +12,11 @@
 import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.adapters.backend.StageCall;
 import org.bulrushvale.adapters.caller.CallerRequest;
+import org.bulrushvale.decision.admission.QueuedRequest;
+import org.bulrushvale.decision.attainment.Cause;
 import org.bulrushvale.decision.config.BackendServer;
 import org.bulrushvale.decision.config.Pipeline;
+import org.bulrushvale.decision.config.Stage;
 import org.bulrushvale.decision.config.WorkClass;
 import org.bulrushvale.decision.outcome.RequestOutcome;
 import org.bulrushvale.decision.request.AttemptId;
@@ -43,7 +46,9 @@
     private final RequestRun mRun;
     private final RequestOutcome mOutcome;
     private final Listener mListener;
+    private final double mShare;
     private final long mStartNanos;
+    private final long mDeadlineNanos;
     private final Map<AttemptId, AttemptLink> mLinks = new HashMap<>();
     private final EventLoop.Timer mDeadlineTimer;
 
@@ -52,14 +57,17 @@
             CallerRequest request,
             WorkClass workClass,
             Pipeline pipeline,
+            double share,
             Duration deadline,
             Listener listener) {
         mCore = core;
         mRequest = request;
         mClass = workClass;
         mPipeline = pipeline;
+        mShare = share;
         mListener = listener;
         mStartNanos = core.clock().monotonicNanos();
+        mDeadlineNanos = mStartNanos + deadline.toNanos();
         mOutcome = RequestOutcome.of(pipeline);
         mRun =
                 RequestRun.builder(RequestId.random(core.random()), pipeline, core.clock())
@@ -126,12 +134,14 @@
                 mListener.text(piece.offset(), piece.text());
             } else if (decision instanceof RunDecision.Deliver answer) {
                 mDeadlineTimer.cancel();
+                count(Cause.MET);
                 mListener.delivered(this, answer);
                 mCore.metrics().requestEnded(mClass.name(), "OK", Verdict.RAN.name(), elapsed());
                 RequestLog.delivered(this, answer.stages());
             } else if (decision instanceof RunDecision.Fail fail) {
                 mDeadlineTimer.cancel();
                 Verdict verdict = mOutcome.verdict();
+                count(cause(fail));
                 mListener.failed(this, fail.code(), verdict, fail.detail());
                 mCore.metrics()
                         .requestEnded(mClass.name(), fail.code().name(), verdict.name(), elapsed());
@@ -142,12 +152,35 @@
     }
 
     private void startOrWait(RunDecision.StartAttempt start) {
-        if (launch(start)) {
-            return;
-        }
-        if (!mCore.waiting().add(() -> launch(start))) {
-            apply(mRun.stop(ErrorCode.OVERLOADED, "too many requests wait", this::verdictNow));
-        }
+        Duration work =
+                mCore.deadlines().estimate(mClass.name(), mPipeline, start.attempt().stage());
+        mCore.waiting()
+                .add(
+                        start.stage().pool(),
+                        new QueuedRequest<>(
+                                waiting(start),
+                                mClass.name(),
+                                mClass.worth(),
+                                mRequest.workspace(),
+                                mShare,
+                                mDeadlineNanos,
+                                work));
+    }
+
+    private WaitingAttempts.Waiting waiting(RunDecision.StartAttempt start) {
+        return new WaitingAttempts.Waiting() {
+            @Override
+            public boolean launch() {
+                return ActiveRequest.this.launch(start);
+            }
+
+            @Override
+            public void refuse(ErrorCode code) {
+                if (mRun.openAttempts().contains(start.attempt())) {
+                    apply(mRun.stop(code, code.title(), ActiveRequest.this::verdictNow));
+                }
+            }
+        };
     }
 
     /** Returns true when the attempt was launched or is not wanted any more. */
@@ -196,6 +229,11 @@
                         start.resumeFrom(),
                         start.stage().streams(),
                         mCore.settings().backend().progressTimeout());
+        if (start.kind() != RunDecision.AttemptKind.HEDGE) {
+            mCore.hedges()
+                    .delay(mClass.name(), start.stage())
+                    .ifPresent(delay -> mCore.loop().schedule(delay, () -> hedge(link, start)));
+        }
         try {
             BackendClient.Attempt attempt = mCore.client().run(address(server), call, link);
             link.attach(attempt);
@@ -205,6 +243,30 @@
         }
     }
 
+    private void hedge(AttemptLink link, RunDecision.StartAttempt start) {
+        Duration elapsed = mCore.clock().elapsedSince(link.startNanos());
+        if (!link.trace().hasEnded()
+                && mCore.hedges().shouldHedge(mClass.name(), start.stage(), elapsed)) {
+            apply(mRun.hedge());
+        }
+    }
+
+    private void count(Cause cause) {
+        mCore.attainment().onEnd(mClass, mRequest.workspace(), cause, elapsed());
+    }
+
+    private Cause cause(RunDecision.Fail fail) {
+        return switch (fail.code()) {
+            case CANCELLED -> Cause.CALLER;
+            case DEADLINE_EXCEEDED ->
+                    mLinks.keySet().stream().anyMatch(id -> id.stage() == fail.stage())
+                            ? Cause.STAGE
+                            : Cause.QUEUE;
+            case OVERLOADED, DEADLINE_UNREACHABLE, NO_BACKEND, POISON -> Cause.REFUSAL;
+            default -> Cause.FAULT;
+        };
+    }
+
     private static BackendAddress address(BackendServer server) {
         return new BackendAddress(server.name(), server.address(), server.port());
     }
@@ -224,7 +286,15 @@
     private void release(AttemptLink link, boolean ran) {
         if (link.release()) {
             mCore.picker().finished(link.server(), ran);
-            mCore.waiting().retryAll();
+            Stage stage = mPipeline.stages().get(link.id().stage());
+            mCore.attainment()
+                    .onAttempt(
+                            mClass.name(),
+                            mRequest.workspace(),
+                            stage.name(),
+                            mCore.clock().elapsedSince(link.startNanos()),
+                            ran);
+            mCore.waiting().serve(stage.pool());
         }
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/CoreServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/CoreServices.java
@@ -4,8 +4,11 @@
 import org.bulrushvale.adapters.backend.BackendClient;
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.settings.EntrySettings;
+import org.bulrushvale.decision.attainment.AttainmentTracker;
+import org.bulrushvale.decision.request.DeadlineBudget;
 import org.bulrushvale.decision.request.DropCounts;
 import org.bulrushvale.decision.request.StageLatency;
+import org.bulrushvale.decision.retry.HedgePolicy;
 import org.bulrushvale.decision.retry.RetryBudget;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
@@ -26,5 +29,8 @@
         WaitingAttempts waiting,
         RetryBudget budget,
         StageLatency latency,
+        DeadlineBudget deadlines,
+        HedgePolicy hedges,
+        AttainmentTracker attainment,
         DropCounts drops,
         SplittableRandom random) {}
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
@@ -14,6 +14,7 @@
 import org.bulrushvale.adapters.caller.CallerRequest;
 import org.bulrushvale.adapters.caller.Problem;
 import org.bulrushvale.adapters.operator.OperatorPort;
+import org.bulrushvale.decision.attainment.Cause;
 import org.bulrushvale.decision.config.ConfigDigest;
 import org.bulrushvale.decision.config.ConfigStore;
 import org.bulrushvale.decision.config.Pipeline;
@@ -39,7 +40,6 @@
 
     private final CoreServices mCore;
     private final ConfigStore mConfig;
-    private final DeadlineBudget mBudget;
     private final Set<ActiveRequest> mActive = new HashSet<>();
     private final Runnable mOnDrain;
     private final KeyedRequests mKeys;
@@ -55,7 +55,6 @@
             Runnable onDrain) {
         mCore = core;
         mConfig = config;
-        mBudget = new DeadlineBudget(core.latency());
         mOnDrain = onDrain;
         mKeys = keys;
         mDrain = drain;
@@ -186,8 +185,10 @@
         if (request.deadline().isPresent() && request.deadline().get().compareTo(deadline) < 0) {
             deadline = request.deadline().get();
         }
-        DeadlineBudget.Outlook outlook = mBudget.outlook(workClass.name(), pipeline, 0, deadline);
+        DeadlineBudget.Outlook outlook =
+                mCore.deadlines().outlook(workClass.name(), pipeline, 0, deadline);
         if (outlook != DeadlineBudget.Outlook.GO_ON) {
+            mCore.attainment().onEnd(workClass, request.workspace(), Cause.REFUSAL, Duration.ZERO);
             throw refusal(ErrorCode.DEADLINE_UNREACHABLE, "the stages take longer than is left");
         }
         long deadlineNanos = mCore.clock().monotonicNanos() + deadline.toNanos();
@@ -196,12 +197,23 @@
         }
         CallerReplies replies = new CallerReplies(reply, request.stream(), this::ended);
         ActiveRequest started =
-                new ActiveRequest(mCore, request, workClass, pipeline, deadline, replies);
+                new ActiveRequest(
+                        mCore,
+                        request,
+                        workClass,
+                        pipeline,
+                        share(config, request.workspace()),
+                        deadline,
+                        replies);
         active.set(started);
         mActive.add(started);
         started.start();
     }
 
+    private static double share(PublishedConfig config, String workspace) {
+        return config.workspace(workspace).map(Workspace::share).orElse(1.0);
+    }
+
     private void ended(ActiveRequest request) {
         if (mActive.remove(request)) {
             mDrain.onEnded();
@@ -239,7 +251,7 @@
         mConfigured = mConfig.config().isPresent();
         if (offer == ConfigStore.Offer.ACCEPTED) {
             LOG.infof("configuration revision %d is in force", revision);
-            mCore.waiting().retryAll();
+            mCore.waiting().serveAll();
         } else if (offer != ConfigStore.Offer.SAME) {
             LOG.warnf("configuration revision %d not accepted: %s", revision, offer);
         }
@@ -253,8 +265,13 @@
 
     @Override
     public boolean report(Report report, Consumer<JsonNode> onReport) {
-        return mCore.loop()
-                .offer(() -> onReport.accept(Reports.of(report, mConfig, mActive.size(), this)));
+        return mCore.loop().offer(() -> onReport.accept(report(report)));
+    }
+
+    private JsonNode report(Report report) {
+        return report == Report.BURN
+                ? Reports.burn(mCore.attainment().snapshot())
+                : Reports.of(report, mConfig, mActive.size(), this);
     }
 
     @Override
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -15,10 +15,13 @@
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.operator.OperatorPort;
 import org.bulrushvale.adapters.settings.EntrySettings;
+import org.bulrushvale.decision.attainment.AttainmentTracker;
 import org.bulrushvale.decision.config.ConfigStore;
 import org.bulrushvale.decision.drain.DrainState;
+import org.bulrushvale.decision.request.DeadlineBudget;
 import org.bulrushvale.decision.request.DropCounts;
 import org.bulrushvale.decision.request.StageLatency;
+import org.bulrushvale.decision.retry.HedgePolicy;
 import org.bulrushvale.decision.retry.RetryBudget;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.plugin.Plugin;
@@ -59,6 +62,10 @@
         mClient = BackendClient.start(settings.backend(), server -> {});
         Clock clock = Clock.system();
         ConfigStore config = ConfigStore.empty(clock);
+        ServerPicker picker = new LeastOutstandingPicker(config);
+        AttainmentTracker attainment = new AttainmentTracker(settings.entry().vm(), clock);
+        StageLatency latency = new StageLatency(clock, LATENCY_WINDOW);
+        RetryBudget budget = new RetryBudget();
         CoreServices services =
                 new CoreServices(
                         settings,
@@ -66,17 +73,24 @@
                         clock,
                         mClient,
                         mMetrics,
-                        new LeastOutstandingPicker(config),
-                        new WaitingAttempts(settings.caller().queueLength()),
-                        new RetryBudget(),
-                        new StageLatency(clock, LATENCY_WINDOW),
+                        picker,
+                        new WaitingAttempts(
+                                clock,
+                                settings.caller().queueLength(),
+                                name -> isBelowTarget(config, attainment, name),
+                                picker),
+                        budget,
+                        latency,
+                        new DeadlineBudget(latency),
+                        new HedgePolicy(latency, budget),
+                        attainment,
                         new DropCounts(),
                         new SplittableRandom());
         mDrain = new DrainDriver(settings.drain(), clock, mLoop, this::onDrainState);
         KeyedRequests keys =
                 new KeyedRequests(new SecureRandom().nextLong(), settings.peer().secret(), clock);
         mCore = new EntryCore(services, config, keys, mDrain.sequence(), this::drain);
-        mLoop.scheduleEvery(WAITING_TICK, services.waiting()::retryAll);
+        mLoop.scheduleEvery(WAITING_TICK, services.waiting()::serveAll);
         mPlugins = PluginRegistry.of(loadPlugins());
         mPoller = ConfigPoller.start(settings.platform().configUrl(), mLoop, mCore);
     }
@@ -93,6 +107,14 @@
         return daemon;
     }
 
+    private static boolean isBelowTarget(
+            ConfigStore store, AttainmentTracker attainment, String workClass) {
+        return store.config()
+                .flatMap(config -> config.workClass(workClass))
+                .map(attainment::isBelowTarget)
+                .orElse(false);
+    }
+
     @SuppressWarnings("unchecked")
     private static List<Plugin<EntryContext>> loadPlugins() {
         List<Plugin<EntryContext>> plugins = new ArrayList<>();
--- a/daemon/src/main/java/org/bulrushvale/daemon/LeastOutstandingPicker.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/LeastOutstandingPicker.java
@@ -26,15 +26,7 @@
 
     @Override
     public Optional<BackendServer> pick(Stage stage, Set<String> avoid, String prefix) {
-        List<BackendServer> eligible =
-                mConfig.config()
-                        .map(
-                                config ->
-                                        config.pool(stage.pool()).stream()
-                                                .filter(config::isInService)
-                                                .filter(s -> outstanding(s) < s.slots())
-                                                .toList())
-                        .orElse(List.of());
+        List<BackendServer> eligible = withRoom(stage.pool());
         Optional<BackendServer> chosen =
                 eligible.stream()
                         .min(
@@ -45,6 +37,26 @@
         return chosen;
     }
 
+    @Override
+    public boolean hasRoom(String pool) {
+        return !withRoom(pool).isEmpty();
+    }
+
+    @Override
+    public int slots(String pool) {
+        return inService(pool).stream().mapToInt(BackendServer::slots).sum();
+    }
+
+    private List<BackendServer> withRoom(String pool) {
+        return inService(pool).stream().filter(s -> outstanding(s) < s.slots()).toList();
+    }
+
+    private List<BackendServer> inService(String pool) {
+        return mConfig.config()
+                .map(config -> config.pool(pool).stream().filter(config::isInService).toList())
+                .orElse(List.of());
+    }
+
     @Override
     public void finished(BackendServer server, boolean ran) {
         mOutstanding.computeIfPresent(server.name(), (name, n) -> n > 1 ? n - 1 : null);
--- a/daemon/src/main/java/org/bulrushvale/daemon/Reports.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/Reports.java
@@ -1,10 +1,13 @@
 package org.bulrushvale.daemon;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.bulrushvale.adapters.operator.OperatorPort;
+import org.bulrushvale.decision.attainment.AttainmentSnapshot;
 import org.bulrushvale.decision.config.BackendServer;
 import org.bulrushvale.decision.config.ConfigStore;
 import org.bulrushvale.decision.config.PublishedConfig;
@@ -17,6 +20,8 @@
  * on the event loop.
  */
 final class Reports {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
     private Reports() {}
 
     static JsonNode of(OperatorPort.Report report, ConfigStore store, int active, EntryCore core) {
@@ -35,12 +40,19 @@
             case BACKENDS ->
                     store.config().ifPresent(config -> backends(json.putArray("backends"), config));
             case PEERS -> json.putArray("peers");
-            case BURN -> json.putArray("classes");
             default -> throw new AssertionError(report);
         }
         return json;
     }
 
+    static JsonNode burn(AttainmentSnapshot snapshot) {
+        try {
+            return JSON.readTree(snapshot.toJson());
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("snapshot is not JSON", e);
+        }
+    }
+
     private static void config(ObjectNode json, ConfigStore store) {
         json.put("digest", store.digest());
         store.confirmationAge().ifPresent(age -> json.put("confirmation_age_ms", age.toMillis()));
--- a/daemon/src/main/java/org/bulrushvale/daemon/WaitingAttempts.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/WaitingAttempts.java
@@ -1,46 +1,98 @@
 package org.bulrushvale.daemon;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.function.BooleanSupplier;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.bulrushvale.decision.admission.AdmissionQueue;
+import org.bulrushvale.decision.admission.QueuedRequest;
+import org.bulrushvale.decision.admission.Refusal;
+import org.bulrushvale.kernel.time.Clock;
+import org.bulrushvale.kernel.verdict.ErrorCode;
 
 /**
- * Attempts that wait until a backend server may receive them, in order of arrival.
+ * Attempts that wait until a backend server may receive them, one admission queue per pool.
  *
- * <p>Invariant: at most {@code capacity} attempts wait. Thread safety: owned by the event loop.
+ * <p>Invariant: an attempt waits in at most one queue; each one that leaves it is either launched
+ * or refused. Thread safety: owned by the event loop.
  */
 final class WaitingAttempts {
+    private final Clock mClock;
     private final int mCapacity;
-    private final Deque<BooleanSupplier> mQueue = new ArrayDeque<>();
+    private final Predicate<String> mBelowTarget;
+    private final ServerPicker mPicker;
+    private final Map<String, AdmissionQueue<Waiting>> mQueues = new HashMap<>();
 
-    WaitingAttempts(int capacity) {
+    WaitingAttempts(Clock clock, int capacity, Predicate<String> belowTarget, ServerPicker picker) {
+        mClock = clock;
         mCapacity = capacity;
+        mBelowTarget = belowTarget;
+        mPicker = picker;
     }
 
     /**
-     * Adds an attempt; false when the queue is full.
+     * One waiting attempt.
      *
-     * @param launch tries to launch the attempt; true removes it from the queue
+     * <p>Thread safety: owned by the event loop.
      */
-    boolean add(BooleanSupplier launch) {
-        if (mQueue.size() >= mCapacity) {
-            return false;
+    interface Waiting {
+        /** Sends the attempt if it is still wanted; false when no server may receive it. */
+        boolean launch();
+
+        /** Ends the request of the attempt. */
+        void refuse(ErrorCode code);
+    }
+
+    /** Adds an attempt for a pool and serves the pool. */
+    void add(String pool, QueuedRequest<Waiting> request) {
+        AdmissionQueue<Waiting> queue =
+                mQueues.computeIfAbsent(
+                        pool,
+                        name ->
+                                new AdmissionQueue<>(
+                                        mClock,
+                                        mCapacity,
+                                        mBelowTarget,
+                                        () -> mPicker.slots(name)));
+        if (queue.size() == 0 && mPicker.hasRoom(pool) && request.payload().launch()) {
+            return;
         }
-        mQueue.addLast(launch);
-        return true;
+        refuse(queue.offer(request));
+        serve(pool, queue);
     }
 
-    /** Tries every waiting attempt once. */
-    void retryAll() {
-        for (int left = mQueue.size(); left > 0; left--) {
-            BooleanSupplier next = mQueue.removeFirst();
-            if (!next.getAsBoolean()) {
-                mQueue.addLast(next);
-            }
+    /** Serves every pool. */
+    void serveAll() {
+        List.copyOf(mQueues.keySet()).forEach(this::serve);
+    }
+
+    /** Serves one pool. */
+    void serve(String pool) {
+        AdmissionQueue<Waiting> queue = mQueues.get(pool);
+        if (queue != null) {
+            serve(pool, queue);
         }
     }
 
     int size() {
-        return mQueue.size();
+        return mQueues.values().stream().mapToInt(AdmissionQueue::size).sum();
+    }
+
+    private void serve(String pool, AdmissionQueue<Waiting> queue) {
+        while (queue.size() > 0 && mPicker.hasRoom(pool)) {
+            List<Refusal<Waiting>> refused = new ArrayList<>();
+            Optional<QueuedRequest<Waiting>> next = queue.poll(refused::add);
+            refuse(refused);
+            if (next.isPresent() && !next.get().payload().launch()) {
+                refuse(queue.offer(next.get()));
+                return;
+            }
+        }
+    }
+
+    private static void refuse(List<Refusal<Waiting>> refused) {
+        refused.forEach(refusal -> refusal.request().payload().refuse(refusal.code()));
     }
 }
