--- /dev/null
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/harness/EntryProcess.java
@@ -0,0 +1,93 @@
+package org.bulrushvale.systemtests.harness;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * One entry daemon in a process of its own; a restart keeps its addresses.
+ *
+ * <p>Invariant: at most one process runs at a time. Thread safety: the process may be replaced by
+ * one thread while others read reports.
+ */
+public final class EntryProcess implements AutoCloseable {
+    private static final String MAIN = "org.bulrushvale.daemon.BulrushvaledMain";
+
+    private final String mVm;
+    private final Path mSettings;
+    private final URI mCaller;
+    private final URI mOperator;
+    private volatile JavaProcess mProcess;
+
+    EntryProcess(String vm, Path settings, int callerPort, int operatorPort) throws IOException {
+        mVm = vm;
+        mSettings = settings;
+        mCaller = URI.create("http://127.0.0.1:" + callerPort);
+        mOperator = URI.create("http://127.0.0.1:" + operatorPort);
+        mProcess = launch();
+    }
+
+    private JavaProcess launch() throws IOException {
+        return JavaProcess.start(mVm, MAIN, List.of("--settings", mSettings.toString()));
+    }
+
+    /** Returns the name of the VM. */
+    public String vm() {
+        return mVm;
+    }
+
+    /** Returns the base address for callers. */
+    public URI uri() {
+        return mCaller;
+    }
+
+    /** Returns the running process, for signals. */
+    public JavaProcess process() {
+        return mProcess;
+    }
+
+    /** Starts a new process after the old one has ended. */
+    public void startAgain() throws IOException {
+        mProcess.close();
+        mProcess = launch();
+    }
+
+    /** Returns true when the entry accepts callers, as a balancer's probe sees it. */
+    public boolean isReady() {
+        try {
+            return Http.get(mCaller.resolve("/readyz")).statusCode() == 200;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Waits until the entry accepts callers. */
+    public Duration awaitReady() throws Exception {
+        return Await.until(mVm + " is ready", FleetProcesses.START_LIMIT, this::isReady);
+    }
+
+    /** Returns a report of the operator listener, for example {@code status}. */
+    public JsonNode report(String name) throws IOException, InterruptedException {
+        return Http.json(mOperator.resolve("/v1/" + name));
+    }
+
+    /** Returns the configuration revision in force, -1 while the entry does not answer. */
+    public long revision() throws InterruptedException {
+        try {
+            return report("status").path("revision").asLong(-1);
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    @Override
+    public void close() {
+        mProcess.close();
+    }
+}
--- a/system-tests/src/test/java/org/bulrushvale/systemtests/harness/JavaProcess.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/harness/JavaProcess.java
@@ -39,7 +39,7 @@
             throws IOException {
         List<String> command = new ArrayList<>();
         command.add(ProcessHandle.current().info().command().orElse("java"));
-        command.add("-Xmx192m");
+        command.add("-Xmx96m");
         command.add("-XX:+UseSerialGC");
         command.add("-XX:TieredStopAtLevel=1");
         command.add("-cp");
