--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/routing/RoutingTest.java
@@ -0,0 +1,129 @@
+package org.bulrushvale.decision.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.bulrushvale.decision.config.BackendServer;
+import org.bulrushvale.decision.config.FailureDomain;
+import org.bulrushvale.decision.config.PublishedConfig;
+import org.bulrushvale.decision.warmup.LoadReport;
+import org.testng.annotations.Test;
+
+/** Guards against work for servers that are out of service, leaving, excluded or full. */
+public class RoutingTest {
+    private static final long SEED = 4_400L;
+
+    private static BackendServer server(String name, String pool, String domain, boolean leaving) {
+        return new BackendServer(name, pool, "10.0.0.1", 80, domain, 8, 2, leaving);
+    }
+
+    private static PublishedConfig randomConfig(long revision, Random random) {
+        PublishedConfig.Builder builder = PublishedConfig.builder(revision);
+        for (int d = 0; d < 4; d++) {
+            builder.addDomain(new FailureDomain("d" + d, "r", random.nextInt(3) != 0));
+        }
+        for (int i = 0; i < 12; i++) {
+            if (random.nextInt(4) != 0) {
+                String domain = "d" + random.nextInt(4);
+                String pool = "p" + random.nextInt(2);
+                builder.addBackend(server("s" + i, pool, domain, random.nextInt(4) == 0));
+            }
+        }
+        return builder.build();
+    }
+
+    @Test
+    public void both_policies_choose_exactly_from_what_a_naive_filter_allows() {
+        System.out.println("routing seed " + SEED);
+        for (RoutingPolicy policy :
+                List.of(PowerOfTwoPolicy.seeded(SEED), new RoundRobinPolicy())) {
+            Random random = new Random(SEED);
+            BackendTable table = new BackendTable();
+            for (int round = 1; round <= 3_000; round++) {
+                PublishedConfig config = randomConfig(round, random);
+                table.config(config);
+                Map<String, Integer> limits = new HashMap<>();
+                Set<String> excluded = new HashSet<>();
+                for (int i = 0; i < 12; i++) {
+                    limits.put("s" + i, random.nextInt(4));
+                    if (random.nextInt(5) == 0) {
+                        excluded.add("s" + i);
+                    }
+                    String server = "s" + i;
+                    table.cacheEvents(server, List.of(new CacheEvent(round, true, "prefix")));
+                }
+                Set<String> allowed =
+                        config.backends().stream()
+                                .filter(b -> b.pool().equals("p0") && !b.leaving())
+                                .filter(
+                                        b ->
+                                                config.domain(b.failureDomain())
+                                                        .orElseThrow()
+                                                        .inService())
+                                .map(BackendServer::name)
+                                .filter(name -> !excluded.contains(name))
+                                .filter(name -> outstanding(table, name) < limits.get(name))
+                                .collect(Collectors.toSet());
+                RoutingRequest request = new RoutingRequest("p0", "d1", "prefix", excluded);
+                Optional<Backend> chosen =
+                        policy.choose(request, table, (name, now) -> limits.get(name), 0);
+                assertThat(chosen.isPresent()).isEqualTo(!allowed.isEmpty());
+                chosen.ifPresent(b -> assertThat(allowed).contains(b.server().name()));
+                chosen.ifPresent(b -> table.started(b.server().name()));
+                table.finished("s" + random.nextInt(12));
+            }
+        }
+    }
+
+    private static int outstanding(BackendTable table, String name) {
+        return table.backend(name).map(Backend::outstanding).orElse(0);
+    }
+
+    private static BackendTable pool(int size) {
+        PublishedConfig.Builder builder = PublishedConfig.builder(1);
+        builder.addDomain(new FailureDomain("d", "r", true));
+        for (int i = 0; i < size; i++) {
+            builder.addBackend(server("s" + i, "p", "d", false));
+        }
+        BackendTable table = new BackendTable();
+        table.config(builder.build());
+        return table;
+    }
+
+    @Test
+    public void a_gap_in_cache_events_forgets_what_may_have_been_evicted() {
+        BackendTable table = pool(2);
+        table.cacheEvents("s1", List.of(new CacheEvent(5, true, "a")));
+        table.cacheEvents("s1", List.of(new CacheEvent(5, false, "a")));
+        assertThat(table.holders("a")).hasSize(1);
+        table.cacheEvents("s1", List.of(new CacheEvent(8, true, "b")));
+        assertThat(table.holders("a")).isEmpty();
+        assertThat(table.holders("b")).hasSize(1);
+    }
+
+    @Test
+    public void own_requests_since_a_delayed_report_spread_over_the_pool() {
+        // given 1,200 servers whose reports stay the same
+        BackendTable table = pool(1_200);
+        for (int i = 0; i < 1_200; i++) {
+            table.report(new LoadReport("s" + i, "e", true, 8, 2, 0, 0), 1);
+        }
+        // when 2,400 requests are placed
+        RoutingPolicy policy = PowerOfTwoPolicy.seeded(SEED);
+        RoutingRequest request = new RoutingRequest("p", "d", "", Set.of());
+        for (int i = 0; i < 2_400; i++) {
+            Backend chosen = policy.choose(request, table, (name, now) -> 8, 0).orElseThrow();
+            table.started(chosen.server().name());
+        }
+        // then none is crowded
+        int highest = table.pool("p").stream().mapToInt(Backend::outstanding).max().orElseThrow();
+        assertThat(highest).isLessThanOrEqualTo(5);
+    }
+}
