Add the reader of the configuration service and the VM list

Entries follow the platform through its published protocol with bounded time and size per call, and count every call because the service does.

--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/platform/PlatformClient.java
@@ -0,0 +1,186 @@
+package org.bulrushvale.adapters.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import org.bulrushvale.decision.membership.Vm;
+import org.bulrushvale.decision.membership.VmList;
+
+/**
+ * Blocking calls to the platform, each bounded in time and size.
+ *
+ * <p>Invariant: every call sent is counted, because the service counts it against its rate limit.
+ * Thread safety: safe for use by any thread.
+ */
+public final class PlatformClient {
+    private static final int MAX_BODY_BYTES = 1 << 20;
+    private static final JsonMapper MAPPER = new JsonMapper();
+
+    private final URI mBase;
+    private final Duration mTimeout;
+    private final HttpClient mHttp;
+    private final AtomicLong mCalls = new AtomicLong();
+
+    private PlatformClient(URI base, Duration timeout) {
+        mBase = base;
+        mTimeout = timeout;
+        mHttp =
+                HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .connectTimeout(timeout)
+                        .build();
+    }
+
+    /** Returns a client of the platform at {@code base}, such as {@code http://10.0.0.1:8500}. */
+    public static PlatformClient create(URI base, Duration timeout) {
+        return new PlatformClient(base, timeout);
+    }
+
+    /** Returns the number of calls sent. */
+    public long calls() {
+        return mCalls.get();
+    }
+
+    /** Reads the index of values. */
+    public Index index() throws PlatformException, InterruptedException {
+        return index("/v1/index", mTimeout);
+    }
+
+    /** Waits until the revision exceeds {@code revision} or the wait ends, then reads the index. */
+    public Index watch(long revision, Duration wait)
+            throws PlatformException, InterruptedException {
+        String path = "/v1/watch?after=" + revision + "&wait_ms=" + wait.toMillis();
+        return index(path, mTimeout.plus(wait));
+    }
+
+    private Index index(String path, Duration timeout)
+            throws PlatformException, InterruptedException {
+        JsonNode root = json(path, call(path, timeout).body());
+        JsonNode values = root.path("values");
+        if (!root.path("revision").isIntegralNumber() || !values.isObject()) {
+            throw PlatformException.malformed(path, "no index");
+        }
+        Map<String, Long> revisions = new LinkedHashMap<>();
+        for (Map.Entry<String, JsonNode> value : values.properties()) {
+            if (!value.getValue().isIntegralNumber()) {
+                throw PlatformException.malformed(path, "revision of " + value.getKey());
+            }
+            revisions.put(value.getKey(), value.getValue().longValue());
+        }
+        return new Index(root.path("revision").longValue(), revisions);
+    }
+
+    /** Reads one value. */
+    public Value value(String name) throws PlatformException, InterruptedException {
+        String path = "/v1/values/" + name;
+        HttpResponse<byte[]> response = call(path, mTimeout);
+        String header = response.headers().firstValue("X-Revision").orElse("");
+        try {
+            String text = new String(response.body(), StandardCharsets.UTF_8);
+            return new Value(Long.parseLong(header), text);
+        } catch (NumberFormatException e) {
+            throw PlatformException.malformed(path, "X-Revision is not a number");
+        }
+    }
+
+    /** Reads the list of VMs. */
+    public VmList vms() throws PlatformException, InterruptedException {
+        String path = "/v1/vms";
+        JsonNode root = json(path, call(path, mTimeout).body());
+        if (!root.path("version").isIntegralNumber() || !root.path("vms").isArray()) {
+            throw PlatformException.malformed(path, "no VM list");
+        }
+        List<Vm> vms = new ArrayList<>();
+        for (JsonNode node : root.path("vms")) {
+            String name = node.path("name").asText();
+            String state = node.path("state").asText();
+            boolean leaving = "leaving".equals(state);
+            if (name.isEmpty() || !(leaving || "live".equals(state))) {
+                throw PlatformException.malformed(path, "VM without name or state");
+            }
+            vms.add(
+                    new Vm(
+                            name,
+                            node.path("address").asText(),
+                            node.path("peer_port").asInt(),
+                            node.path("failure_domain").asText(),
+                            node.path("region").asText(),
+                            leaving));
+        }
+        try {
+            return VmList.of(root.path("version").longValue(), vms);
+        } catch (IllegalArgumentException e) {
+            throw PlatformException.malformed(path, "VM listed twice");
+        }
+    }
+
+    private static JsonNode json(String path, byte[] body) throws PlatformException {
+        try {
+            return MAPPER.readTree(body);
+        } catch (IOException e) {
+            throw PlatformException.malformed(path, "not JSON");
+        }
+    }
+
+    private HttpResponse<byte[]> call(String path, Duration timeout)
+            throws PlatformException, InterruptedException {
+        mCalls.incrementAndGet();
+        HttpRequest request =
+                HttpRequest.newBuilder(mBase.resolve(path)).timeout(timeout).GET().build();
+        CompletableFuture<HttpResponse<byte[]>> future =
+                mHttp.sendAsync(request, info -> new BoundedBody(MAX_BODY_BYTES));
+        try {
+            // The timeout of the request covers only the headers; this one covers the body too.
+            HttpResponse<byte[]> response = future.get(timeout.toMillis(), TimeUnit.MILLISECONDS);
+            if (response.statusCode() != 200) {
+                throw PlatformException.status(path, response.statusCode());
+            }
+            return response;
+        } catch (ExecutionException e) {
+            throw PlatformException.unreachable(path, e.getCause() == null ? e : e.getCause());
+        } catch (TimeoutException e) {
+            throw PlatformException.unreachable(path, e);
+        } finally {
+            future.cancel(true);
+        }
+    }
+
+    /**
+     * The index of published values.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param revision revision of the whole configuration
+     * @param values revision of each value by name
+     */
+    public record Index(long revision, Map<String, Long> values) {
+        public Index {
+            values = Map.copyOf(values);
+        }
+    }
+
+    /**
+     * One published value.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param revision revision at which the value last changed
+     * @param text JSON text
+     */
+    public record Value(long revision, String text) {}
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Reader of the platform's configuration service and VM list. */
+package org.bulrushvale.adapters.platform;
