--- a/decision/src/main/java/org/bulrushvale/decision/warmup/ServerWarmth.java
+++ b/decision/src/main/java/org/bulrushvale/decision/warmup/ServerWarmth.java
@@ -10,7 +10,7 @@
 /**
  * One entry's knowledge of one server's warmth.
  *
- * <p>Invariant: a usable report was measured after the last connection to the server was lost.
+ * <p>Invariant: a usable report was measured after the connection that it was read on was opened.
  * Thread safety: single-writer, used by the event loop only.
  */
 final class ServerWarmth {
@@ -38,7 +38,8 @@
         mPublishedBearable = bearable;
     }
 
-    int generation() {
+    int connectionOpened(long nowNanos) {
+        mNotBeforeNanos = nowNanos;
         return mGeneration;
     }
 
--- a/decision/src/main/java/org/bulrushvale/decision/warmup/WarmthTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/warmup/WarmthTable.java
@@ -63,16 +63,20 @@
         mOwnership.view(view, nowNanos);
     }
 
-    /** Returns the number that a connection opened now must pass with its load reports. */
-    public int generation(String server) {
+    /**
+     * Records that the connection for load reports was opened; returns the number to pass with the
+     * reports read on it. Reports measured earlier are ignored: the server may have restarted
+     * between the loss of the old connection and now.
+     */
+    public int connectionOpened(String server, long nowNanos) {
         ServerWarmth warmth = mServers.get(server);
-        return warmth == null ? 0 : warmth.generation();
+        return warmth == null ? 0 : warmth.connectionOpened(nowNanos);
     }
 
     /**
      * Takes a load report.
      *
-     * @param generation {@link #generation} when the connection that it was read on was opened
+     * @param generation result of {@link #connectionOpened} for the connection it was read on
      * @param measuredAtNanos time at which the report was asked for, less the age that it states
      */
     public void report(LoadReport report, int generation, long measuredAtNanos, long nowNanos) {
--- a/decision/src/test/java/org/bulrushvale/decision/warmup/WarmthTableTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/warmup/WarmthTableTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.bulrushvale.decision.config.BackendServer;
 import org.bulrushvale.decision.membership.View;
 import org.bulrushvale.decision.membership.Vm;
 import org.bulrushvale.decision.membership.VmList;
@@ -118,4 +119,26 @@
         ownership.view(new View<>(VmList.of(4, first.value().vms()), held), held);
         assertThat(ownership.mayFeedCold("s", held)).isFalse();
     }
+
+    @Test
+    public void a_report_from_before_the_new_connection_permits_nothing() {
+        // given a warm server whose connection is lost and opened again one second later
+        long second = Duration.ofSeconds(1).toNanos();
+        String name = WarmupFleet.SERVER;
+        WarmthTable table = WarmthTable.create("vm0", WarmupTiming.defaults());
+        table.servers(
+                List.of(new BackendServer(name, "p", "10.0.0.9", 80, "d", 8, 2, false)),
+                Duration.ofSeconds(5));
+        table.view(new View<>(VmList.of(1, List.of(WarmupFleet.vm("vm0"))), 0), 0);
+        table.merge(new WarmthAnnouncement(name, "e1", 1, true), 0);
+        LoadReport report = new LoadReport(name, "e1", true, 8, 2, 0, 0);
+        table.connectionClosed(name, 10 * second);
+        int generation = table.connectionOpened(name, 11 * second);
+        // when a cached report arrives, measured before a restart in between
+        table.report(report, generation, 10 * second + second / 2, 11 * second);
+        // then it permits nothing, while a later one does
+        assertThat(table.limit(name, 11 * second)).isZero();
+        table.report(report, generation, 11 * second, 11 * second);
+        assertThat(table.limit(name, 11 * second)).isEqualTo(8);
+    }
 }
--- a/decision/src/test/java/org/bulrushvale/decision/warmup/WarmupFleet.java
+++ b/decision/src/test/java/org/bulrushvale/decision/warmup/WarmupFleet.java
@@ -257,7 +257,7 @@
                     loseConnection();
                 }
                 mConnectedEpoch = mServer.mEpoch;
-                mGeneration = mTable.generation(SERVER);
+                mGeneration = mTable.connectionOpened(SERVER, nanos());
             }
             if (tick) {
                 long ageMs = mRandom.nextInt(1_000);
