--- a/system-tests/src/test/java/org/bulrushvale/systemtests/RollingRestartTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/RollingRestartTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.bulrushvale.systemtests.harness.Answer;
+import org.bulrushvale.systemtests.harness.Await;
 import org.bulrushvale.systemtests.harness.Caller.Ask;
 import org.bulrushvale.systemtests.harness.ContinuousLoad;
 import org.bulrushvale.systemtests.harness.ContinuousLoad.Sent;
@@ -23,6 +24,15 @@
 public class RollingRestartTest {
     private static final long SEED = 20_261_204L;
     private static final int CALLERS = 8;
+    // The balancer probes every 30 ms; whole answers of the slow runner send no byte for 2.4 s.
+    private static final String SETTINGS =
+            """
+            [drain]
+            readiness_delay_ms = 1000
+            settle_ms = 200
+            [backend]
+            progress_timeout_ms = 4000
+            """;
     private static final Set<Answer.Kind> ANSWERED =
             EnumSet.of(Answer.Kind.WHOLE, Answer.Kind.REFUSED);
 
@@ -31,7 +41,11 @@
         System.out.println("RollingRestartTest seed=" + SEED);
         try (FleetProcesses fleet =
                         FleetProcesses.builder()
-                                .settings("[drain]\nreadiness_delay_ms = 1000\nsettle_ms = 200\n")
+                                // One of two runners takes 2.4 s for an answer, so that requests
+                                // are in progress when the listeners of an entry have closed.
+                                .server("generate-1", "--token-us", "5000")
+                                .server("generate-2", "--token-us", "150000")
+                                .settings(SETTINGS)
                                 .start();
                 ContinuousLoad load = ContinuousLoad.start(fleet, SEED, CALLERS, mix())) {
             // given
@@ -40,6 +54,10 @@
             }
             // when
             for (EntryProcess entry : fleet.entries()) {
+                Await.until(
+                        "requests in progress at " + entry.vm(),
+                        FleetProcesses.START_LIMIT,
+                        () -> entry.report("status").path("active_requests").asInt() > 1);
                 entry.process().terminate();
                 entry.process().awaitExit(Duration.ofSeconds(30));
                 entry.startAgain();
--- a/system-tests/src/test/java/org/bulrushvale/systemtests/harness/FleetProcesses.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/harness/FleetProcesses.java
@@ -23,8 +23,9 @@
  * Three entry daemons, their backend servers and the platform, each in a process of its own, with
  * the published values of {@code examples/quickstart}.
  *
- * <p>The class {@value #ORDER} is added: its only stage is not repeatable, so the ledger of the
- * plain service holds the digest of the caller's input.
+ * <p>Two classes with a single stage are added, whose backend servers receive the caller's input
+ * unchanged: the ledger of the plain service then holds the digest of an input of {@value #ORDER},
+ * and a model runner meets the text of {@value #DRAFT}.
  *
  * <pre>{@code
  * try (FleetProcesses fleet = FleetProcesses.builder().start()) {
@@ -39,6 +40,9 @@
     /** The non-idempotent class with a single stage. */
     public static final String ORDER = "counter-order";
 
+    /** The idempotent class whose single stage is a model runner's. */
+    public static final String DRAFT = "direct-draft";
+
     /** Time for a process to start on a busy machine. */
     public static final Duration START_LIMIT = Duration.ofSeconds(40);
 
@@ -126,7 +130,8 @@
 
     private void startServers(Builder builder) throws IOException, InterruptedException {
         for (String pool : POOLS) {
-            for (int number = 1; number <= 2; number++) {
+            int servers = pool.equals("generate") ? builder.mModelRunners : 2;
+            for (int number = 1; number <= servers; number++) {
                 String name = pool + "-" + number;
                 List<String> arguments = new ArrayList<>(serverArguments(pool));
                 arguments.addAll(List.of("--name", name));
@@ -164,7 +169,9 @@
                 mValues.put(name, JSON.readTree(text));
             }
         }
-        addOrderClass();
+        addSingleStageClass(ORDER, "order", "office", false);
+        addSingleStageClass(DRAFT, "generate", "generate", true);
+        addModelRunners();
         for (Map.Entry<String, JsonNode> value : mValues.entrySet()) {
             Path file = values.resolve(value.getKey() + ".json");
             Files.writeString(file, value.getValue().toString());
@@ -173,20 +180,43 @@
         mConfig.port();
     }
 
-    private void addOrderClass() throws IOException {
+    /** Publishes the model runners beyond the two of the example, in turn in all domains. */
+    private void addModelRunners() throws InterruptedException {
+        ArrayNode backends = (ArrayNode) mValues.get("backends");
+        for (StandinProcess server : pool("generate")) {
+            int number = Integer.parseInt(server.name().substring("generate-".length()));
+            if (number > 2) {
+                backends.addObject()
+                        .put("name", server.name())
+                        .put("pool", "generate")
+                        .put("address", "127.0.0.1")
+                        .put("port", server.port())
+                        .put("failure_domain", DOMAINS.get((number - 1) % DOMAINS.size()))
+                        .put("slots", 8)
+                        .put("bearable", 2)
+                        .put("state", "live");
+            }
+        }
+    }
+
+    private void addSingleStageClass(String name, String stage, String pool, boolean repeatable) {
         ((ArrayNode) mValues.get("pipelines"))
-                .add(
-                        JSON.readTree(
-                                "{\"name\":\"order\",\"stages\":[{\"name\":\"order\","
-                                        + "\"pool\":\"office\",\"repeatable\":false,"
-                                        + "\"streams\":false}]}"));
+                .addObject()
+                .put("name", name + "-only")
+                .putArray("stages")
+                .addObject()
+                .put("name", stage)
+                .put("pool", pool)
+                .put("repeatable", repeatable)
+                .put("streams", repeatable);
         ((ArrayNode) mValues.get("classes"))
-                .add(
-                        JSON.readTree(
-                                "{\"name\":\""
-                                        + ORDER
-                                        + "\",\"target\":0.99,\"deadline_ms\":3000,\"worth\":5,"
-                                        + "\"pipeline\":\"order\",\"idempotent\":false}"));
+                .addObject()
+                .put("name", name)
+                .put("target", 0.99)
+                .put("deadline_ms", repeatable ? 5000 : 3000)
+                .put("worth", 5)
+                .put("pipeline", name + "-only")
+                .put("idempotent", repeatable);
     }
 
     private void startEntry(int index, int peerPort) throws IOException {
@@ -273,6 +303,7 @@
     public static final class Builder {
         private final Map<String, List<String>> mArguments = new LinkedHashMap<>();
         private String mSettings = "";
+        private int mModelRunners = 2;
 
         private Builder() {}
 
@@ -282,6 +313,12 @@
             return this;
         }
 
+        /** Sets the number of model runners. */
+        public Builder modelRunners(int count) {
+            mModelRunners = count;
+            return this;
+        }
+
         /** Adds sections to the settings of every entry. */
         public Builder settings(String text) {
             mSettings = text;
