--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/Handshake.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/Handshake.java
@@ -51,7 +51,9 @@
         if (peer.nonce().length != NONCE_BYTES) {
             throw PeerException.rejected(PeerReject.FRAME_MALFORMED, "nonce has a wrong length");
         }
-        if (expectedVm != null && !expectedVm.equals(peer.sender().vm())) {
+        // A peer that is dialled by its endpoint, "address:port", may have any name.
+        boolean named = expectedVm != null && expectedVm.indexOf(':') < 0;
+        if (named && !peer.sender().vm().equals(expectedVm)) {
             throw PeerException.rejected(PeerReject.WRONG_VM, "another VM has this address");
         }
         mPeer = peer;
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
@@ -76,6 +76,7 @@
         } else if (message instanceof PeerMessage.ConfigFetch fetch) {
             writeStrings(fetch.names(), out);
         } else if (message instanceof PeerMessage.ConfigValues values) {
+            out.packLong(values.revision()).packLong(values.confirmationAgeMillis());
             out.packArrayHeader(values.values().size());
             for (PeerMessage.ConfigValue v : values.values()) {
                 out.packString(v.name()).packLong(v.revision()).packString(v.json());
@@ -131,7 +132,10 @@
             throws IOException {
         out.packArrayHeader(poison.size());
         for (PeerMessage.Poison p : poison) {
-            out.packString(p.fingerprint()).packInt(p.strikes()).packLong(p.remainingMillis());
+            out.packString(p.fingerprint());
+            writeStrings(p.strikes(), out);
+            writeStrings(p.cleared(), out);
+            out.packBoolean(p.convicted()).packLong(p.ageMillis());
         }
     }
 
@@ -154,6 +158,8 @@
             case CONFIG_FETCH -> new PeerMessage.ConfigFetch(in.list(in::text));
             case CONFIG_VALUES ->
                     new PeerMessage.ConfigValues(
+                            raw.unpackLong(),
+                            raw.unpackLong(),
                             in.list(
                                     () ->
                                             new PeerMessage.ConfigValue(
@@ -283,7 +289,12 @@
         }
 
         PeerMessage.Poison poison() throws IOException {
-            return new PeerMessage.Poison(text(), mRaw.unpackInt(), mRaw.unpackLong());
+            return new PeerMessage.Poison(
+                    text(),
+                    list(this::text),
+                    list(this::text),
+                    mRaw.unpackBoolean(),
+                    mRaw.unpackLong());
         }
 
         Verdict verdict() throws IOException {
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -53,11 +53,21 @@
     record Warmth(String server, String epoch, boolean warm, long sequence) {}
 
     /**
-     * Strikes against a request fingerprint.
+     * What the sender knows about a content that is suspected of crashing servers.
      *
      * <p>Thread safety: immutable.
      */
-    record Poison(String fingerprint, int strikes, long remainingMillis) {}
+    record Poison(
+            String fingerprint,
+            List<String> strikes,
+            List<String> cleared,
+            boolean convicted,
+            long ageMillis) {
+        public Poison {
+            strikes = List.copyOf(strikes);
+            cleared = List.copyOf(cleared);
+        }
+    }
 
     /**
      * Asks for published values by name.
@@ -71,11 +81,12 @@
     }
 
     /**
-     * Published values.
+     * Published values of one revision, confirmed the given time ago.
      *
      * <p>Thread safety: immutable.
      */
-    record ConfigValues(List<ConfigValue> values) implements PeerMessage {
+    record ConfigValues(long revision, long confirmationAgeMillis, List<ConfigValue> values)
+            implements PeerMessage {
         public ConfigValues {
             values = List.copyOf(values);
         }
--- a/adapters/src/main/java/org/bulrushvale/adapters/platform/PlatformReader.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/platform/PlatformReader.java
@@ -10,7 +10,8 @@
  * Follows the configuration service and the VM list and delivers what changes.
  *
  * <pre>{@code
- * PlatformReader reader = PlatformReader.start(client, listener, Clock.system(), seed);
+ * PlatformReader reader =
+ *         PlatformReader.start(config, vms, listener, Clock.system(), seed);
  * reader.watching(ReaderSelection.isReader(list, self));
  * }</pre>
  *
@@ -23,7 +24,7 @@
     /** 330 entries make 330 calls/s, a sixth of the service's rate limit of 2,000/s. */
     private static final Duration VM_LIST_INTERVAL = Duration.ofSeconds(1);
 
-    private final PlatformClient mClient;
+    private final PlatformClient mVms;
     private final PlatformListener mListener;
     private final Clock mClock;
     private final ConfigReader mConfig;
@@ -35,11 +36,15 @@
     private volatile boolean mClosed;
 
     private PlatformReader(
-            PlatformClient client, PlatformListener listener, Clock clock, long seed) {
-        mClient = client;
+            PlatformClient config,
+            PlatformClient vms,
+            PlatformListener listener,
+            Clock clock,
+            long seed) {
+        mVms = vms;
         mListener = listener;
         mClock = clock;
-        mConfig = new ConfigReader(client, listener, clock, seed);
+        mConfig = new ConfigReader(config, listener, clock, seed);
         mVmBackoff = new Backoff(seed + 1);
         mConfigThread = thread("platform-config", this::followConfig);
         mVmThread = thread("platform-vms", this::followVms);
@@ -47,8 +52,12 @@
 
     /** Starts a reader that reads both once and then follows the VM list. */
     public static PlatformReader start(
-            PlatformClient client, PlatformListener listener, Clock clock, long seed) {
-        PlatformReader reader = new PlatformReader(client, listener, clock, seed);
+            PlatformClient config,
+            PlatformClient vms,
+            PlatformListener listener,
+            Clock clock,
+            long seed) {
+        PlatformReader reader = new PlatformReader(config, vms, listener, clock, seed);
         reader.mConfigThread.start();
         reader.mVmThread.start();
         return reader;
@@ -112,7 +121,7 @@
     private Duration readVms() throws InterruptedException {
         long askedAt = mClock.monotonicNanos();
         try {
-            mListener.onVmList(mClient.vms(), askedAt);
+            mListener.onVmList(mVms.vms(), askedAt);
             mVmBackoff.reset();
             return VM_LIST_INTERVAL;
         } catch (PlatformException e) {
--- a/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
@@ -14,7 +14,8 @@
 public class PeerCodecTest {
     private static final long SEED = 411L;
     private static final PeerMessage.Sender SENDER = new PeerMessage.Sender("como-1", "0abc");
-    private static final PeerMessage.Poison POISON = new PeerMessage.Poison("ff01", 2, 900_000);
+    private static final PeerMessage.Poison POISON =
+            new PeerMessage.Poison("ff01", List.of("s/e", "t/e"), List.of("s/e"), true, 900);
 
     @DataProvider
     public Object[][] messages() {
@@ -31,7 +32,10 @@
                         List.of("0abc", "0def"))
             },
             {new PeerMessage.ConfigFetch(List.of("classes", "domains"))},
-            {new PeerMessage.ConfigValues(List.of(new PeerMessage.ConfigValue("c", 4, "[]")))},
+            {
+                new PeerMessage.ConfigValues(
+                        4, 9, List.of(new PeerMessage.ConfigValue("c", 4, "[]")))
+            },
             {new PeerMessage.Forward("r", "w", "c", "v1.k", 900, "{è}".getBytes(), 16)},
             {new PeerMessage.ForwardReply("r", 503, "BACKEND_FAILED", Verdict.RAN, "è", "[]")},
             {new PeerMessage.PoisonNotice(List.of(POISON, POISON))},
--- a/adapters/src/test/java/org/bulrushvale/adapters/platform/PlatformReaderTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/platform/PlatformReaderTest.java
@@ -132,7 +132,7 @@
                         + "\"peer_port\":7,\"failure_domain\":\"d\",\"region\":\"r\","
                         + "\"state\":\"leaving\"}]}");
         try (PlatformReader reader =
-                PlatformReader.start(mClient, new Recorder(), Clock.system(), SEED)) {
+                PlatformReader.start(mClient, mClient, new Recorder(), Clock.system(), SEED)) {
             reader.watching(false);
             assertThat(mVmLists.await(10, TimeUnit.SECONDS)).isTrue();
         }
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
@@ -5,7 +5,6 @@
 import java.security.MessageDigest;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -14,8 +13,9 @@
 import org.bulrushvale.adapters.caller.CallerRequest;
 import org.bulrushvale.adapters.caller.Problem;
 import org.bulrushvale.adapters.operator.OperatorPort;
+import org.bulrushvale.daemon.fleet.FleetNode;
+import org.bulrushvale.daemon.fleet.KeyForwarder;
 import org.bulrushvale.decision.attainment.Cause;
-import org.bulrushvale.decision.config.ConfigDigest;
 import org.bulrushvale.decision.config.ConfigStore;
 import org.bulrushvale.decision.config.Pipeline;
 import org.bulrushvale.decision.config.PublishedConfig;
@@ -35,7 +35,7 @@
  * Thread safety: the port methods may be called from any thread, the rest is owned by the event
  * loop.
  */
-final class EntryCore implements CallerPort, OperatorPort {
+final class EntryCore implements CallerPort, OperatorPort, FleetNode.Events {
     private static final Logger LOG = Logger.getLogger(EntryCore.class);
 
     private final CoreServices mCore;
@@ -44,20 +44,24 @@
     private final Runnable mOnDrain;
     private final KeyedRequests mKeys;
     private final DrainSequence mDrain;
+    private final FleetNode mFleet;
     private volatile boolean mDraining;
     private volatile boolean mConfigured;
+    private boolean mStartupComplete;
 
     EntryCore(
             CoreServices core,
             ConfigStore config,
             KeyedRequests keys,
             DrainSequence drain,
+            FleetNode fleet,
             Runnable onDrain) {
         mCore = core;
         mConfig = config;
         mOnDrain = onDrain;
         mKeys = keys;
         mDrain = drain;
+        mFleet = fleet;
     }
 
     // Caller port
@@ -65,7 +69,7 @@
     @Override
     public Call submit(CallerRequest request, CallerReply reply) {
         AtomicReference<ActiveRequest> active = new AtomicReference<>();
-        boolean accepted = mCore.loop().offer(() -> accept(request, reply, active));
+        boolean accepted = mCore.loop().offer(() -> accept(request, reply, active, false));
         if (!accepted) {
             reply.fail(
                     Problem.refusal(
@@ -103,6 +107,7 @@
             if (mDraining) {
                 throw refusal(ErrorCode.DRAINING, "entry is shutting down");
             }
+            requireContact();
             String key = mKeys.spaces().issuer().issue(workspace, workClass).toString();
             reply.issued(key, mKeys.spaces().issuer().lifetime());
         } catch (BulrushvaleException e) {
@@ -115,25 +120,47 @@
         if (mDraining) {
             return "draining";
         }
+        if (mFleet.isIsolated()) {
+            return "cut off from the fleet";
+        }
         return mConfigured ? "" : "no published configuration yet";
     }
 
+    private void requireContact() throws BulrushvaleException {
+        // A view that may be refreshed shortly keeps new work waiting in the queue instead.
+        if (mFleet.mayRoute() && mFleet.isIsolated()) {
+            throw refusal(ErrorCode.ISOLATED, "entry is cut off from the fleet");
+        }
+    }
+
+    @Override
+    public void forwarded(CallerRequest request, CallerReply reply) {
+        accept(request, reply, new AtomicReference<>(), true);
+    }
+
+    /** Takes a request of a caller, or one that a peer has authorized and forwarded. */
     private void accept(
-            CallerRequest request, CallerReply reply, AtomicReference<ActiveRequest> active) {
+            CallerRequest request,
+            CallerReply reply,
+            AtomicReference<ActiveRequest> active,
+            boolean forwarded) {
         try {
             PublishedConfig config = config();
-            authorize(config, request.workspace(), request.tokenSha256());
+            if (!forwarded) {
+                authorize(config, request.workspace(), request.tokenSha256());
+            }
+            requireContact();
             WorkClass workClass =
                     config.workClass(request.workClass())
                             .orElseThrow(() -> refusal(ErrorCode.UNKNOWN_CLASS, "unknown class"));
-            if (workClass.idempotent()) {
+            if (workClass.idempotent() && !forwarded) {
                 start(config, workClass, request, reply, active);
                 return;
             }
             if (request.key().isEmpty()) {
                 throw refusal(ErrorCode.KEY_REQUIRED, "the class needs an idempotency key");
             }
-            present(config, workClass, request, reply, active);
+            present(config, workClass, request, reply, active, forwarded);
         } catch (BulrushvaleException e) {
             reply.fail(Problem.refusal(e.code(), e.detail(), request.key().isPresent()));
             LOG.debugf("request refused: %s", e.code());
@@ -145,18 +172,42 @@
             WorkClass workClass,
             CallerRequest request,
             CallerReply reply,
-            AtomicReference<ActiveRequest> active) {
+            AtomicReference<ActiveRequest> active,
+            boolean forwarded) {
         try {
             mKeys.present(
                     request,
                     reply,
-                    recording -> startKeyed(config, workClass, request, recording, active));
+                    recording -> startKeyed(config, workClass, request, recording, active),
+                    holder -> {
+                        if (forwarded) {
+                            // The space has moved; forwarding again could send the request twice.
+                            reply.fail(KeyForwarder.unreachable());
+                        } else {
+                            forward(holder, workClass, request, reply);
+                        }
+                    });
         } catch (BulrushvaleException e) {
             // The fleet never issued this key, so the verdict of the exception holds.
             reply.fail(Problem.failure(e.code(), e.verdict(), e.advice(false), e.detail()));
         }
     }
 
+    private void forward(
+            String holder, WorkClass workClass, CallerRequest request, CallerReply reply) {
+        Duration deadline = deadline(workClass, request);
+        if (!mDrain.tryAccept(mCore.clock().monotonicNanos() + deadline.toNanos())) {
+            reply.fail(Problem.refusal(ErrorCode.DRAINING, "entry is shutting down", true));
+            return;
+        }
+        mFleet.forwarder().forward(holder, request, deadline, reply, mDrain::onEnded);
+    }
+
+    private static Duration deadline(WorkClass workClass, CallerRequest request) {
+        Duration limit = workClass.deadline();
+        return request.deadline().filter(stated -> stated.compareTo(limit) < 0).orElse(limit);
+    }
+
     private void startKeyed(
             PublishedConfig config,
             WorkClass workClass,
@@ -181,10 +232,7 @@
         Pipeline pipeline =
                 config.pipeline(workClass.pipeline())
                         .orElseThrow(() -> refusal(ErrorCode.INTERNAL, "pipeline is missing"));
-        Duration deadline = workClass.deadline();
-        if (request.deadline().isPresent() && request.deadline().get().compareTo(deadline) < 0) {
-            deadline = request.deadline().get();
-        }
+        Duration deadline = deadline(workClass, request);
         DeadlineBudget.Outlook outlook =
                 mCore.deadlines().outlook(workClass.name(), pipeline, 0, deadline);
         if (outlook != DeadlineBudget.Outlook.GO_ON) {
@@ -244,21 +292,18 @@
         return new BulrushvaleException(code, Verdict.NOT_RUN, detail);
     }
 
-    // Configuration, called on the event loop
+    // Fleet events, called on the event loop
 
-    void offerConfig(long revision, Map<String, String> values) {
-        ConfigStore.Offer offer = mConfig.offer(revision, ConfigDigest.of(values), values);
-        mConfigured = mConfig.config().isPresent();
-        if (offer == ConfigStore.Offer.ACCEPTED) {
-            LOG.infof("configuration revision %d is in force", revision);
-            mCore.waiting().serveAll();
-        } else if (offer != ConfigStore.Offer.SAME) {
-            LOG.warnf("configuration revision %d not accepted: %s", revision, offer);
-        }
+    @Override
+    public void configChanged(boolean startupComplete) {
+        mStartupComplete |= startupComplete;
+        mConfigured = mStartupComplete && mConfig.config().isPresent();
+        mCore.waiting().serveAll();
     }
 
-    long configRevision() {
-        return mConfig.revision();
+    @Override
+    public void routable() {
+        mCore.waiting().serveAll();
     }
 
     // Operator port
@@ -271,7 +316,7 @@
     private JsonNode report(Report report) {
         return report == Report.BURN
                 ? Reports.burn(mCore.attainment().snapshot())
-                : Reports.of(report, mConfig, mActive.size(), this);
+                : Reports.of(report, mConfig, mActive.size(), this, mFleet);
     }
 
     @Override
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -15,6 +15,7 @@
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.operator.OperatorPort;
 import org.bulrushvale.adapters.settings.EntrySettings;
+import org.bulrushvale.daemon.fleet.FleetNode;
 import org.bulrushvale.decision.attainment.AttainmentTracker;
 import org.bulrushvale.decision.config.ConfigStore;
 import org.bulrushvale.decision.drain.DrainState;
@@ -22,6 +23,7 @@
 import org.bulrushvale.decision.request.DropCounts;
 import org.bulrushvale.decision.request.StageLatency;
 import org.bulrushvale.decision.retry.HedgePolicy;
+import org.bulrushvale.decision.retry.PoisonTable;
 import org.bulrushvale.decision.retry.RetryBudget;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.plugin.Plugin;
@@ -54,7 +56,7 @@
     private final EntryCore mCore;
     private final DrainDriver mDrain;
     private final PluginRegistry<EntryContext> mPlugins;
-    private final ConfigPoller mPoller;
+    private final FleetNode mFleet;
 
     private EntryDaemon(EntrySettings settings) throws BulrushvaleException {
         mSettings = settings;
@@ -62,7 +64,12 @@
         mClient = BackendClient.start(settings.backend(), server -> {});
         Clock clock = Clock.system();
         ConfigStore config = ConfigStore.empty(clock);
-        ServerPicker picker = new LeastOutstandingPicker(config);
+        KeyedRequests keys =
+                new KeyedRequests(new SecureRandom().nextLong(), settings.peer().secret(), clock);
+        mFleet =
+                FleetNode.create(
+                        settings, mLoop, clock, config, keys.spaces(), new PoisonTable(clock));
+        ServerPicker picker = new GatedPicker(new LeastOutstandingPicker(config), mFleet::mayRoute);
         AttainmentTracker attainment = new AttainmentTracker(settings.entry().vm(), clock);
         StageLatency latency = new StageLatency(clock, LATENCY_WINDOW);
         RetryBudget budget = new RetryBudget();
@@ -87,12 +94,10 @@
                         new DropCounts(),
                         new SplittableRandom());
         mDrain = new DrainDriver(settings.drain(), clock, mLoop, this::onDrainState);
-        KeyedRequests keys =
-                new KeyedRequests(new SecureRandom().nextLong(), settings.peer().secret(), clock);
-        mCore = new EntryCore(services, config, keys, mDrain.sequence(), this::drain);
+        mCore = new EntryCore(services, config, keys, mDrain.sequence(), mFleet, this::drain);
         mLoop.scheduleEvery(WAITING_TICK, services.waiting()::serveAll);
         mPlugins = PluginRegistry.of(loadPlugins());
-        mPoller = ConfigPoller.start(settings.platform().configUrl(), mLoop, mCore);
+        listening("peer", mFleet.port());
     }
 
     /** Starts a daemon; it is ready once a configuration was read. */
@@ -100,6 +105,7 @@
         EntryDaemon daemon = new EntryDaemon(settings);
         try {
             daemon.mPlugins.start(daemon);
+            daemon.mFleet.start(daemon.mCore);
         } catch (BulrushvaleException | RuntimeException e) {
             daemon.close();
             throw e;
@@ -129,6 +135,11 @@
         return Optional.ofNullable(mPorts.get(listener));
     }
 
+    /** Returns the link to the fleet, for tests that inject faults. */
+    public FleetNode fleet() {
+        return mFleet;
+    }
+
     /** Returns true when the daemon accepts requests. */
     public boolean isReady() {
         return mCore.notReadyReason().isEmpty();
@@ -136,10 +147,12 @@
 
     private void onDrainState(DrainState state) {
         switch (state) {
-            case UNREADY -> mCore.startDraining();
+            case UNREADY -> {
+                mCore.startDraining();
+                mFleet.startDraining();
+            }
             case LISTENERS_CLOSED -> mPlugins.drain();
-            // Key spaces are not handed over before the peer transport is in place.
-            case HANDING_OVER -> mDrain.sequence().onHandedOver();
+            case HANDING_OVER -> mFleet.handOver(mDrain.sequence()::onHandedOver);
             default -> {}
         }
     }
@@ -156,7 +169,7 @@
 
     @Override
     public void close() {
-        mPoller.close();
+        mFleet.close();
         mPlugins.stop();
         mLoop.close();
         mClient.close();
--- a/daemon/src/main/java/org/bulrushvale/daemon/KeyedRequests.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/KeyedRequests.java
@@ -54,8 +54,10 @@
      * Presents the key of a request.
      *
      * @param run receives the reply that records the end of the run
+     * @param forward takes the request to the peer that holds the key
      */
-    void present(CallerRequest request, CallerReply reply, Runner run) throws BulrushvaleException {
+    void present(CallerRequest request, CallerReply reply, Runner run, Forward forward)
+            throws BulrushvaleException {
         IdempotencyKey key =
                 IdempotencyKey.parse(
                         request.key().orElse(""),
@@ -65,8 +67,8 @@
         KeyRoute route = mSpaces.route(key);
         if (route instanceof KeyRoute.Local local) {
             presentLocally(key, local.ledger(), request, reply, run);
-        } else if (route instanceof KeyRoute.Peer) {
-            fail(reply, ErrorCode.KEY_HOLDER_UNREACHABLE, Verdict.MAY_HAVE_RUN);
+        } else if (route instanceof KeyRoute.Peer peer) {
+            forward.to(peer.vm());
         } else {
             fail(reply, ErrorCode.KEY_HOLDER_LOST, Verdict.MAY_HAVE_RUN);
         }
@@ -82,6 +84,16 @@
         void run(CallerReply recording);
     }
 
+    /**
+     * Passes a keyed request on.
+     *
+     * <p>Thread safety: owned by the event loop.
+     */
+    @FunctionalInterface
+    interface Forward {
+        void to(String holder);
+    }
+
     /** Returns true when other callers wait for the run of this key. */
     boolean isJoined(String key) {
         return !mJoined.getOrDefault(key, List.of()).isEmpty();
--- a/daemon/src/main/java/org/bulrushvale/daemon/Reports.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/Reports.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.bulrushvale.adapters.operator.OperatorPort;
+import org.bulrushvale.daemon.fleet.FleetNode;
 import org.bulrushvale.decision.attainment.AttainmentSnapshot;
 import org.bulrushvale.decision.config.BackendServer;
 import org.bulrushvale.decision.config.ConfigStore;
@@ -24,7 +25,12 @@
 
     private Reports() {}
 
-    static JsonNode of(OperatorPort.Report report, ConfigStore store, int active, EntryCore core) {
+    static JsonNode of(
+            OperatorPort.Report report,
+            ConfigStore store,
+            int active,
+            EntryCore core,
+            FleetNode fleet) {
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         json.put("revision", store.revision());
         switch (report) {
@@ -33,13 +39,14 @@
                 json.put("ready", reason.isEmpty());
                 json.put("reason", reason);
                 json.put("active_requests", active);
+                fleet.status(json);
             }
             case CONFIG -> config(json, store);
             case CLASSES ->
                     store.config().ifPresent(config -> classes(json.putArray("classes"), config));
             case BACKENDS ->
                     store.config().ifPresent(config -> backends(json.putArray("backends"), config));
-            case PEERS -> json.putArray("peers");
+            case PEERS -> fleet.peers(json.putArray("peers"));
             default -> throw new AssertionError(report);
         }
         return json;
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/fleet/FleetReports.java
@@ -0,0 +1,65 @@
+package org.bulrushvale.daemon.fleet;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.bulrushvale.decision.config.ConfigStore;
+import org.bulrushvale.decision.keys.KeySpaces;
+import org.bulrushvale.decision.membership.PeerTable;
+import org.bulrushvale.decision.membership.Vm;
+import org.bulrushvale.kernel.time.Clock;
+
+/**
+ * The parts of the operator reports that concern the fleet.
+ *
+ * <p>Thread safety: called on the event loop.
+ */
+final class FleetReports {
+    private FleetReports() {}
+
+    static void status(ObjectNode json, FleetViews views, KeySpaces spaces, Clock clock) {
+        ConfigStore config = views.config();
+        config.confirmationAge().ifPresent(age -> json.put("confirmation_age_ms", age.toMillis()));
+        json.put("service_age_ms", views.serviceAge().toMillis());
+        json.put("vm_list_version", views.vms().list().version());
+        long now = clock.monotonicNanos();
+        views.vms().view().ifPresent(view -> json.put("vm_list_age_ms", view.age(now).toMillis()));
+        json.put("isolated", views.isIsolated());
+        json.put("older_offers", config.olderCount());
+        ArrayNode refused = json.putArray("refused_revisions");
+        for (ConfigStore.Refusal refusal : config.refusals()) {
+            refused.addObject()
+                    .put("revision", refusal.revision())
+                    .put("reason", refusal.reason().name());
+        }
+        ArrayNode held = json.putArray("held_key_spaces");
+        spaces.held().forEach(space -> held.add(GossipText.space(space)));
+    }
+
+    static void peers(ArrayNode list, FleetViews views, String self, Clock clock) {
+        long now = clock.monotonicNanos();
+        for (Vm vm : views.vms().list().vms()) {
+            if (vm.name().equals(self)) {
+                continue;
+            }
+            ObjectNode item = list.addObject();
+            item.put("name", vm.name());
+            item.put("address", vm.address());
+            item.put("peer_port", vm.peerPort());
+            item.put("failure_domain", vm.failureDomain());
+            item.put("leaving", vm.leaving());
+            views.peers().peer(vm.name()).ifPresent(peer -> heard(item, peer, now));
+        }
+        for (PeerTable.Peer peer : views.peers().peers()) {
+            if (views.vms().list().vm(peer.vm()).isEmpty()) {
+                heard(list.addObject().put("name", peer.vm()), peer, now);
+            }
+        }
+    }
+
+    private static void heard(ObjectNode item, PeerTable.Peer peer, long now) {
+        item.put("incarnation", peer.report().incarnation());
+        item.put("age_ms", (now - peer.heardAtNanos()) / 1_000_000);
+        item.put("revision", peer.report().configRevision());
+        item.put("draining", peer.report().draining());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/fleet/GossipText.java
@@ -0,0 +1,91 @@
+package org.bulrushvale.daemon.fleet;
+
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Set;
+import org.bulrushvale.adapters.peer.PeerMessage;
+import org.bulrushvale.decision.retry.Fingerprint;
+import org.bulrushvale.decision.retry.PoisonRecord;
+import org.bulrushvale.decision.warmup.WarmthAnnouncement;
+
+/**
+ * Converts between the decision types and the fields of peer messages.
+ *
+ * <p>Invariant: an item that a peer sent in a wrong form is left out. Thread safety: stateless.
+ */
+final class GossipText {
+    private static final HexFormat HEX = HexFormat.of();
+    private static final int LONG_DIGITS = 16;
+
+    private GossipText() {}
+
+    static String space(long incarnation) {
+        return HEX.toHexDigits(incarnation);
+    }
+
+    static List<String> spaces(List<Long> incarnations) {
+        return incarnations.stream().map(GossipText::space).toList();
+    }
+
+    static List<Long> parseSpaces(List<String> texts) {
+        List<Long> spaces = new ArrayList<>();
+        for (String text : texts) {
+            if (isHex(text, LONG_DIGITS)) {
+                spaces.add(HexFormat.fromHexDigitsToLong(text));
+            }
+        }
+        return spaces;
+    }
+
+    static List<PeerMessage.Warmth> warmth(List<WarmthAnnouncement> announcements) {
+        return announcements.stream()
+                .map(a -> new PeerMessage.Warmth(a.server(), a.epoch(), a.warm(), a.sequence()))
+                .toList();
+    }
+
+    static List<WarmthAnnouncement> parseWarmth(List<PeerMessage.Warmth> warmth) {
+        return warmth.stream()
+                .map(w -> new WarmthAnnouncement(w.server(), w.epoch(), w.sequence(), w.warm()))
+                .toList();
+    }
+
+    static List<PeerMessage.Poison> poison(List<PoisonRecord> records) {
+        return records.stream()
+                .map(
+                        r ->
+                                new PeerMessage.Poison(
+                                        HEX.toHexDigits(r.fingerprint().high())
+                                                + HEX.toHexDigits(r.fingerprint().low()),
+                                        List.copyOf(r.strikes()),
+                                        List.copyOf(r.cleared()),
+                                        r.convicted(),
+                                        r.ageMs()))
+                .toList();
+    }
+
+    static List<PoisonRecord> parsePoison(List<PeerMessage.Poison> poison) {
+        List<PoisonRecord> records = new ArrayList<>();
+        for (PeerMessage.Poison item : poison) {
+            String text = item.fingerprint();
+            if (isHex(text, 2 * LONG_DIGITS)) {
+                Fingerprint fingerprint =
+                        new Fingerprint(
+                                HexFormat.fromHexDigitsToLong(text, 0, LONG_DIGITS),
+                                HexFormat.fromHexDigitsToLong(text, LONG_DIGITS, 2 * LONG_DIGITS));
+                records.add(
+                        new PoisonRecord(
+                                fingerprint,
+                                Set.copyOf(item.strikes()),
+                                Set.copyOf(item.cleared()),
+                                item.convicted(),
+                                item.ageMillis()));
+            }
+        }
+        return records;
+    }
+
+    private static boolean isHex(String text, int digits) {
+        return text.length() == digits && text.chars().allMatch(HexFormat::isHexDigit);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/fleet/KeyForwarder.java
@@ -0,0 +1,192 @@
+package org.bulrushvale.daemon.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicLong;
+import org.bulrushvale.adapters.caller.CallerAnswer;
+import org.bulrushvale.adapters.caller.CallerReply;
+import org.bulrushvale.adapters.caller.CallerRequest;
+import org.bulrushvale.adapters.caller.Problem;
+import org.bulrushvale.adapters.peer.PeerListener;
+import org.bulrushvale.adapters.peer.PeerMessage;
+import org.bulrushvale.adapters.peer.PeerTransport;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.verdict.Advice;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+
+/**
+ * Passes keyed requests on to the holder of their key and its answers back.
+ *
+ * <p>Invariant: a request is sent to the holder at most once; without an answer it may have run,
+ * also when it was not delivered, because the key may have been presented elsewhere. Thread safety:
+ * owned by the event loop.
+ */
+public final class KeyForwarder {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** The holder ends the request at its deadline; its answer needs time to return. */
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(250);
+
+    /** Leaves room for the other fields within the frame limit of 1 MiB + 64 KiB. */
+    private static final int MAX_ANSWER_BYTES = 1 << 20;
+
+    private final EventLoop mLoop;
+    private final PeerTransport mTransport;
+    private final String mIdPrefix;
+    private final AtomicLong mNextId = new AtomicLong();
+
+    KeyForwarder(EventLoop loop, PeerTransport transport, String idPrefix) {
+        mLoop = loop;
+        mTransport = transport;
+        mIdPrefix = idPrefix;
+    }
+
+    /** Sends a request to the holder; {@code onEnd} runs after the reply was answered. */
+    public void forward(
+            String holder,
+            CallerRequest request,
+            Duration remaining,
+            CallerReply reply,
+            Runnable onEnd) {
+        PeerMessage.Forward message =
+                new PeerMessage.Forward(
+                        mIdPrefix + "-" + mNextId.getAndIncrement(),
+                        request.workspace(),
+                        request.workClass(),
+                        request.key().orElse(""),
+                        Math.max(1, remaining.toMillis()),
+                        body(request),
+                        request.maxTokens());
+        mTransport
+                .request(holder, message, remaining.plus(ANSWER_MARGIN))
+                .whenComplete(
+                        (answer, error) ->
+                                mLoop.execute(
+                                        () -> {
+                                            deliver(answer, request.stream(), reply);
+                                            onEnd.run();
+                                        }));
+    }
+
+    private static byte[] body(CallerRequest request) {
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        json.put("input", request.input()).put("session", request.session());
+        return json.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static void deliver(
+            @org.jspecify.annotations.Nullable PeerMessage answer,
+            boolean stream,
+            CallerReply reply) {
+        if (!(answer instanceof PeerMessage.ForwardReply holder)) {
+            reply.fail(unreachable());
+            return;
+        }
+        if (holder.errorCode().isEmpty()) {
+            CallerAnswer parsed;
+            try {
+                parsed = CallerAnswer.parse(holder.output());
+            } catch (IllegalArgumentException e) {
+                reply.fail(unreachable());
+                return;
+            }
+            if (stream) {
+                reply.text(0, parsed.output());
+            }
+            reply.complete(parsed);
+            return;
+        }
+        ErrorCode code = code(holder.errorCode());
+        Advice advice = code.defaultAdvice();
+        if (advice == Advice.RETRY) {
+            advice = Advice.RETRY_SAME_KEY;
+        }
+        reply.fail(Problem.failure(code, holder.verdict(), advice, holder.output()));
+    }
+
+    private static ErrorCode code(String name) {
+        for (ErrorCode code : ErrorCode.values()) {
+            if (code.name().equals(name)) {
+                return code;
+            }
+        }
+        return ErrorCode.OUTCOME_UNKNOWN;
+    }
+
+    /** Returns the answer when the holder of a key cannot be asked. */
+    public static Problem unreachable() {
+        return new Problem(
+                ErrorCode.KEY_HOLDER_UNREACHABLE,
+                Verdict.MAY_HAVE_RUN,
+                Advice.RETRY_SAME_KEY,
+                ErrorCode.KEY_HOLDER_UNREACHABLE.title(),
+                OptionalLong.empty());
+    }
+
+    /** Reads a forwarded request, or answers it as malformed. */
+    static Optional<CallerRequest> parse(PeerMessage.Forward message, CallerReply reply) {
+        try {
+            JsonNode json = JSON.readTree(message.body());
+            return Optional.of(
+                    new CallerRequest(
+                            message.workspace(),
+                            message.workClass(),
+                            json.path("input").asText(),
+                            message.maxTokens(),
+                            json.path("session").asText(),
+                            "",
+                            Optional.of(Duration.ofMillis(Math.max(1, message.deadlineMillis()))),
+                            Optional.of(message.key()),
+                            false));
+        } catch (IOException e) {
+            reply.fail(Problem.refusal(ErrorCode.MALFORMED_REQUEST, "not JSON", true));
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the reply that passes an answer back to the forwarding peer. */
+    static CallerReply replyTo(PeerMessage.Forward message, PeerListener.Reply reply) {
+        return new CallerReply() {
+            @Override
+            public void text(long offset, String text) {}
+
+            @Override
+            public void complete(CallerAnswer answer) {
+                String json = answer.toJson();
+                if (json.getBytes(StandardCharsets.UTF_8).length > MAX_ANSWER_BYTES) {
+                    json =
+                            new CallerAnswer(
+                                            answer.requestId(),
+                                            "",
+                                            answer.tokens(),
+                                            answer.stages())
+                                    .toJson();
+                }
+                send(200, "", Verdict.RAN, json);
+            }
+
+            @Override
+            public void fail(Problem problem) {
+                send(
+                        problem.code().httpStatus(),
+                        problem.code().name(),
+                        problem.verdict(),
+                        problem.detail());
+            }
+
+            private void send(int status, String code, Verdict verdict, String output) {
+                reply.send(
+                        new PeerMessage.ForwardReply(
+                                message.requestId(), status, code, verdict, output, ""));
+            }
+        };
+    }
+}
--- a/decision/src/main/java/org/bulrushvale/decision/keys/KeyHandover.java
+++ b/decision/src/main/java/org/bulrushvale/decision/keys/KeyHandover.java
@@ -65,7 +65,13 @@
         KeyOffer offer;
         if (earlier == null) {
             long now = mLedger.nowMillis();
-            offer = new KeyOffer(space(), incarnation, now, mLedger.moveOut());
+            offer =
+                    new KeyOffer(
+                            space(),
+                            incarnation,
+                            now,
+                            mLedger.closedMillis(now),
+                            mLedger.moveOut());
         } else {
             offer = earlier.addressedTo(incarnation);
         }
--- a/decision/src/main/java/org/bulrushvale/decision/keys/KeyLedger.java
+++ b/decision/src/main/java/org/bulrushvale/decision/keys/KeyLedger.java
@@ -52,6 +52,8 @@
                     Comparator.comparingLong(KeyRecord::issuedMillis)
                             .thenComparingLong(KeyRecord::sequence));
     private State mState = State.ADMITTING;
+    // Reading of the space's clock after which no key was issued; negative while keys are issued.
+    private long mClosedMillis = -1;
     private int mRunning;
 
     KeyLedger(long space, SpaceClock spaceClock, KeyMemory memory) {
@@ -66,6 +68,7 @@
             return null;
         }
         KeyLedger ledger = new KeyLedger(offer.space(), spaceClock, memory);
+        ledger.mClosedMillis = offer.closedMillis();
         for (KeyRecord record : offer.records()) {
             KeyRecord kept = record;
             if (kept.outcome() != null && !memory.reserveOutput(kept.outputChars())) {
@@ -191,6 +194,21 @@
         return mSpaceClock.nowMillis();
     }
 
+    /** Returns the reading after which no key of the space was or will be issued. */
+    long closedMillis(long nowMillis) {
+        return mClosedMillis < 0 ? nowMillis : mClosedMillis;
+    }
+
+    /**
+     * Returns true when every key of an adopted space is past its record lifetime and none runs.
+     * The clock of the space moves with it, so a chain of handovers does not prolong its life.
+     */
+    boolean isOver() {
+        return mClosedMillis >= 0
+                && mRunning == 0
+                && mSpaceClock.nowMillis() - mClosedMillis > RECORD_LIFETIME.toMillis();
+    }
+
     /** Returns the whole state, to compare states with each other. */
     String describe() {
         return mState + "@" + nowMillis() + new TreeMap<>(mRecords).values();
--- a/decision/src/main/java/org/bulrushvale/decision/keys/KeyOffer.java
+++ b/decision/src/main/java/org/bulrushvale/decision/keys/KeyOffer.java
@@ -24,14 +24,20 @@
  * @param space incarnation that issued the keys
  * @param successor incarnation of the process that the offer is addressed to
  * @param spaceNowMillis reading of the clock of the space when the holder stopped
+ * @param closedMillis reading after which no key of the space was issued
  * @param records all records
  */
-public record KeyOffer(long space, long successor, long spaceNowMillis, List<KeyRecord> records) {
+public record KeyOffer(
+        long space,
+        long successor,
+        long spaceNowMillis,
+        long closedMillis,
+        List<KeyRecord> records) {
     /** Longest encoded offer; fits into one peer frame. */
     public static final int MAX_ENCODED_BYTES = 1 << 20;
 
-    private static final int FORMAT = 1;
-    private static final int HEADER_BYTES = 1 + 3 * Long.BYTES + Integer.BYTES;
+    private static final int FORMAT = 2;
+    private static final int HEADER_BYTES = 1 + 4 * Long.BYTES + Integer.BYTES;
     private static final int RECORD_BYTES = 4 * Long.BYTES + 1 + 2 * Integer.BYTES;
     private static final int NO_OUTPUT = -1;
 
@@ -43,7 +49,7 @@
     }
 
     KeyOffer addressedTo(long otherSuccessor) {
-        return new KeyOffer(space, otherSuccessor, spaceNowMillis, records);
+        return new KeyOffer(space, otherSuccessor, spaceNowMillis, closedMillis, records);
     }
 
     /** Returns the binary form. */
@@ -56,6 +62,7 @@
             out.writeLong(space);
             out.writeLong(successor);
             out.writeLong(spaceNowMillis);
+            out.writeLong(closedMillis);
             out.writeInt(records.size());
             for (KeyRecord record : records) {
                 spare -= write(record, spare, out);
@@ -100,7 +107,11 @@
             long space = in.readLong();
             long successor = in.readLong();
             long now = in.readLong();
+            long closed = in.readLong();
             int count = in.readInt();
+            if (closed > now) {
+                throw invalid("offer has keys from the future");
+            }
             if (count < 0 || count > KeyLedger.MAX_RECORDS) {
                 throw invalid("offer has a wrong number of records");
             }
@@ -117,7 +128,7 @@
             if (in.available() > 0) {
                 throw invalid("offer has surplus bytes");
             }
-            return new KeyOffer(space, successor, now, records);
+            return new KeyOffer(space, successor, now, closed, records);
         } catch (IOException | IllegalArgumentException e) {
             throw invalid("offer is truncated or malformed");
         }
--- a/decision/src/main/java/org/bulrushvale/decision/keys/KeySpaces.java
+++ b/decision/src/main/java/org/bulrushvale/decision/keys/KeySpaces.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -82,6 +83,21 @@
         return List.copyOf(mHeld.keySet());
     }
 
+    /**
+     * Drops adopted spaces that hold no valid key any more; their keys are answered as lost from
+     * then on. They still count as having been here, so that a late offer cannot revive them.
+     */
+    public void dropExpired() {
+        Iterator<Map.Entry<Long, KeyLedger>> held = mHeld.entrySet().iterator();
+        while (held.hasNext()) {
+            Map.Entry<Long, KeyLedger> entry = held.next();
+            if (entry.getValue().isOver() && !mHandovers.containsKey(entry.getKey())) {
+                entry.getValue().moveOut();
+                held.remove();
+            }
+        }
+    }
+
     /** Returns the number of requests that run under keys of the spaces held here. */
     public int running() {
         return mHeld.values().stream().mapToInt(KeyLedger::running).sum();
--- a/decision/src/test/java/org/bulrushvale/decision/keys/KeySpacesTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/keys/KeySpacesTest.java
@@ -58,6 +58,29 @@
         assertThat(local(b, done).present(fresh, BODY).kind()).isEqualTo(Kind.RUN);
     }
 
+    @Test
+    public void an_adopted_space_is_dropped_when_no_key_of_it_can_be_valid() {
+        // given a space that is passed on along a chain of restarts, 20 minutes apart
+        KeySpaces a = spaces(1);
+        KeySpaces b = spaces(2);
+        KeySpaces c = spaces(3);
+        IdempotencyKey key = a.issuer().issue("w", "c");
+        KeyOffer first = a.offer(1, "vm-b", 2).orElseThrow();
+        assertThat(b.adopt(first)).isEqualTo(Adoption.ADOPTED);
+        mClock.advance(Duration.ofMinutes(20));
+        assertThat(c.adopt(b.offer(1, "vm-c", 3).orElseThrow())).isEqualTo(Adoption.ADOPTED);
+        // when the record lifetime since the first adoption has not passed, then it is kept
+        mClock.advance(Duration.ofMinutes(10));
+        c.dropExpired();
+        assertThat(c.held()).containsExactlyInAnyOrder(1L, 3L);
+        // when it has passed, then it is dropped, and no late offer brings it back
+        mClock.advance(Duration.ofMillis(1));
+        c.dropExpired();
+        assertThat(c.held()).containsExactly(3L);
+        assertThat(c.route(key)).isEqualTo(new KeyRoute.Lost());
+        assertThat(c.adopt(first.addressedTo(3))).isEqualTo(Adoption.DUPLICATE);
+    }
+
     @Test
     public void only_one_successor_is_ever_offered_a_space() {
         KeySpaces a = spaces(1);
--- a/decision/src/test/java/org/bulrushvale/decision/routing/RoutingTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/routing/RoutingTest.java
@@ -14,6 +14,7 @@
 import org.bulrushvale.decision.config.FailureDomain;
 import org.bulrushvale.decision.config.PublishedConfig;
 import org.bulrushvale.decision.warmup.LoadReport;
+import org.bulrushvale.decision.warmup.ReportedState;
 import org.testng.annotations.Test;
 
 /** Guards against work for servers that are out of service, leaving, excluded or full. */
@@ -113,7 +114,7 @@
         // given 1,200 servers whose reports stay the same
         BackendTable table = pool(1_200);
         for (int i = 0; i < 1_200; i++) {
-            table.report(new LoadReport("s" + i, "e", true, 8, 2, 0, 0), 1);
+            table.report(new LoadReport("s" + i, "e", ReportedState.WARM, 8, 2, 0, 0), 1);
         }
         // when 2,400 requests are placed
         RoutingPolicy policy = PowerOfTwoPolicy.seeded(SEED);
--- a/decision/src/test/java/org/bulrushvale/decision/warmup/WarmthTableTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/warmup/WarmthTableTest.java
@@ -131,7 +131,7 @@
                 Duration.ofSeconds(5));
         table.view(new View<>(VmList.of(1, List.of(WarmupFleet.vm("vm0"))), 0), 0);
         table.merge(new WarmthAnnouncement(name, "e1", 1, true), 0);
-        LoadReport report = new LoadReport(name, "e1", true, 8, 2, 0, 0);
+        LoadReport report = new LoadReport(name, "e1", ReportedState.WARM, 8, 2, 0, 0);
         table.connectionClosed(name, 10 * second);
         int generation = table.connectionOpened(name, 11 * second);
         // when a cached report arrives, measured before a restart in between
--- /dev/null
+++ b/system-tests/src/test/java/org/bulrushvale/system/EntryFleet.java
@@ -0,0 +1,211 @@
+package org.bulrushvale.system;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.locks.LockSupport;
+import org.bulrushvale.daemon.EntryDaemon;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.standin.config.ConfigService;
+import org.bulrushvale.standin.plain.PlainService;
+import org.bulrushvale.standin.pool.PoolServer;
+
+/**
+ * Several entry daemons in this process that share stand-ins of their backend servers; each may
+ * have its own stand-in of the platform, so that one of them can be cut off or stale.
+ *
+ * <p>Invariant: every listener uses a free loopback port; platforms start with equal values. Thread
+ * safety: the call methods may be used by any thread, the rest by the test thread.
+ */
+final class EntryFleet implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Duration LIMIT = Duration.ofSeconds(20);
+    private static final String DOMAINS = "[{\"name\":\"a\",\"region\":\"r\",\"in_service\":true}]";
+
+    private final Map<String, EntryDaemon> mEntries = new LinkedHashMap<>();
+    private final List<ConfigService> mPlatforms = new ArrayList<>();
+    private final HttpClient mHttp =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final PoolServer mEncoder;
+    private final PlainService mBooking;
+
+    EntryFleet() throws IOException {
+        mEncoder = PoolServer.builder().options(o -> o.name("enc-1").slots(64)).start();
+        mBooking = PlainService.builder().options(o -> o.name("book-1").slots(64)).start();
+    }
+
+    /** Starts entries vm-1 to vm-N on one platform and waits until all have heard of each other. */
+    static EntryFleet start(int entries) throws Exception {
+        EntryFleet fleet = new EntryFleet();
+        try {
+            ConfigService platform = fleet.platform();
+            for (int i = 1; i <= entries; i++) {
+                fleet.entry("vm-" + i, platform, "");
+            }
+            fleet.listVms();
+            fleet.awaitAcquainted();
+            return fleet;
+        } catch (AssertionError e) {
+            fleet.close();
+            throw e;
+        }
+    }
+
+    ConfigService platform() throws IOException {
+        // Every pool of the pipelines needs a server; the tests use only the first and the last.
+        int port = mEncoder.port();
+        String backends =
+                "["
+                        + String.join(
+                                ",",
+                                Fleet.backend("enc-1", "encode", port),
+                                Fleet.backend("ret-1", "retrieve", port),
+                                Fleet.backend("rer-1", "rerank", port),
+                                Fleet.backend("gen-1", "generate", port),
+                                Fleet.backend("book-1", "booking", mBooking.port()))
+                        + "]";
+        ConfigService platform =
+                ConfigService.builder()
+                        .value("backends", backends)
+                        .value("domains", DOMAINS)
+                        .value("pipelines", Fleet.pipelines())
+                        .value("classes", Fleet.classes())
+                        .value("workspaces-00", Fleet.workspaces())
+                        .vms("[]")
+                        .start();
+        mPlatforms.add(platform);
+        return platform;
+    }
+
+    EntryDaemon entry(String vm, ConfigService platform, String peers) throws BulrushvaleException {
+        EntryDaemon daemon =
+                EntryDaemon.start(Fleet.settings(vm, platform.port(), peers, "settle_ms = 0"));
+        mEntries.put(vm, daemon);
+        return daemon;
+    }
+
+    EntryDaemon entry(String vm) {
+        EntryDaemon daemon = mEntries.get(vm);
+        if (daemon == null) {
+            throw new IllegalArgumentException(vm);
+        }
+        return daemon;
+    }
+
+    ConfigService platform(int index) {
+        return mPlatforms.get(index);
+    }
+
+    PlainService booking() {
+        return mBooking;
+    }
+
+    /** Publishes the list of all running entries on every platform. */
+    void listVms() {
+        List<String> vms = new ArrayList<>();
+        mEntries.forEach(
+                (vm, daemon) ->
+                        vms.add(
+                                ("{'name':'%s','address':'127.0.0.1','peer_port':%d,"
+                                                + "'failure_domain':'a','region':'r',"
+                                                + "'state':'live'}")
+                                        .formatted(vm, daemon.port("peer").orElseThrow())
+                                        .replace('\'', '"')));
+        mPlatforms.forEach(platform -> platform.vms("[" + String.join(",", vms) + "]"));
+    }
+
+    void awaitAcquainted() {
+        for (String vm : mEntries.keySet()) {
+            await(vm + " has heard of its peers", LIMIT, () -> acquainted(vm));
+        }
+    }
+
+    private boolean acquainted(String vm) throws Exception {
+        int heard = 0;
+        for (JsonNode peer : report(vm, "peers").path("peers")) {
+            heard += peer.has("age_ms") && peer.path("age_ms").asLong() < 4_000 ? 1 : 0;
+        }
+        return entry(vm).isReady() && heard == mEntries.size() - 1;
+    }
+
+    JsonNode report(String vm, String name) throws IOException, InterruptedException {
+        int port = entry(vm).port("operator").orElseThrow();
+        URI uri = URI.create("http://127.0.0.1:" + port + "/v1/" + name);
+        HttpRequest request = HttpRequest.newBuilder(uri).timeout(Duration.ofSeconds(5)).build();
+        return JSON.readTree(mHttp.send(request, HttpResponse.BodyHandlers.ofString()).body());
+    }
+
+    long revision(String vm) throws Exception {
+        return report(vm, "status").path("revision").asLong(-1);
+    }
+
+    String issueKey(String vm) throws Exception {
+        HttpRequest.Builder request = request(vm, "/v1/keys");
+        JsonNode json = post(request, "{\"workspace\":\"granite\",\"class\":\"seat\"}");
+        return json.path("key").asText();
+    }
+
+    JsonNode book(String vm, String key, String input) throws Exception {
+        HttpRequest.Builder request = request(vm, "/v1/requests").header("Idempotency-Key", key);
+        return post(request, Fleet.body("granite", "seat", input));
+    }
+
+    JsonNode letter(String vm) throws Exception {
+        return post(request(vm, "/v1/requests"), Fleet.body("granite", "letter", "x"));
+    }
+
+    private HttpRequest.Builder request(String vm, String path) {
+        int port = entry(vm).port("caller").orElseThrow();
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .timeout(Duration.ofSeconds(20))
+                .header("Authorization", "Bearer " + Fleet.TOKEN);
+    }
+
+    private JsonNode post(HttpRequest.Builder request, String body)
+            throws IOException, InterruptedException {
+        HttpRequest built = request.POST(HttpRequest.BodyPublishers.ofString(body)).build();
+        return JSON.readTree(mHttp.send(built, HttpResponse.BodyHandlers.ofString()).body());
+    }
+
+    /** Ends an entry without a graceful shutdown. */
+    void kill(String vm) {
+        entry(vm).close();
+        mEntries.remove(vm);
+    }
+
+    static void await(String what, Duration limit, Callable<Boolean> condition) {
+        long deadline = System.nanoTime() + limit.toNanos();
+        try {
+            while (!condition.call()) {
+                if (System.nanoTime() - deadline > 0) {
+                    throw new AssertionError("not within " + limit + ": " + what);
+                }
+                // Polling without a pause would take the processor from the daemons.
+                LockSupport.parkNanos(Duration.ofMillis(10).toNanos());
+            }
+        } catch (RuntimeException e) {
+            throw e;
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        mEntries.values().forEach(EntryDaemon::close);
+        mEntries.clear();
+        mPlatforms.forEach(ConfigService::close);
+        mBooking.close();
+        mEncoder.close();
+    }
+}
--- a/system-tests/src/test/java/org/bulrushvale/system/Fleet.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/Fleet.java
@@ -158,11 +158,16 @@
     }
 
     private static EntrySettings settings(int configPort, String extra) {
+        return settings("vm-1", configPort, "", extra);
+    }
+
+    /** Returns settings of an entry; {@code peers} are named while the VM list is unknown. */
+    static EntrySettings settings(String vm, int configPort, String peers, String extra) {
         String url = "http://127.0.0.1:" + configPort;
         String text =
                 """
                 [entry]
-                vm = vm-1
+                vm = %s
                 failure_domain = a
                 region = r
                 fleet = test
@@ -179,6 +184,7 @@
                 address = 127.0.0.1
                 port = 0
                 secret = a-secret-of-the-test-fleet
+                peers = %s
                 [platform]
                 config_url = %s
                 vms_url = %s
@@ -188,20 +194,20 @@
                 readiness_delay_ms = 0
                 %s
                 """
-                        .formatted(url, url, extra);
+                        .formatted(vm, peers, url, url, extra);
         SettingsCheck.Result result = SettingsCheck.check(text);
         return result.settings()
                 .orElseThrow(() -> new IllegalStateException(result.faults().toString()));
     }
 
-    private static String backend(String name, String pool, int port) {
+    static String backend(String name, String pool, int port) {
         return ("{'name':'%s','pool':'%s','address':'127.0.0.1','port':%d,'failure_domain':'a',"
                         + "'slots':64,'bearable':8,'state':'live'}")
                 .formatted(name, pool, port)
                 .replace('\'', '"');
     }
 
-    private static String pipelines() {
+    static String pipelines() {
         String four =
                 stage("encode", true, false)
                         + ","
@@ -226,7 +232,7 @@
                 .formatted(name, name, repeatable, streams);
     }
 
-    private static String classes() {
+    static String classes() {
         return ("[{'name':'letter','target':0.99,'deadline_ms':5000,'worth':1.0,"
                         + "'pipeline':'draft','idempotent':true},"
                         + "{'name':'seat','target':0.99,'deadline_ms':5000,'worth':2.0,"
@@ -234,7 +240,7 @@
                 .replace('\'', '"');
     }
 
-    private static String workspaces() {
+    static String workspaces() {
         return "[{'name':'granite','token_sha256':'%s','share':1.0}]"
                 .formatted(sha256(TOKEN))
                 .replace('\'', '"');
