--- /dev/null
+++ b/bench/src/main/java/org/bulrushvale/bench/CapacityProbe.java
@@ -0,0 +1,188 @@
+package org.bulrushvale.bench;
+
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.IntFunction;
+import org.bulrushvale.decision.attainment.AttainmentTracker;
+import org.bulrushvale.decision.attainment.Cause;
+import org.bulrushvale.decision.config.ConfigDigest;
+import org.bulrushvale.decision.config.ConfigStore;
+import org.bulrushvale.decision.config.ConfigWriter;
+import org.bulrushvale.decision.config.PublishedConfig;
+import org.bulrushvale.decision.config.WorkClass;
+import org.bulrushvale.decision.keys.BodyFingerprint;
+import org.bulrushvale.decision.keys.IdempotencyKey;
+import org.bulrushvale.decision.keys.KeyMemory;
+import org.bulrushvale.decision.keys.KeyOutcome;
+import org.bulrushvale.decision.keys.KeyRoute;
+import org.bulrushvale.decision.keys.KeySecret;
+import org.bulrushvale.decision.keys.KeySpaces;
+import org.bulrushvale.decision.membership.PeerTable;
+import org.bulrushvale.decision.membership.View;
+import org.bulrushvale.decision.membership.VmList;
+import org.bulrushvale.decision.routing.BackendTable;
+import org.bulrushvale.decision.warmup.LoadReport;
+import org.bulrushvale.decision.warmup.ReportedState;
+import org.bulrushvale.decision.warmup.WarmthTable;
+import org.bulrushvale.decision.warmup.WarmupTiming;
+import org.bulrushvale.kernel.time.Clock;
+import org.bulrushvale.kernel.time.ManualClock;
+
+/**
+ * Measures how the control state of an entry grows with the fleet: heap per structure and size, and
+ * processor time per operation. {@code docs/CAPACITY.md} is worked out from its output.
+ *
+ * <p>Invariant: each line names the structure, the size and the measured figure. Thread safety:
+ * used by the main thread only.
+ */
+public final class CapacityProbe {
+    private static final int COPIES = 8;
+    private static final int ROUNDS = 200;
+    private static final double BYTES_PER_KB = 1024.0;
+    private static final int BACKENDS = 1_200;
+    private static final int WORKSPACES = 6_400;
+
+    private CapacityProbe() {}
+
+    /** Prints one line per structure and size. */
+    public static void main(String[] args) {
+        for (int workspaces : new int[] {5, 800, WORKSPACES}) {
+            heap("ConfigStore, workspaces", workspaces, n -> store(BACKENDS, n));
+        }
+        for (int backends : new int[] {100, 400, BACKENDS}) {
+            heap("BackendTable, servers", backends, CapacityProbe::backendTable);
+            heap("WarmthTable, servers", backends, n -> warmthTable(n, 330));
+        }
+        for (int peers : new int[] {8, 32, 128, 330}) {
+            heap("PeerTable and VmList, peers", peers, CapacityProbe::peers);
+            cpu("VmList view into WarmthTable of 1200 servers, peers", peers, viewChange(peers));
+        }
+        for (int keys : new int[] {1_000, 10_000}) {
+            heap("KeySpaces, records", keys, CapacityProbe::keys);
+        }
+        for (int groups : new int[] {5, 64}) {
+            heap("AttainmentTracker of 16 classes, groups", groups, CapacityProbe::attainment);
+        }
+        System.out.printf(
+                Locale.ROOT, "heap in use at the end: %.0f KB%n", usedBytes() / BYTES_PER_KB);
+    }
+
+    private static ConfigStore store(int backends, int workspaces) {
+        PublishedConfig config = Fixtures.config(1, backends, workspaces);
+        Map<String, String> values = ConfigWriter.write(config);
+        ConfigStore store = ConfigStore.empty(Clock.system());
+        store.offer(1, ConfigDigest.of(values), values);
+        return store;
+    }
+
+    private static BackendTable backendTable(int servers) {
+        BackendTable table = new BackendTable();
+        table.config(Fixtures.config(1, servers, 1));
+        Fixtures.servers(servers).forEach(server -> table.report(report(server.name()), 1));
+        return table;
+    }
+
+    private static LoadReport report(String server) {
+        return new LoadReport(server, "epoch-1", ReportedState.WARM, 64, 2, 3, 0);
+    }
+
+    private static WarmthTable warmthTable(int servers, int vms) {
+        WarmthTable table = WarmthTable.create(Fixtures.vmName(0), WarmupTiming.defaults());
+        table.servers(Fixtures.servers(servers), Duration.ofSeconds(5));
+        table.view(new View<>(Fixtures.vms(1, vms), 0), 0);
+        Fixtures.servers(servers).forEach(server -> table.report(report(server.name()), 0, 1, 1));
+        return table;
+    }
+
+    private static Runnable viewChange(int vms) {
+        WarmthTable table = warmthTable(BACKENDS, vms);
+        long[] version = {1};
+        return () -> table.view(new View<>(Fixtures.vms(++version[0], vms), 0), 0);
+    }
+
+    private static List<Object> peers(int count) {
+        VmList list = Fixtures.vms(1, count);
+        PeerTable table = new PeerTable();
+        for (int i = 0; i < count; i++) {
+            table.heard(
+                    Fixtures.vmName(i),
+                    new PeerTable.PeerReport("incarnation-" + i, 1, 1, false),
+                    1);
+        }
+        return List.of(list, table);
+    }
+
+    private static KeySpaces keys(int records) {
+        KeySpaces spaces =
+                KeySpaces.create(
+                        1,
+                        KeySecret.of(new byte[32]),
+                        ManualClock.startingAt(Instant.EPOCH),
+                        KeyMemory.limitedTo(records, 0));
+        for (int i = 0; i < records; i++) {
+            IdempotencyKey key = spaces.issuer().issue("workspace", "class");
+            KeyRoute.Local route = (KeyRoute.Local) spaces.route(key);
+            route.ledger().present(key, BodyFingerprint.of("workspace", "class", new byte[8]));
+            route.ledger().finish(key, KeyOutcome.done(200, "booked"));
+        }
+        return spaces;
+    }
+
+    private static AttainmentTracker attainment(int groups) {
+        AttainmentTracker tracker =
+                new AttainmentTracker("entry-0", ManualClock.startingAt(Instant.EPOCH));
+        for (WorkClass workClass : Fixtures.config(1, 1, 1).classes()) {
+            for (int group = 0; group < groups; group++) {
+                for (int sample = 1; sample <= 100; sample++) {
+                    tracker.onEnd(
+                            workClass,
+                            "group-" + group,
+                            Cause.MET,
+                            Duration.ofMillis(37L * sample));
+                }
+            }
+        }
+        return tracker;
+    }
+
+    private static void heap(String what, int size, IntFunction<Object> factory) {
+        List<Object> kept = new ArrayList<>();
+        kept.add(factory.apply(size));
+        long before = usedBytes();
+        for (int i = 0; i < COPIES; i++) {
+            kept.add(factory.apply(size));
+        }
+        long bytes = (usedBytes() - before) / COPIES;
+        System.out.printf(
+                Locale.ROOT,
+                "%s %d: %.1f KB (%d)%n",
+                what,
+                size,
+                bytes / BYTES_PER_KB,
+                kept.size());
+    }
+
+    private static void cpu(String what, int size, Runnable operation) {
+        for (int i = 0; i < ROUNDS; i++) {
+            operation.run();
+        }
+        long before = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+        for (int i = 0; i < ROUNDS; i++) {
+            operation.run();
+        }
+        long nanos = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - before;
+        System.out.printf(Locale.ROOT, "%s %d: %.1f us%n", what, size, nanos / 1e3 / ROUNDS);
+    }
+
+    private static long usedBytes() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/bulrushvale/bench/RoutingBenchmark.java
@@ -0,0 +1,64 @@
+package org.bulrushvale.bench;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.bulrushvale.decision.config.BackendServer;
+import org.bulrushvale.decision.routing.Backend;
+import org.bulrushvale.decision.routing.BackendTable;
+import org.bulrushvale.decision.routing.PowerOfTwoPolicy;
+import org.bulrushvale.decision.routing.RoutingPolicy;
+import org.bulrushvale.decision.routing.RoutingRequest;
+import org.bulrushvale.decision.warmup.LoadReport;
+import org.bulrushvale.decision.warmup.ReportedState;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/**
+ * Time to choose a backend server for one stage, start and finish the attempt.
+ *
+ * <p>Thread safety: one state per benchmark thread.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class RoutingBenchmark {
+    private static final int SLOTS = 64;
+
+    /** Number of backend servers over four pools. */
+    @Param({"100", "1200"})
+    public int mServers;
+
+    private final BackendTable mTable = new BackendTable();
+    private final RoutingPolicy mPolicy = PowerOfTwoPolicy.seeded(1);
+    private final RoutingRequest mRequest =
+            new RoutingRequest("generate", "domain-1", "", Set.of());
+
+    /** Fills the table with warm servers that have reported their load. */
+    @Setup
+    public void fillTable() {
+        mTable.config(Fixtures.config(1, mServers, 1));
+        for (BackendServer server : Fixtures.servers(mServers)) {
+            mTable.report(
+                    new LoadReport(server.name(), "e", ReportedState.WARM, SLOTS, 2, 0, 0), 1);
+        }
+    }
+
+    /** Places one attempt. */
+    @Benchmark
+    public Optional<Backend> chooseServer() {
+        Optional<Backend> chosen = mPolicy.choose(mRequest, mTable, (name, now) -> SLOTS, 0);
+        chosen.ifPresent(
+                backend -> {
+                    mTable.started(backend.server().name());
+                    mTable.finished(backend.server().name());
+                });
+        return chosen;
+    }
+}
