--- a/system-tests/src/test/java/org/bulrushvale/systemtests/harness/StandinProcess.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/harness/StandinProcess.java
@@ -52,6 +52,15 @@
         return Http.json(uri("/control/stats"));
     }
 
+    /** Returns false while a server that fell has not started again. */
+    public boolean isListening() throws InterruptedException {
+        try {
+            return stats().isObject();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Returns every run of a plain service. */
     public JsonNode ledger() throws IOException, InterruptedException {
         return Http.json(uri("/control/ledger"));
