--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -16,9 +16,13 @@
 import org.bulrushvale.adapters.operator.OperatorPort;
 import org.bulrushvale.adapters.settings.EntrySettings;
 import org.bulrushvale.daemon.fleet.FleetNode;
+import org.bulrushvale.daemon.fleet.WarmthExchange;
 import org.bulrushvale.decision.attainment.AttainmentTracker;
 import org.bulrushvale.decision.config.ConfigStore;
+import org.bulrushvale.decision.config.PublishedConfig;
 import org.bulrushvale.decision.drain.DrainState;
+import org.bulrushvale.decision.membership.View;
+import org.bulrushvale.decision.membership.VmList;
 import org.bulrushvale.decision.request.DeadlineBudget;
 import org.bulrushvale.decision.request.DropCounts;
 import org.bulrushvale.decision.request.StageLatency;
@@ -48,6 +52,10 @@
     private static final Duration LATENCY_WINDOW = Duration.ofMinutes(1);
     private static final Duration WAITING_TICK = Duration.ofMillis(20);
 
+    /** Half of the 2 s within which a process becomes ready; silent servers do not delay it. */
+    private static final Duration FIRST_REPORTS_LIMIT = Duration.ofSeconds(1);
+
+
     private final EntrySettings mSettings;
     private final EntryMetrics mMetrics = new EntryMetrics();
     private final Map<String, Integer> mPorts = new ConcurrentHashMap<>();
@@ -57,19 +65,30 @@
     private final DrainDriver mDrain;
     private final PluginRegistry<EntryContext> mPlugins;
     private final FleetNode mFleet;
+    private final BackendRouting mRouting;
+    private final PoisonGuard mPoison;
+    private final LoadPoller mLoads;
+    private final WaitingAttempts mWaiting;
+    private long mVmListVersion = -1;
+    private boolean mConfigSeen;
+    private boolean mReportsKnown;
 
     private EntryDaemon(EntrySettings settings) throws BulrushvaleException {
         mSettings = settings;
         mLoop = EventLoop.start("core", RING_SLOTS);
-        mClient = BackendClient.start(settings.backend(), server -> {});
         Clock clock = Clock.system();
+        SplittableRandom random = new SplittableRandom();
+        PoisonTable poison = new PoisonTable(clock);
+        mRouting = new BackendRouting(settings, poison, clock, random.nextLong());
+        mPoison = new PoisonGuard(poison, mRouting);
+        mClient = BackendClient.start(settings.backend(), this::onConnectionLost);
         ConfigStore config = ConfigStore.empty(clock);
         KeyedRequests keys =
                 new KeyedRequests(new SecureRandom().nextLong(), settings.peer().secret(), clock);
-        mFleet =
-                FleetNode.create(
-                        settings, mLoop, clock, config, keys.spaces(), new PoisonTable(clock));
-        ServerPicker picker = new GatedPicker(new LeastOutstandingPicker(config), mFleet::mayRoute);
+        mFleet = FleetNode.create(settings, mLoop, clock, config, keys.spaces(), poison);
+        mFleet.warmth(WarmthExchange.of(mRouting.warmth(), clock));
+        mPoison.spread(mFleet.poison()::push);
+        ServerPicker picker = new GatedPicker(mRouting, mFleet::mayRoute);
         AttainmentTracker attainment = new AttainmentTracker(settings.entry().vm(), clock);
         StageLatency latency = new StageLatency(clock, LATENCY_WINDOW);
         RetryBudget budget = new RetryBudget();
@@ -81,6 +100,7 @@
                         mClient,
                         mMetrics,
                         picker,
+                        mPoison,
                         new WaitingAttempts(
                                 clock,
                                 settings.caller().queueLength(),
@@ -92,20 +112,75 @@
                         new HedgePolicy(latency, budget),
                         attainment,
                         new DropCounts(),
-                        new SplittableRandom());
+                        random.split());
+        mWaiting = services.waiting();
+        mLoads =
+                new LoadPoller(
+                        mLoop,
+                        clock,
+                        mClient,
+                        mRouting,
+                        settings.backend().loadInterval(),
+                        random.split(),
+                        this::onReport);
         mDrain = new DrainDriver(settings.drain(), clock, mLoop, this::onDrainState);
-        mCore = new EntryCore(services, config, keys, mDrain.sequence(), mFleet, this::drain);
-        mLoop.scheduleEvery(WAITING_TICK, services.waiting()::serveAll);
+        mCore =
+                new EntryCore(
+                        services,
+                        config,
+                        keys,
+                        mDrain.sequence(),
+                        mFleet,
+                        this::onConfig,
+                        this::drain);
+        mLoop.scheduleEvery(WAITING_TICK, mWaiting::serveAll);
         mPlugins = PluginRegistry.of(loadPlugins());
         listening("peer", mFleet.port());
     }
 
+    private void onReport(String pool) {
+        mWaiting.serve(pool);
+        noteFirstReports();
+    }
+
+    /** Requests that arrive before the first reports would only fill the queue. */
+    private void noteFirstReports() {
+        if (!mReportsKnown && mVmListVersion >= 0 && mLoads.isSettled()) {
+            mReportsKnown = true;
+            mCore.backendsKnown();
+        }
+    }
+
+    private void onConnectionLost(String server) {
+        mLoads.connectionLost(server);
+    }
+
+    private void onConfig(PublishedConfig config) {
+        mRouting.config(config);
+        mLoads.config(config);
+        if (!mConfigSeen) {
+            mConfigSeen = true;
+            mLoop.schedule(FIRST_REPORTS_LIMIT, mCore::backendsKnown);
+        }
+        noteFirstReports();
+    }
+
+    private void onVmList(View<VmList> view) {
+        long known = mVmListVersion;
+        mVmListVersion = view.value().version();
+        mRouting.vmList(view);
+        if (mVmListVersion != known) {
+            mLoads.pollAll();
+            noteFirstReports();
+        }
+    }
+
     /** Starts a daemon; it is ready once a configuration was read. */
     public static EntryDaemon start(EntrySettings settings) throws BulrushvaleException {
         EntryDaemon daemon = new EntryDaemon(settings);
         try {
             daemon.mPlugins.start(daemon);
-            daemon.mFleet.start(daemon.mCore);
+            daemon.mFleet.start(daemon.mCore, daemon::onVmList);
         } catch (BulrushvaleException | RuntimeException e) {
             daemon.close();
             throw e;
--- a/system-tests/src/test/java/org/bulrushvale/system/EntryFleet.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/EntryFleet.java
@@ -89,7 +89,7 @@
 
     EntryDaemon entry(String vm, ConfigService platform, String peers) throws BulrushvaleException {
         EntryDaemon daemon =
-                EntryDaemon.start(Fleet.settings(vm, platform.port(), peers, "settle_ms = 0"));
+                EntryDaemon.start(Fleet.settings(vm, platform.port(), peers, ""));
         mEntries.put(vm, daemon);
         return daemon;
     }
