--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
@@ -23,6 +23,7 @@
 import org.bulrushvale.decision.config.Workspace;
 import org.bulrushvale.decision.drain.DrainSequence;
 import org.bulrushvale.decision.request.DeadlineBudget;
+import org.bulrushvale.decision.retry.Fingerprint;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
@@ -45,8 +46,10 @@
     private final KeyedRequests mKeys;
     private final DrainSequence mDrain;
     private final FleetNode mFleet;
+    private final Consumer<PublishedConfig> mOnConfig;
     private volatile boolean mDraining;
     private volatile boolean mConfigured;
+    private volatile boolean mBackendsKnown;
     private boolean mStartupComplete;
 
     EntryCore(
@@ -55,6 +58,7 @@
             KeyedRequests keys,
             DrainSequence drain,
             FleetNode fleet,
+            Consumer<PublishedConfig> onConfig,
             Runnable onDrain) {
         mCore = core;
         mConfig = config;
@@ -62,6 +66,7 @@
         mKeys = keys;
         mDrain = drain;
         mFleet = fleet;
+        mOnConfig = onConfig;
     }
 
     // Caller port
@@ -123,7 +128,10 @@
         if (mFleet.isIsolated()) {
             return "cut off from the fleet";
         }
-        return mConfigured ? "" : "no published configuration yet";
+        if (!mConfigured) {
+            return "no published configuration yet";
+        }
+        return mBackendsKnown ? "" : "no load reports yet";
     }
 
     private void requireContact() throws BulrushvaleException {
@@ -144,6 +152,7 @@
             CallerReply reply,
             AtomicReference<ActiveRequest> active,
             boolean forwarded) {
+        boolean keyed = request.key().isPresent();
         try {
             PublishedConfig config = config();
             if (!forwarded) {
@@ -154,6 +163,8 @@
                     config.workClass(request.workClass())
                             .orElseThrow(() -> refusal(ErrorCode.UNKNOWN_CLASS, "unknown class"));
             if (workClass.idempotent() && !forwarded) {
+                // The key is ignored here, so the verdict is that of this request alone.
+                keyed = false;
                 start(config, workClass, request, reply, active);
                 return;
             }
@@ -162,7 +173,7 @@
             }
             present(config, workClass, request, reply, active, forwarded);
         } catch (BulrushvaleException e) {
-            reply.fail(Problem.refusal(e.code(), e.detail(), request.key().isPresent()));
+            reply.fail(Problem.refusal(e.code(), e.detail(), keyed));
             LOG.debugf("request refused: %s", e.code());
         }
     }
@@ -233,6 +244,11 @@
                 config.pipeline(workClass.pipeline())
                         .orElseThrow(() -> refusal(ErrorCode.INTERNAL, "pipeline is missing"));
         Duration deadline = deadline(workClass, request);
+        Fingerprint content = Fingerprint.of(request.workspace(), request.input());
+        if (mCore.poison().table().isPoison(content)) {
+            mCore.attainment().onEnd(workClass, request.workspace(), Cause.REFUSAL, Duration.ZERO);
+            throw refusal(ErrorCode.POISON, ErrorCode.POISON.title());
+        }
         DeadlineBudget.Outlook outlook =
                 mCore.deadlines().outlook(workClass.name(), pipeline, 0, deadline);
         if (outlook != DeadlineBudget.Outlook.GO_ON) {
@@ -252,6 +268,7 @@
                         pipeline,
                         share(config, request.workspace()),
                         deadline,
+                        content,
                         replies);
         active.set(started);
         mActive.add(started);
@@ -298,6 +315,9 @@
     public void configChanged(boolean startupComplete) {
         mStartupComplete |= startupComplete;
         mConfigured = mStartupComplete && mConfig.config().isPresent();
+        if (!startupComplete) {
+            mConfig.config().ifPresent(mOnConfig);
+        }
         mCore.waiting().serveAll();
     }
 
@@ -306,6 +326,11 @@
         mCore.waiting().serveAll();
     }
 
+    /** Records that the backend servers were asked for their load; called on the event loop. */
+    void backendsKnown() {
+        mBackendsKnown = true;
+    }
+
     // Operator port
 
     @Override
--- a/daemon/src/main/java/org/bulrushvale/daemon/GatedPicker.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/GatedPicker.java
@@ -5,6 +5,8 @@
 import java.util.function.BooleanSupplier;
 import org.bulrushvale.decision.config.BackendServer;
 import org.bulrushvale.decision.config.Stage;
+import org.bulrushvale.decision.retry.Fingerprint;
+import org.bulrushvale.decision.warmup.AttemptEnd;
 
 /**
  * Chooses no server while the view of the fleet must be refreshed first; attempts wait meanwhile.
@@ -21,8 +23,11 @@
     }
 
     @Override
-    public Optional<BackendServer> pick(Stage stage, Set<String> avoid, String prefix) {
-        return mOpen.getAsBoolean() ? mPicker.pick(stage, avoid, prefix) : Optional.empty();
+    public Optional<BackendServer> pick(
+            Stage stage, Set<String> avoid, boolean elsewhere, String prefix, Fingerprint content) {
+        return mOpen.getAsBoolean()
+                ? mPicker.pick(stage, avoid, elsewhere, prefix, content)
+                : Optional.empty();
     }
 
     @Override
@@ -36,7 +41,13 @@
     }
 
     @Override
-    public void finished(BackendServer server, boolean ran) {
-        mPicker.finished(server, ran);
+    public String epoch(String server) {
+        return mPicker.epoch(server);
+    }
+
+    @Override
+    public void finished(
+            BackendServer server, Fingerprint content, AttemptEnd end, double nanosPerToken) {
+        mPicker.finished(server, content, end, nanosPerToken);
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/fleet/FleetNode.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/fleet/FleetNode.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.bulrushvale.adapters.caller.CallerReply;
 import org.bulrushvale.adapters.caller.CallerRequest;
 import org.bulrushvale.adapters.caller.Problem;
@@ -28,6 +29,7 @@
 import org.bulrushvale.decision.membership.IsolationRule;
 import org.bulrushvale.decision.membership.PeerTable;
 import org.bulrushvale.decision.membership.ReaderSelection;
+import org.bulrushvale.decision.membership.View;
 import org.bulrushvale.decision.membership.VmList;
 import org.bulrushvale.decision.retry.PoisonTable;
 import org.bulrushvale.kernel.event.EventLoop;
@@ -77,6 +79,7 @@
     private WarmthExchange mWarmth = WarmthExchange.none();
     private volatile @org.jspecify.annotations.Nullable Events mEvents;
     private volatile @org.jspecify.annotations.Nullable PlatformReader mReader;
+    private volatile Consumer<View<VmList>> mOnVmList = view -> {};
     private boolean mDraining;
     private boolean mWatches;
     private long mLastRound;
@@ -150,9 +153,14 @@
         void forwarded(CallerRequest request, CallerReply reply);
     }
 
-    /** Starts to follow the platform and to talk to peers. */
-    public void start(Events events) {
+    /**
+     * Starts to follow the platform and to talk to peers.
+     *
+     * @param onVmList receives the VM list on the event loop whenever it changes or is confirmed
+     */
+    public void start(Events events, Consumer<View<VmList>> onVmList) {
         mEvents = events;
+        mOnVmList = onVmList;
         EntrySettings.Platform platform = mSettings.platform();
         mReader =
                 PlatformReader.start(
@@ -413,7 +421,10 @@
             if (theirs.digest().equals(config.digest())) {
                 config.confirm(theirs.revision(), age(theirs.confirmationAgeMillis(), transit));
             }
-            mViews.vms().confirm(gossip.vmListVersion(), age(gossip.vmListAgeMillis(), transit));
+            Duration listAge = age(gossip.vmListAgeMillis(), transit);
+            if (mViews.vms().confirm(gossip.vmListVersion(), listAge)) {
+                mViews.vms().view().ifPresent(mOnVmList);
+            }
         }
         if (theirs.revision() > config.revision()
                 && !config.isRefused(theirs.revision())
@@ -509,7 +520,7 @@
         }
     }
 
-    private void events(java.util.function.Consumer<Events> call) {
+    private void events(Consumer<Events> call) {
         Events events = mEvents;
         if (events != null) {
             call.accept(events);
@@ -550,6 +561,7 @@
                         if (mViews.vms().offer(list, mClock.elapsedSince(askedAtNanos))) {
                             mViews.peers().retainListed(list);
                         }
+                        mViews.vms().view().ifPresent(mOnVmList);
                         askPeersAtStart();
                     });
         }
