Choose servers within the warm-up limits and isolate poison requests

The daemon chose the server with the fewest own attempts and never read a load report, so a cold server got the published slots from every entry and a request that crashed servers was retried until its attempts ran out.

- BackendRouting joins WarmthTable, BackendTable and PoisonTable and counts every attempt in all three. [routing] policy selects power_of_two (default), round_robin or least_outstanding; [routing] warmup = off is for measurements.
The close of the only connection to a server counts as a loss, because a restart would go unnoticed until the next connection opens.
- A cut or reset connection strikes what was in flight on the server; PoisonGuard delays the consequences until the records were spread.
BackendFailure.CUT tells a lost connection from an answer that ended early.
- A hedge never waits and never goes to the server of the first attempt.
A hedge that was refused in the queue used to end the request whose first attempt still ran.
- A stage that can no longer finish in time is not started.
- A replay whose result was too large says RESULT_NOT_HELD with RAN instead of an empty answer; a refusal of an idempotent class ignores the key.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendFailure.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendFailure.java
@@ -10,7 +10,9 @@
     CONNECT,
     /** The connection was reset or closed before a response. */
     RESET,
-    /** The response ended early. */
+    /** The connection was lost in the middle of a response. */
+    CUT,
+    /** The response ended in order but is not complete. */
     TRUNCATED,
     /** No byte arrived within the progress timeout. */
     SILENT,
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ConnectionPool.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ConnectionPool.java
@@ -14,8 +14,9 @@
  *
  * <p>Invariant: once any connection closes that this side did not mean to close, no connection
  * opened before that moment is used again, so that later load reports come from a newer connection.
- * Each connection carries one exchange at a time. Thread safety: all methods may be called from any
- * thread.
+ * The close of the only connection counts as a loss, because a restart of the server would go
+ * unnoticed until the next one opens. Each connection carries one exchange at a time. Thread
+ * safety: all methods may be called from any thread.
  */
 final class ConnectionPool {
     // Enough for the slots of one server; more idle connections only cost memory.
@@ -25,6 +26,7 @@
     private final Consumer<String> mOnLoss;
     private final Deque<Lease> mIdle = new ArrayDeque<>();
     private long mGeneration;
+    private int mOpen;
 
     ConnectionPool(String server, Consumer<String> onLoss) {
         mServer = server;
@@ -34,12 +36,14 @@
     /**
      * A connection together with the generation in which it was opened.
      *
-     * <p>Thread safety: {@code mDeliberate} is volatile; the rest is immutable.
+     * <p>Thread safety: {@code mDeliberate} is volatile, {@code mClosed} is guarded by the pool;
+     * the rest is immutable.
      */
     static final class Lease {
         private final ClientConnection mConnection;
         private final long mGeneration;
         private volatile boolean mDeliberate;
+        private boolean mClosed;
 
         private Lease(ClientConnection connection, long generation) {
             mConnection = connection;
@@ -58,6 +62,9 @@
     /** Registers a connection whose opening began in the given generation. */
     Lease adopt(ClientConnection connection, long generation) {
         Lease lease = new Lease(connection, generation);
+        synchronized (this) {
+            mOpen++;
+        }
         connection.addCloseListener(closed -> closed(lease));
         return lease;
     }
@@ -100,13 +107,15 @@
     }
 
     private void closed(Lease lease) {
-        boolean lost = false;
+        boolean lost;
         synchronized (this) {
-            mIdle.remove(lease);
-            if (!lease.mDeliberate) {
-                lease.mDeliberate = true;
+            if (!forget(lease)) {
+                return;
+            }
+            lost = !lease.mDeliberate || mOpen == 0;
+            lease.mDeliberate = true;
+            if (lost) {
                 mGeneration++;
-                lost = true;
             }
         }
         if (lost) {
@@ -117,7 +126,18 @@
 
     private synchronized List<Lease> takeAll() {
         List<Lease> leases = new ArrayList<>(mIdle);
-        mIdle.clear();
+        leases.forEach(this::forget);
         return leases;
     }
+
+    /** Returns true the first time; called with the lock held. */
+    private boolean forget(Lease lease) {
+        boolean first = !lease.mClosed;
+        if (first) {
+            lease.mClosed = true;
+            mIdle.remove(lease);
+            mOpen--;
+        }
+        return first;
+    }
 }
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
@@ -218,7 +218,7 @@
                 }
             }
         } catch (IOException e) {
-            fail(BackendFailure.TRUNCATED, "response ended early");
+            fail(BackendFailure.CUT, "response ended early");
         }
     }
 
@@ -239,7 +239,7 @@
             mPool.discard(lease);
         }
         BackendFailure seen =
-                failure == BackendFailure.RESET && mHeadSeen ? BackendFailure.TRUNCATED : failure;
+                failure == BackendFailure.RESET && mHeadSeen ? BackendFailure.CUT : failure;
         mHandler.failed(seen, detail);
     }
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/LoadReport.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/LoadReport.java
@@ -1,6 +1,7 @@
 package org.bulrushvale.adapters.backend;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.bulrushvale.decision.warmup.ReportedState;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
@@ -13,9 +14,9 @@
  *
  * @param server name that the server states
  * @param epoch changes when the server process restarts
- * @param warm true when the server states that it is warm
- * @param slots concurrent requests when warm
- * @param bearable concurrent requests when cold
+ * @param state whether the server states that it is warm
+ * @param slots concurrent requests when warm, 0 when not stated
+ * @param bearable concurrent requests when cold, 0 when not stated
  * @param running requests that run
  * @param queued requests that wait
  * @param ageMillis age of the figures
@@ -23,7 +24,7 @@
 public record LoadReport(
         String server,
         String epoch,
-        boolean warm,
+        ReportedState state,
         int slots,
         int bearable,
         int running,
@@ -39,11 +40,19 @@
         return new LoadReport(
                 json.path("server").asText(),
                 json.path("epoch").asText(),
-                json.path("state").asText().equals("warm"),
-                json.path("slots").asInt(1),
-                json.path("bearable").asInt(1),
+                state(json.path("state").asText()),
+                json.path("slots").asInt(0),
+                json.path("bearable").asInt(0),
                 json.path("running").asInt(0),
                 json.path("queued").asInt(0),
                 json.path("age_ms").asLong(0));
     }
+
+    private static ReportedState state(String text) {
+        return switch (text) {
+            case "warm" -> ReportedState.WARM;
+            case "cold" -> ReportedState.COLD;
+            default -> ReportedState.UNKNOWN;
+        };
+    }
 }
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/EntrySettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/EntrySettings.java
@@ -17,6 +17,8 @@
  * @param backend backend client
  * @param log log output
  * @param drain graceful shutdown
+ * @param routing choice of backend servers
+ * @param warmup time limits of the warm-up rules
  */
 public record EntrySettings(
         Entry entry,
@@ -26,7 +28,9 @@
         Platform platform,
         Backend backend,
         Log log,
-        Drain drain) {
+        Drain drain,
+        Routing routing,
+        Warmup warmup) {
     /**
      * Identity of this process.
      *
@@ -101,4 +105,23 @@
      */
     public record Drain(
             Duration readinessDelay, Duration settle, Duration grace, Duration handover) {}
+
+    /**
+     * Choice of backend servers. Without the warm-up rules every entry uses all published slots of
+     * a server; this exists for measurements only.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Routing(String policy, boolean warmup) {}
+
+    /**
+     * Time limits of the warm-up rules.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Warmup(
+            Duration listLagMax,
+            Duration longestDeadline,
+            Duration viewAgeMax,
+            Duration reportAgeMax) {}
 }
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsCheck.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsCheck.java
@@ -25,6 +25,8 @@
 import org.bulrushvale.adapters.settings.EntrySettings.Operator;
 import org.bulrushvale.adapters.settings.EntrySettings.Peer;
 import org.bulrushvale.adapters.settings.EntrySettings.Platform;
+import org.bulrushvale.adapters.settings.EntrySettings.Routing;
+import org.bulrushvale.adapters.settings.EntrySettings.Warmup;
 
 /**
  * Checks a settings file as a whole and reports every fault at once.
@@ -79,7 +81,17 @@
                     optional("drain", "readiness_delay_ms", "4000", SettingKey.range(0, 600_000)),
                     optional("drain", "settle_ms", "500", SettingKey.range(0, 600_000)),
                     optional("drain", "grace_ms", "2000", MILLIS),
-                    optional("drain", "handover_ms", "5000", MILLIS));
+                    optional("drain", "handover_ms", "5000", MILLIS),
+                    optional(
+                            "routing",
+                            "policy",
+                            "power_of_two",
+                            SettingKey.oneOf("power_of_two", "round_robin", "least_outstanding")),
+                    optional("routing", "warmup", "on", SettingKey.oneOf("on", "off")),
+                    optional("warmup", "list_lag_max_ms", "10000", MILLIS),
+                    optional("warmup", "longest_deadline_ms", "5000", MILLIS),
+                    optional("warmup", "view_age_max_ms", "4000", MILLIS),
+                    optional("warmup", "report_age_max_ms", "2000", MILLIS));
 
     private SettingsCheck() {}
 
@@ -216,7 +228,19 @@
                         values.millis("drain", "readiness_delay_ms"),
                         values.millis("drain", "settle_ms"),
                         values.millis("drain", "grace_ms"),
-                        values.millis("drain", "handover_ms")));
+                        values.millis("drain", "handover_ms")),
+                new Routing(
+                        values.text("routing", "policy"),
+                        values.text("routing", "warmup").equals("on")),
+                warmup(values));
+    }
+
+    private static Warmup warmup(Values values) {
+        return new Warmup(
+                values.millis("warmup", "list_lag_max_ms"),
+                values.millis("warmup", "longest_deadline_ms"),
+                values.millis("warmup", "view_age_max_ms"),
+                values.millis("warmup", "report_age_max_ms"));
     }
 
     /**
--- a/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
@@ -20,16 +20,20 @@
 import org.bulrushvale.decision.config.WorkClass;
 import org.bulrushvale.decision.outcome.RequestOutcome;
 import org.bulrushvale.decision.request.AttemptId;
+import org.bulrushvale.decision.request.DeadlineBudget;
 import org.bulrushvale.decision.request.RequestRun;
 import org.bulrushvale.decision.request.RunDecision;
 import org.bulrushvale.decision.request.StageResult;
 import org.bulrushvale.decision.request.StageSummary;
+import org.bulrushvale.decision.retry.Fingerprint;
+import org.bulrushvale.decision.warmup.AttemptEnd;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.id.RequestId;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
 import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One request in progress: executes the decisions of its {@link RequestRun}.
@@ -45,6 +49,7 @@
     private final Pipeline mPipeline;
     private final RequestRun mRun;
     private final RequestOutcome mOutcome;
+    private final Fingerprint mContent;
     private final Listener mListener;
     private final double mShare;
     private final long mStartNanos;
@@ -59,12 +64,14 @@
             Pipeline pipeline,
             double share,
             Duration deadline,
+            Fingerprint content,
             Listener listener) {
         mCore = core;
         mRequest = request;
         mClass = workClass;
         mPipeline = pipeline;
         mShare = share;
+        mContent = content;
         mListener = listener;
         mStartNanos = core.clock().monotonicNanos();
         mDeadlineNanos = mStartNanos + deadline.toNanos();
@@ -134,6 +141,7 @@
                 mListener.text(piece.offset(), piece.text());
             } else if (decision instanceof RunDecision.Deliver answer) {
                 mDeadlineTimer.cancel();
+                mCore.poison().table().onCompleted(mContent);
                 count(Cause.MET);
                 mListener.delivered(this, answer);
                 mCore.metrics().requestEnded(mClass.name(), "OK", Verdict.RAN.name(), elapsed());
@@ -152,6 +160,22 @@
     }
 
     private void startOrWait(RunDecision.StartAttempt start) {
+        ErrorCode obstacle = obstacle(start);
+        if (obstacle != null) {
+            apply(mRun.stop(obstacle, obstacle.title(), this::verdictNow));
+            return;
+        }
+        if (start.kind() == RunDecision.AttemptKind.HEDGE) {
+            // A hedge that would have to wait cannot help and would take the place of others.
+            boolean idle = mCore.waiting().isEmpty(start.stage().pool());
+            if (!idle || !launch(start)) {
+                String detail = "no server for a second attempt";
+                apply(
+                        mRun.onFailure(
+                                start.attempt(), Verdict.NOT_RUN, ErrorCode.OVERLOADED, detail));
+            }
+            return;
+        }
         Duration work =
                 mCore.deadlines().estimate(mClass.name(), mPipeline, start.attempt().stage());
         mCore.waiting()
@@ -167,6 +191,30 @@
                                 work));
     }
 
+    /** Returns why an attempt is not worth starting, null when it is. */
+    private @Nullable ErrorCode obstacle(RunDecision.StartAttempt start) {
+        if (mCore.poison().table().isPoison(mContent)) {
+            return ErrorCode.POISON;
+        }
+        DeadlineBudget.Outlook outlook =
+                mCore.deadlines()
+                        .outlook(
+                                mClass.name(),
+                                mPipeline,
+                                start.attempt().stage(),
+                                mRun.remaining());
+        return outlook == DeadlineBudget.Outlook.GO_ON
+                ? null
+                : asStarted(ErrorCode.DEADLINE_UNREACHABLE);
+    }
+
+    /** A request that has sent something is not refused early; its deadline is exceeded. */
+    private ErrorCode asStarted(ErrorCode code) {
+        return code == ErrorCode.DEADLINE_UNREACHABLE && !mLinks.isEmpty()
+                ? ErrorCode.DEADLINE_EXCEEDED
+                : code;
+    }
+
     private WaitingAttempts.Waiting waiting(RunDecision.StartAttempt start) {
         return new WaitingAttempts.Waiting() {
             @Override
@@ -177,7 +225,8 @@
             @Override
             public void refuse(ErrorCode code) {
                 if (mRun.openAttempts().contains(start.attempt())) {
-                    apply(mRun.stop(code, code.title(), ActiveRequest.this::verdictNow));
+                    ErrorCode seen = asStarted(code);
+                    apply(mRun.stop(seen, seen.title(), ActiveRequest.this::verdictNow));
                 }
             }
         };
@@ -188,6 +237,10 @@
         if (mRun.ended() || !mRun.openAttempts().contains(start.attempt())) {
             return true;
         }
+        if (mCore.poison().table().isPoison(mContent)) {
+            apply(mRun.stop(ErrorCode.POISON, ErrorCode.POISON.title(), this::verdictNow));
+            return true;
+        }
         Set<String> avoid = new HashSet<>();
         for (AttemptId earlier : start.earlier()) {
             AttemptLink link = mLinks.get(earlier);
@@ -195,8 +248,9 @@
                 avoid.add(link.server().name());
             }
         }
+        boolean elsewhere = start.kind() == RunDecision.AttemptKind.HEDGE;
         Optional<BackendServer> server =
-                mCore.picker().pick(start.stage(), avoid, mRequest.session());
+                mCore.picker().pick(start.stage(), avoid, elsewhere, mRequest.session(), mContent);
         if (server.isEmpty()) {
             return false;
         }
@@ -210,6 +264,7 @@
                 new AttemptLink(
                         id,
                         server,
+                        mCore.picker().epoch(server.name()),
                         mOutcome.newAttempt(id.stage()),
                         mCore.loop(),
                         this,
@@ -238,7 +293,7 @@
             BackendClient.Attempt attempt = mCore.client().run(address(server), call, link);
             link.attach(attempt);
         } catch (BulrushvaleException e) {
-            release(link, false);
+            release(link, AttemptEnd.NOT_RUN, 0);
             apply(mRun.onFailure(id, e.verdict(), e.code(), e.detail()));
         }
     }
@@ -283,9 +338,12 @@
         return link == null ? Verdict.NOT_RUN : link.verdictNow();
     }
 
-    private void release(AttemptLink link, boolean ran) {
+    private void release(AttemptLink link, AttemptEnd end, long tokens) {
         if (link.release()) {
-            mCore.picker().finished(link.server(), ran);
+            boolean ran = end == AttemptEnd.COMPLETED;
+            long nanos = mCore.clock().elapsedSince(link.startNanos()).toNanos();
+            double nanosPerToken = tokens > 0 ? (double) nanos / tokens : 0;
+            mCore.picker().finished(link.server(), mContent, end, nanosPerToken);
             Stage stage = mPipeline.stages().get(link.id().stage());
             mCore.attainment()
                     .onAttempt(
@@ -318,7 +376,7 @@
     public void onCompleted(AttemptLink link, String output, long tokens) {
         recordLatency(link);
         List<RunDecision> next = mRun.onResult(new StageResult(link.id(), true, output, tokens));
-        release(link, true);
+        release(link, AttemptEnd.COMPLETED, tokens);
         apply(next);
     }
 
@@ -326,19 +384,29 @@
     public void onStreamEnded(AttemptLink link, long tokens) {
         recordLatency(link);
         List<RunDecision> next = mRun.onEnd(link.id(), tokens);
-        release(link, true);
+        release(link, AttemptEnd.COMPLETED, tokens);
         apply(next);
     }
 
     @Override
     public void onRefused(AttemptLink link, int status) {
-        release(link, false);
+        release(link, AttemptEnd.NOT_RUN, 0);
         fail(link, ErrorCode.BACKEND_FAILED, "backend server refused the attempt: " + status);
     }
 
     @Override
     public void onFailed(AttemptLink link, BackendFailure failure, String detail) {
-        release(link, false);
+        AttemptEnd end = end(link, failure);
+        if (isCrash(link, failure)) {
+            mCore.poison()
+                    .onCrash(
+                            link.server().name(),
+                            link.epoch(),
+                            () -> fail(link, ErrorCode.BACKEND_FAILED, detail));
+            release(link, end, 0);
+            return;
+        }
+        release(link, end, 0);
         if (failure != BackendFailure.ABORTED) {
             mCore.metrics().count("bulrushvale.backend.failures", "kind", failure.name());
             LOG.debugf("attempt %s failed: %s, %s", link.id(), failure, detail);
@@ -346,6 +414,23 @@
         fail(link, ErrorCode.BACKEND_FAILED, detail);
     }
 
+    /** A stream that breaks off counts as well, because the crash ends the connection. */
+    private static boolean isCrash(AttemptLink link, BackendFailure failure) {
+        boolean cut = failure == BackendFailure.RESET || failure == BackendFailure.CUT;
+        return cut && !link.verdictNow().isSafeToRepeat();
+    }
+
+    private static AttemptEnd end(AttemptLink link, BackendFailure failure) {
+        if (link.verdictNow().isSafeToRepeat()) {
+            return AttemptEnd.NOT_RUN;
+        }
+        return switch (failure) {
+            case STATUS -> AttemptEnd.FAILED;
+            case ABORTED -> AttemptEnd.CANCELLED;
+            default -> AttemptEnd.LOST;
+        };
+    }
+
     private void fail(AttemptLink link, ErrorCode code, String detail) {
         apply(mRun.onFailure(link.id(), link.verdictNow(), code, detail));
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/AttemptLink.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/AttemptLink.java
@@ -22,6 +22,7 @@
 final class AttemptLink implements AttemptListener {
     private final AttemptId mId;
     private final BackendServer mServer;
+    private final String mEpoch;
     private final WireTrace mTrace;
     private final EventLoop mLoop;
     private final Events mEvents;
@@ -33,12 +34,14 @@
     AttemptLink(
             AttemptId id,
             BackendServer server,
+            String epoch,
             WireTrace trace,
             EventLoop loop,
             Events events,
             long startNanos) {
         mId = id;
         mServer = server;
+        mEpoch = epoch;
         mTrace = trace;
         mLoop = loop;
         mEvents = events;
@@ -78,6 +81,11 @@
         return mServer;
     }
 
+    /** Returns the epoch of the server when the attempt was sent. */
+    String epoch() {
+        return mEpoch;
+    }
+
     WireTrace trace() {
         return mTrace;
     }
@@ -181,7 +189,7 @@
     private static WireTrace.Event event(BackendFailure failure) {
         return switch (failure) {
             case CONNECT -> WireTrace.Event.CONNECT_FAILED;
-            case RESET -> WireTrace.Event.RESET;
+            case RESET, CUT -> WireTrace.Event.RESET;
             case SILENT -> WireTrace.Event.TIMEOUT;
             case ABORTED -> WireTrace.Event.CANCEL;
             case TRUNCATED, STATUS, TOO_LARGE, MALFORMED, FOREIGN -> WireTrace.Event.BAD_ANSWER;
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/BackendRouting.java
@@ -0,0 +1,176 @@
+package org.bulrushvale.daemon;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.bulrushvale.adapters.settings.EntrySettings;
+import org.bulrushvale.decision.config.BackendServer;
+import org.bulrushvale.decision.config.PublishedConfig;
+import org.bulrushvale.decision.config.Stage;
+import org.bulrushvale.decision.config.WorkClass;
+import org.bulrushvale.decision.membership.View;
+import org.bulrushvale.decision.membership.VmList;
+import org.bulrushvale.decision.retry.Fingerprint;
+import org.bulrushvale.decision.retry.PoisonTable;
+import org.bulrushvale.decision.routing.Backend;
+import org.bulrushvale.decision.routing.BackendTable;
+import org.bulrushvale.decision.routing.ConcurrencyLimit;
+import org.bulrushvale.decision.routing.LeastOutstandingPolicy;
+import org.bulrushvale.decision.routing.PowerOfTwoPolicy;
+import org.bulrushvale.decision.routing.RoundRobinPolicy;
+import org.bulrushvale.decision.routing.RoutingPolicy;
+import org.bulrushvale.decision.routing.RoutingRequest;
+import org.bulrushvale.decision.warmup.AttemptEnd;
+import org.bulrushvale.decision.warmup.LoadReport;
+import org.bulrushvale.decision.warmup.WarmthTable;
+import org.bulrushvale.decision.warmup.WarmupTiming;
+import org.bulrushvale.kernel.time.Clock;
+
+/**
+ * Chooses servers by the routing policy within the limits of the warm-up rules.
+ *
+ * <p>Invariant: the routing, warm-up and poison tables count the same attempts; a server out of
+ * service under the accepted configuration is never chosen. Thread safety: owned by the event loop.
+ */
+final class BackendRouting implements ServerPicker {
+    private final BackendTable mTable = new BackendTable();
+    private final WarmthTable mWarmth;
+    private final PoisonTable mPoison;
+    private final RoutingPolicy mPolicy;
+    private final ConcurrencyLimit mLimit;
+    private final String mFailureDomain;
+    private final Clock mClock;
+
+    BackendRouting(EntrySettings settings, PoisonTable poison, Clock clock, long seed) {
+        EntrySettings.Warmup warmup = settings.warmup();
+        mWarmth =
+                WarmthTable.create(
+                        settings.entry().vm(),
+                        new WarmupTiming(
+                                warmup.listLagMax(),
+                                warmup.longestDeadline(),
+                                warmup.viewAgeMax(),
+                                warmup.reportAgeMax()));
+        mPoison = poison;
+        mPolicy = policy(settings.routing().policy(), seed);
+        mLimit = settings.routing().warmup() ? mWarmth::limit : (server, now) -> slotsOf(server);
+        mFailureDomain = settings.entry().failureDomain();
+        mClock = clock;
+    }
+
+    private static RoutingPolicy policy(String name, long seed) {
+        return switch (name) {
+            case "round_robin" -> new RoundRobinPolicy();
+            case "least_outstanding" -> new LeastOutstandingPolicy();
+            default -> PowerOfTwoPolicy.seeded(seed);
+        };
+    }
+
+    private int slotsOf(String server) {
+        return mTable.backend(server).map(backend -> backend.server().slots()).orElse(0);
+    }
+
+    /** Returns the table whose announcements are exchanged with peers. */
+    WarmthTable warmth() {
+        return mWarmth;
+    }
+
+    /** Takes an accepted configuration. */
+    void config(PublishedConfig config) {
+        mTable.config(config);
+        Duration longest =
+                config.classes().stream()
+                        .map(WorkClass::deadline)
+                        .max(Duration::compareTo)
+                        .orElse(Duration.ZERO);
+        mWarmth.servers(config.backends(), longest);
+    }
+
+    /** Takes the present VM list with its confirmation time. */
+    void vmList(View<VmList> view) {
+        mWarmth.view(view, mClock.monotonicNanos());
+    }
+
+    /** Takes a load report that was read in a generation of connections. */
+    void report(LoadReport report, int generation, long measuredAtNanos) {
+        mTable.report(report, measuredAtNanos);
+        mWarmth.report(report, generation, measuredAtNanos, mClock.monotonicNanos());
+    }
+
+    @Override
+    public Optional<BackendServer> pick(
+            Stage stage, Set<String> avoid, boolean elsewhere, String prefix, Fingerprint content) {
+        Set<String> forbidden = forbidden(stage.pool(), content);
+        Set<String> excluded = new HashSet<>(forbidden);
+        excluded.addAll(avoid);
+        Optional<Backend> chosen = choose(stage, prefix, excluded);
+        if (chosen.isEmpty() && !avoid.isEmpty() && !elsewhere) {
+            chosen = choose(stage, prefix, forbidden);
+        }
+        chosen.ifPresent(backend -> started(backend.server().name(), content));
+        return chosen.map(Backend::server);
+    }
+
+    private Optional<Backend> choose(Stage stage, String prefix, Set<String> excluded) {
+        RoutingRequest request = new RoutingRequest(stage.pool(), mFailureDomain, prefix, excluded);
+        return mPolicy.choose(request, mTable, mLimit, mClock.monotonicNanos());
+    }
+
+    private Set<String> forbidden(String pool, Fingerprint content) {
+        if (!mPoison.isSuspect(content)) {
+            return Set.of();
+        }
+        Set<String> names = new HashSet<>();
+        for (Backend backend : mTable.pool(pool)) {
+            String name = backend.server().name();
+            if (!mPoison.mayStart(content, name)) {
+                names.add(name);
+            }
+        }
+        return names;
+    }
+
+    private void started(String server, Fingerprint content) {
+        mTable.started(server);
+        mWarmth.started(server);
+        mPoison.onStarted(content, server);
+    }
+
+    @Override
+    public boolean hasRoom(String pool) {
+        long now = mClock.monotonicNanos();
+        for (Backend backend : mTable.pool(pool)) {
+            if (backend.outstanding() < mLimit.limit(backend.server().name(), now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * While no server permits anything, the published slots are returned: after a lost connection a
+     * new report is a few milliseconds away, and waiting requests are not refused for that.
+     */
+    @Override
+    public int slots(String pool) {
+        long now = mClock.monotonicNanos();
+        List<Backend> servers = mTable.pool(pool);
+        int permitted = servers.stream().mapToInt(b -> mLimit.limit(b.server().name(), now)).sum();
+        return permitted > 0 ? permitted : servers.stream().mapToInt(b -> b.server().slots()).sum();
+    }
+
+    @Override
+    public String epoch(String server) {
+        return mTable.backend(server).map(Backend::epoch).orElse("");
+    }
+
+    @Override
+    public void finished(
+            BackendServer server, Fingerprint content, AttemptEnd end, double nanosPerToken) {
+        mTable.finished(server.name());
+        mWarmth.finished(server.name(), end, nanosPerToken, mClock.monotonicNanos());
+        mPoison.onEnded(content, server.name());
+    }
+}
--- a/daemon/src/main/java/org/bulrushvale/daemon/CoreServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/CoreServices.java
@@ -26,6 +26,7 @@
         BackendClient client,
         EntryMetrics metrics,
         ServerPicker picker,
+        PoisonGuard poison,
         WaitingAttempts waiting,
         RetryBudget budget,
         StageLatency latency,
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
@@ -23,6 +23,7 @@
 import org.bulrushvale.decision.config.Workspace;
 import org.bulrushvale.decision.drain.DrainSequence;
 import org.bulrushvale.decision.request.DeadlineBudget;
+import org.bulrushvale.decision.retry.Fingerprint;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
@@ -44,20 +45,24 @@
     private final Runnable mOnDrain;
     private final KeyedRequests mKeys;
     private final DrainSequence mDrain;
+    private final Consumer<PublishedConfig> mOnConfig;
     private volatile boolean mDraining;
     private volatile boolean mConfigured;
+    private volatile boolean mBackendsKnown;
 
     EntryCore(
             CoreServices core,
             ConfigStore config,
             KeyedRequests keys,
             DrainSequence drain,
+            Consumer<PublishedConfig> onConfig,
             Runnable onDrain) {
         mCore = core;
         mConfig = config;
         mOnDrain = onDrain;
         mKeys = keys;
         mDrain = drain;
+        mOnConfig = onConfig;
     }
 
     // Caller port
@@ -115,11 +120,15 @@
         if (mDraining) {
             return "draining";
         }
-        return mConfigured ? "" : "no published configuration yet";
+        if (!mConfigured) {
+            return "no published configuration yet";
+        }
+        return mBackendsKnown ? "" : "no load reports yet";
     }
 
     private void accept(
             CallerRequest request, CallerReply reply, AtomicReference<ActiveRequest> active) {
+        boolean keyed = request.key().isPresent();
         try {
             PublishedConfig config = config();
             authorize(config, request.workspace(), request.tokenSha256());
@@ -127,6 +136,8 @@
                     config.workClass(request.workClass())
                             .orElseThrow(() -> refusal(ErrorCode.UNKNOWN_CLASS, "unknown class"));
             if (workClass.idempotent()) {
+                // The key is ignored here, so the verdict is that of this request alone.
+                keyed = false;
                 start(config, workClass, request, reply, active);
                 return;
             }
@@ -135,7 +146,7 @@
             }
             present(config, workClass, request, reply, active);
         } catch (BulrushvaleException e) {
-            reply.fail(Problem.refusal(e.code(), e.detail(), request.key().isPresent()));
+            reply.fail(Problem.refusal(e.code(), e.detail(), keyed));
             LOG.debugf("request refused: %s", e.code());
         }
     }
@@ -185,6 +196,11 @@
         if (request.deadline().isPresent() && request.deadline().get().compareTo(deadline) < 0) {
             deadline = request.deadline().get();
         }
+        Fingerprint content = Fingerprint.of(request.workspace(), request.input());
+        if (mCore.poison().table().isPoison(content)) {
+            mCore.attainment().onEnd(workClass, request.workspace(), Cause.REFUSAL, Duration.ZERO);
+            throw refusal(ErrorCode.POISON, ErrorCode.POISON.title());
+        }
         DeadlineBudget.Outlook outlook =
                 mCore.deadlines().outlook(workClass.name(), pipeline, 0, deadline);
         if (outlook != DeadlineBudget.Outlook.GO_ON) {
@@ -204,6 +220,7 @@
                         pipeline,
                         share(config, request.workspace()),
                         deadline,
+                        content,
                         replies);
         active.set(started);
         mActive.add(started);
@@ -250,6 +267,7 @@
         ConfigStore.Offer offer = mConfig.offer(revision, ConfigDigest.of(values), values);
         mConfigured = mConfig.config().isPresent();
         if (offer == ConfigStore.Offer.ACCEPTED) {
+            mConfig.config().ifPresent(mOnConfig);
             LOG.infof("configuration revision %d is in force", revision);
             mCore.waiting().serveAll();
         } else if (offer != ConfigStore.Offer.SAME) {
@@ -257,6 +275,11 @@
         }
     }
 
+    /** Records that the backend servers were asked for their load; called on the event loop. */
+    void backendsKnown() {
+        mBackendsKnown = true;
+    }
+
     long configRevision() {
         return mConfig.revision();
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -14,15 +14,21 @@
 import org.bulrushvale.adapters.caller.CallerPort;
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.operator.OperatorPort;
+import org.bulrushvale.adapters.platform.PlatformClient;
 import org.bulrushvale.adapters.settings.EntrySettings;
 import org.bulrushvale.decision.attainment.AttainmentTracker;
 import org.bulrushvale.decision.config.ConfigStore;
+import org.bulrushvale.decision.config.PublishedConfig;
 import org.bulrushvale.decision.drain.DrainState;
+import org.bulrushvale.decision.membership.View;
+import org.bulrushvale.decision.membership.VmList;
 import org.bulrushvale.decision.request.DeadlineBudget;
 import org.bulrushvale.decision.request.DropCounts;
 import org.bulrushvale.decision.request.StageLatency;
 import org.bulrushvale.decision.retry.HedgePolicy;
+import org.bulrushvale.decision.retry.PoisonTable;
 import org.bulrushvale.decision.retry.RetryBudget;
+import org.bulrushvale.decision.warmup.WarmthTable;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.plugin.Plugin;
 import org.bulrushvale.kernel.plugin.PluginRegistry;
@@ -46,6 +52,11 @@
     private static final Duration LATENCY_WINDOW = Duration.ofMinutes(1);
     private static final Duration WAITING_TICK = Duration.ofMillis(20);
 
+    /** Half of the 2 s within which a process becomes ready; silent servers do not delay it. */
+    private static final Duration FIRST_REPORTS_LIMIT = Duration.ofSeconds(1);
+
+    private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(1);
+
     private final EntrySettings mSettings;
     private final EntryMetrics mMetrics = new EntryMetrics();
     private final Map<String, Integer> mPorts = new ConcurrentHashMap<>();
@@ -55,14 +66,25 @@
     private final DrainDriver mDrain;
     private final PluginRegistry<EntryContext> mPlugins;
     private final ConfigPoller mPoller;
+    private final BackendRouting mRouting;
+    private final PoisonGuard mPoison;
+    private final LoadPoller mLoads;
+    private final VmListPoller mVms;
+    private final WaitingAttempts mWaiting;
+    private long mVmListVersion = -1;
+    private boolean mConfigSeen;
+    private boolean mReportsKnown;
 
     private EntryDaemon(EntrySettings settings) throws BulrushvaleException {
         mSettings = settings;
         mLoop = EventLoop.start("core", RING_SLOTS);
-        mClient = BackendClient.start(settings.backend(), server -> {});
         Clock clock = Clock.system();
+        SplittableRandom random = new SplittableRandom();
+        PoisonTable poison = new PoisonTable(clock);
+        mRouting = new BackendRouting(settings, poison, clock, random.nextLong());
+        mPoison = new PoisonGuard(poison, mRouting);
+        mClient = BackendClient.start(settings.backend(), this::onConnectionLost);
         ConfigStore config = ConfigStore.empty(clock);
-        ServerPicker picker = new LeastOutstandingPicker(config);
         AttainmentTracker attainment = new AttainmentTracker(settings.entry().vm(), clock);
         StageLatency latency = new StageLatency(clock, LATENCY_WINDOW);
         RetryBudget budget = new RetryBudget();
@@ -73,26 +95,93 @@
                         clock,
                         mClient,
                         mMetrics,
-                        picker,
+                        mRouting,
+                        mPoison,
                         new WaitingAttempts(
                                 clock,
                                 settings.caller().queueLength(),
                                 name -> isBelowTarget(config, attainment, name),
-                                picker),
+                                mRouting),
                         budget,
                         latency,
                         new DeadlineBudget(latency),
                         new HedgePolicy(latency, budget),
                         attainment,
                         new DropCounts(),
-                        new SplittableRandom());
+                        random.split());
+        mWaiting = services.waiting();
+        mLoads =
+                new LoadPoller(
+                        mLoop,
+                        clock,
+                        mClient,
+                        mRouting,
+                        settings.backend().loadInterval(),
+                        random.split(),
+                        this::onReport);
         mDrain = new DrainDriver(settings.drain(), clock, mLoop, this::onDrainState);
         KeyedRequests keys =
                 new KeyedRequests(new SecureRandom().nextLong(), settings.peer().secret(), clock);
-        mCore = new EntryCore(services, config, keys, mDrain.sequence(), this::drain);
-        mLoop.scheduleEvery(WAITING_TICK, services.waiting()::serveAll);
+        mCore =
+                new EntryCore(
+                        services, config, keys, mDrain.sequence(), this::onConfig, this::drain);
+        mLoop.scheduleEvery(WAITING_TICK, mWaiting::serveAll);
         mPlugins = PluginRegistry.of(loadPlugins());
         mPoller = ConfigPoller.start(settings.platform().configUrl(), mLoop, mCore);
+        mVms =
+                VmListPoller.start(
+                        PlatformClient.create(settings.platform().vmsUrl(), PLATFORM_TIMEOUT),
+                        mLoop,
+                        clock,
+                        this::onVmList);
+    }
+
+    private void onReport(String pool) {
+        mWaiting.serve(pool);
+        noteFirstReports();
+    }
+
+    /** Requests that arrive before the first reports would only fill the queue. */
+    private void noteFirstReports() {
+        if (!mReportsKnown && mVmListVersion >= 0 && mLoads.isSettled()) {
+            mReportsKnown = true;
+            mCore.backendsKnown();
+        }
+    }
+
+    private void onConnectionLost(String server) {
+        mLoads.connectionLost(server);
+    }
+
+    private void onConfig(PublishedConfig config) {
+        mRouting.config(config);
+        mLoads.config(config);
+        if (!mConfigSeen) {
+            mConfigSeen = true;
+            mLoop.schedule(FIRST_REPORTS_LIMIT, mCore::backendsKnown);
+        }
+        noteFirstReports();
+    }
+
+    /** Takes the VM list with its confirmation time; called on the event loop. */
+    void onVmList(View<VmList> view) {
+        long known = mVmListVersion;
+        mVmListVersion = view.value().version();
+        mRouting.vmList(view);
+        if (mVmListVersion != known) {
+            mLoads.pollAll();
+            noteFirstReports();
+        }
+    }
+
+    /** Returns the warm-up state whose announcements are exchanged with peers. */
+    WarmthTable warmth() {
+        return mRouting.warmth();
+    }
+
+    /** Returns the guard whose records are spread to peers. */
+    PoisonGuard poison() {
+        return mPoison;
     }
 
     /** Starts a daemon; it is ready once a configuration was read. */
@@ -157,6 +246,7 @@
     @Override
     public void close() {
         mPoller.close();
+        mVms.close();
         mPlugins.stop();
         mLoop.close();
         mClient.close();
--- a/daemon/src/main/java/org/bulrushvale/daemon/KeyedRequests.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/KeyedRequests.java
@@ -117,10 +117,16 @@
             boolean stream,
             CallerReply reply) {
         String output = outcome == null ? null : outcome.output();
-        CallerAnswer answer =
-                output == null
-                        ? new CallerAnswer("", "", 0, List.of())
-                        : CallerAnswer.parse(output);
+        if (output == null) {
+            reply.fail(
+                    Problem.failure(
+                            ErrorCode.RESULT_NOT_HELD,
+                            Verdict.RAN,
+                            ErrorCode.RESULT_NOT_HELD.defaultAdvice(),
+                            "the request ran; its result was too large to keep"));
+            return;
+        }
+        CallerAnswer answer = CallerAnswer.parse(output);
         if (stream) {
             reply.text(0, answer.output());
         }
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/PoisonGuard.java
@@ -0,0 +1,78 @@
+package org.bulrushvale.daemon;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bulrushvale.decision.retry.PoisonRecord;
+import org.bulrushvale.decision.retry.PoisonTable;
+
+/**
+ * Turns lost connections into strikes and delays what follows until peers know of them.
+ *
+ * <p>Invariant: every {@code then} runs exactly once, after the records of its crash were spread.
+ * Thread safety: owned by the event loop.
+ */
+final class PoisonGuard {
+    private final PoisonTable mTable;
+    private final ServerPicker mPicker;
+    private final Map<String, List<Runnable>> mSpreading = new HashMap<>();
+    private Spread mSpread = (records, whenSpread) -> whenSpread.run();
+
+    PoisonGuard(PoisonTable table, ServerPicker picker) {
+        mTable = table;
+        mPicker = picker;
+    }
+
+    /**
+     * Tells peers about suspects and convictions.
+     *
+     * <p>Thread safety: called on the event loop.
+     */
+    @FunctionalInterface
+    interface Spread {
+        /**
+         * Spreads records; runs {@code whenSpread} on the event loop exactly once, when all peers
+         * have acknowledged or the wait has ended.
+         */
+        void onPoisonRecords(List<PoisonRecord> records, Runnable whenSpread);
+    }
+
+    /** Sets what spreads the records; without it nothing is delayed. */
+    void spread(Spread spread) {
+        mSpread = spread;
+    }
+
+    PoisonTable table() {
+        return mTable;
+    }
+
+    /**
+     * Records that a server crashed under an attempt.
+     *
+     * @param epoch epoch of the server when the attempt was sent
+     * @param then the consequences for the attempt
+     */
+    void onCrash(String server, String epoch, Runnable then) {
+        List<Runnable> waiting = mSpreading.get(server);
+        if (waiting != null) {
+            waiting.add(then);
+            return;
+        }
+        // What runs on a later process of the server is not struck for the end of this one.
+        List<PoisonRecord> changed =
+                epoch.equals(mPicker.epoch(server)) ? mTable.onCrash(server, epoch) : List.of();
+        if (changed.isEmpty()) {
+            then.run();
+            return;
+        }
+        List<Runnable> all = new ArrayList<>(List.of(then));
+        mSpreading.put(server, all);
+        mSpread.onPoisonRecords(
+                changed,
+                () -> {
+                    mSpreading.remove(server, all);
+                    all.forEach(Runnable::run);
+                });
+    }
+}
--- a/daemon/src/main/java/org/bulrushvale/daemon/ServerPicker.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/ServerPicker.java
@@ -4,6 +4,8 @@
 import java.util.Set;
 import org.bulrushvale.decision.config.BackendServer;
 import org.bulrushvale.decision.config.Stage;
+import org.bulrushvale.decision.retry.Fingerprint;
+import org.bulrushvale.decision.warmup.AttemptEnd;
 
 /**
  * Chooses backend servers and accounts for attempts in progress.
@@ -12,15 +14,29 @@
  * the event loop.
  */
 interface ServerPicker {
-    /** Chooses a server for one attempt and reserves a slot; empty when none may receive it now. */
-    Optional<BackendServer> pick(Stage stage, Set<String> avoid, String prefix);
+    /**
+     * Chooses a server for one attempt and reserves a slot; empty when none may receive it now.
+     *
+     * @param avoid servers taken only when no other one is free
+     * @param elsewhere true when none of the avoided servers may be taken
+     * @param content decides where a suspected poison request may run
+     */
+    Optional<BackendServer> pick(
+            Stage stage, Set<String> avoid, boolean elsewhere, String prefix, Fingerprint content);
 
-    /** Returns true when {@link #pick} would find a server of the pool. */
+    /** Returns true when {@link #pick} would find a server for content that is not suspected. */
     boolean hasRoom(String pool);
 
-    /** Returns the slots of all servers of the pool that are in service. */
+    /** Returns how many attempts this entry can run in the pool at the same time. */
     int slots(String pool);
 
-    /** Releases the slot of an attempt. */
-    void finished(BackendServer server, boolean ran);
+    /** Returns the epoch that the server reported last, empty when none is known. */
+    String epoch(String server);
+
+    /**
+     * Releases the slot of an attempt.
+     *
+     * @param nanosPerToken time per token, 0 when not known
+     */
+    void finished(BackendServer server, Fingerprint content, AttemptEnd end, double nanosPerToken);
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/WaitingAttempts.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/WaitingAttempts.java
@@ -76,20 +76,28 @@
         }
     }
 
+    /** Returns true when no attempt waits for the pool. */
+    boolean isEmpty(String pool) {
+        AdmissionQueue<Waiting> queue = mQueues.get(pool);
+        return queue == null || queue.size() == 0;
+    }
+
     int size() {
         return mQueues.values().stream().mapToInt(AdmissionQueue::size).sum();
     }
 
     private void serve(String pool, AdmissionQueue<Waiting> queue) {
+        // A suspected poison request may wait for a server of its own while others have room.
+        List<QueuedRequest<Waiting>> held = new ArrayList<>();
         while (queue.size() > 0 && mPicker.hasRoom(pool)) {
             List<Refusal<Waiting>> refused = new ArrayList<>();
             Optional<QueuedRequest<Waiting>> next = queue.poll(refused::add);
             refuse(refused);
             if (next.isPresent() && !next.get().payload().launch()) {
-                refuse(queue.offer(next.get()));
-                return;
+                held.add(next.get());
             }
         }
+        held.forEach(request -> refuse(queue.offer(request)));
     }
 
     private static void refuse(List<Refusal<Waiting>> refused) {
--- a/decision/src/main/java/org/bulrushvale/decision/routing/Backend.java
+++ b/decision/src/main/java/org/bulrushvale/decision/routing/Backend.java
@@ -44,6 +44,11 @@
         return mOutstanding;
     }
 
+    /** Returns the epoch of the last report, empty when none was read. */
+    public String epoch() {
+        return mEpoch;
+    }
+
     /** Returns the estimated load relative to the slots. */
     public double load() {
         int running = Math.max(mOutstanding, mRunning + mQueued + mSinceReport);
--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/routing/LeastOutstandingPolicy.java
@@ -0,0 +1,21 @@
+package org.bulrushvale.decision.routing;
+
+import java.util.Comparator;
+import java.util.Optional;
+
+/**
+ * Baseline: takes the eligible server with the fewest requests of this entry.
+ *
+ * <p>Thread safety: stateless.
+ */
+public final class LeastOutstandingPolicy implements RoutingPolicy {
+    @Override
+    public Optional<Backend> choose(
+            RoutingRequest request, BackendTable table, ConcurrencyLimit limit, long nowNanos) {
+        return table.pool(request.pool()).stream()
+                .filter(backend -> backend.isEligible(request, limit, nowNanos))
+                .min(
+                        Comparator.comparingInt(Backend::outstanding)
+                                .thenComparing(backend -> backend.server().name()));
+    }
+}
--- a/decision/src/main/java/org/bulrushvale/decision/warmup/ServerWarmth.java
+++ b/decision/src/main/java/org/bulrushvale/decision/warmup/ServerWarmth.java
@@ -38,6 +38,10 @@
         mPublishedBearable = bearable;
     }
 
+    int publishedSlots() {
+        return mPublishedSlots;
+    }
+
     int connectionOpened(long nowNanos) {
         mNotBeforeNanos = nowNanos;
         return mGeneration;
--- a/decision/src/main/java/org/bulrushvale/decision/warmup/WarmthTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/warmup/WarmthTable.java
@@ -249,6 +249,14 @@
         return all;
     }
 
+    /** Returns true when this entry may send to the server in some state, so that it reads it. */
+    public boolean isUsed(String server) {
+        ServerWarmth warmth = mServers.get(server);
+        return warmth != null
+                && (mOwnership.isOwner(server)
+                        || mOwnership.share(server, warmth.publishedSlots()) > 0);
+    }
+
     /** Returns true when this entry is the warm-up owner of the server. */
     public boolean isOwner(String server) {
         return mOwnership.isOwner(server);
--- a/kernel/src/main/java/org/bulrushvale/kernel/verdict/ErrorCode.java
+++ b/kernel/src/main/java/org/bulrushvale/kernel/verdict/ErrorCode.java
@@ -20,6 +20,7 @@
     KEY_EXPIRED(410, "Idempotency key expired", Advice.CHECK_BEFORE_RETRY),
     KEY_HOLDER_LOST(503, "Holder of the idempotency key is gone", Advice.CHECK_BEFORE_RETRY),
     KEY_HOLDER_UNREACHABLE(503, "Holder of the idempotency key unreachable", Advice.RETRY_SAME_KEY),
+    RESULT_NOT_HELD(410, "Request ran but its result is no longer held", Advice.DO_NOT_RETRY),
     OUTCOME_UNKNOWN(503, "Outcome unknown", Advice.CHECK_BEFORE_RETRY),
     BODY_TOO_LARGE(413, "Body too large", Advice.FIX_REQUEST),
     DEADLINE_INVALID(400, "Deadline invalid", Advice.FIX_REQUEST),
--- a/system-tests/src/test/java/org/bulrushvale/system/Fleet.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/Fleet.java
@@ -68,9 +68,9 @@
                                 .value("pipelines", pipelines())
                                 .value("classes", classes())
                                 .value("workspaces-00", workspaces())
-                                .vms("[]")
+                                .vms(vms(1))
                                 .start());
-        mDaemon = keep(EntryDaemon.start(settings(mConfig.port(), extraSettings)));
+        mDaemon = keep(EntryDaemon.start(settings(mConfig.port(), "vm-1", extraSettings)));
     }
 
     static Fleet start() throws IOException, BulrushvaleException {
@@ -157,12 +157,25 @@
         return resource;
     }
 
-    private static EntrySettings settings(int configPort, String extra) {
+    /** Returns a list of live VMs named vm-1, vm-2 and so on. */
+    static String vms(int count) {
+        List<String> vms = new ArrayList<>();
+        for (int i = 1; i <= count; i++) {
+            vms.add(
+                    ("{'name':'vm-%d','address':'127.0.0.1','peer_port':%d,'failure_domain':'a',"
+                                    + "'region':'r','state':'live'}")
+                            .formatted(i, i)
+                            .replace('\'', '"'));
+        }
+        return "[" + String.join(",", vms) + "]";
+    }
+
+    static EntrySettings settings(int configPort, String vm, String extra) {
         String url = "http://127.0.0.1:" + configPort;
         String text =
                 """
                 [entry]
-                vm = vm-1
+                vm = %s
                 failure_domain = a
                 region = r
                 fleet = test
@@ -182,13 +195,20 @@
                 [platform]
                 config_url = %s
                 vms_url = %s
-                [backend]
-                progress_timeout_ms = 700
                 [drain]
                 readiness_delay_ms = 0
+                [backend]
+                %s
                 %s
                 """
-                        .formatted(url, url, extra);
+                        .formatted(
+                                vm,
+                                url,
+                                url,
+                                extra.contains("progress_timeout_ms")
+                                        ? ""
+                                        : "progress_timeout_ms = 700",
+                                extra);
         SettingsCheck.Result result = SettingsCheck.check(text);
         return result.settings()
                 .orElseThrow(() -> new IllegalStateException(result.faults().toString()));
@@ -234,13 +254,13 @@
                 .replace('\'', '"');
     }
 
-    private static String workspaces() {
+    static String workspaces() {
         return "[{'name':'granite','token_sha256':'%s','share':1.0}]"
                 .formatted(sha256(TOKEN))
                 .replace('\'', '"');
     }
 
-    private static String sha256(String text) {
+    static String sha256(String text) {
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
             return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
