--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -55,7 +55,6 @@
     /** Half of the 2 s within which a process becomes ready; silent servers do not delay it. */
     private static final Duration FIRST_REPORTS_LIMIT = Duration.ofSeconds(1);
 
-
     private final EntrySettings mSettings;
     private final EntryMetrics mMetrics = new EntryMetrics();
     private final Map<String, Integer> mPorts = new ConcurrentHashMap<>();
