--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
@@ -135,8 +135,10 @@
     }
 
     private void requireContact() throws BulrushvaleException {
-        // A view that may be refreshed shortly keeps new work waiting in the queue instead.
-        if (mFleet.mayRoute() && mFleet.isIsolated()) {
+        // While a view is refreshed after a pause, new work waits in the queue; the first request
+        // after the pause may come before the tick that notices it.
+        mFleet.mayRoute();
+        if (mFleet.isIsolated()) {
             throw refusal(ErrorCode.ISOLATED, "entry is cut off from the fleet");
         }
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -55,7 +55,6 @@
     /** Half of the 2 s within which a process becomes ready; silent servers do not delay it. */
     private static final Duration FIRST_REPORTS_LIMIT = Duration.ofSeconds(1);
 
-
     private final EntrySettings mSettings;
     private final EntryMetrics mMetrics = new EntryMetrics();
     private final Map<String, Integer> mPorts = new ConcurrentHashMap<>();
@@ -101,11 +100,7 @@
                         mMetrics,
                         picker,
                         mPoison,
-                        new WaitingAttempts(
-                                clock,
-                                settings.caller().queueLength(),
-                                name -> isBelowTarget(config, attainment, name),
-                                picker),
+                        waiting(settings, clock, config, attainment, picker),
                         budget,
                         latency,
                         new DeadlineBudget(latency),
@@ -188,6 +183,19 @@
         return daemon;
     }
 
+    private static WaitingAttempts waiting(
+            EntrySettings settings,
+            Clock clock,
+            ConfigStore config,
+            AttainmentTracker attainment,
+            ServerPicker picker) {
+        return new WaitingAttempts(
+                clock,
+                settings.caller().queueLength(),
+                name -> isBelowTarget(config, attainment, name),
+                picker);
+    }
+
     private static boolean isBelowTarget(
             ConfigStore store, AttainmentTracker attainment, String workClass) {
         return store.config()
--- a/daemon/src/main/java/org/bulrushvale/daemon/KeyedRequests.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/KeyedRequests.java
@@ -111,7 +111,9 @@
                 mJoined.put(key.toString(), new ArrayList<>());
                 run.run(new RecordingReply(key, ledger, reply));
             }
-            case JOIN -> mJoined.computeIfAbsent(key.toString(), k -> new ArrayList<>()).add(reply);
+            case JOIN ->
+                    mJoined.computeIfAbsent(key.toString(), k -> new ArrayList<>())
+                            .add(request.stream() ? withWholeText(reply) : reply);
             case REPLAY -> replay(decision.outcome(), request.stream(), reply);
             default -> {
                 ErrorCode code = decision.kind().errorCode();
@@ -124,6 +126,25 @@
         }
     }
 
+    /** A joined stream has not received the earlier pieces, so it gets the text at the end. */
+    private static CallerReply withWholeText(CallerReply reply) {
+        return new CallerReply() {
+            @Override
+            public void text(long offset, String text) {}
+
+            @Override
+            public void complete(CallerAnswer answer) {
+                reply.text(0, answer.output());
+                reply.complete(answer);
+            }
+
+            @Override
+            public void fail(Problem problem) {
+                reply.fail(problem);
+            }
+        };
+    }
+
     private static void replay(
             @org.jspecify.annotations.Nullable KeyOutcome outcome,
             boolean stream,
--- /dev/null
+++ b/daemon/src/test/java/org/bulrushvale/daemon/fleet/PoisonNoticesTest.java
@@ -0,0 +1,104 @@
+package org.bulrushvale.daemon.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.bulrushvale.adapters.peer.LinkCut;
+import org.bulrushvale.adapters.peer.PeerMessage;
+import org.bulrushvale.adapters.peer.PeerTransport;
+import org.bulrushvale.decision.retry.Fingerprint;
+import org.bulrushvale.decision.retry.PoisonRecord;
+import org.bulrushvale.decision.retry.PoisonTable;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.time.Clock;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against a caller that is told of a crash before the peers, or is kept waiting by one. */
+public class PoisonNoticesTest {
+    private static final Fingerprint CONTENT = Fingerprint.of("w", "crash");
+    private static final List<PoisonRecord> CONVICTED =
+            List.of(new PoisonRecord(CONTENT, Set.of("s1/e", "s2/e"), Set.of(), true, 0));
+
+    private final PoisonTable mReceived = new PoisonTable(Clock.system());
+    private EventLoop mLoop;
+    private PeerTransport mReceiver;
+    private PeerTransport mSender;
+
+    @BeforeMethod
+    public void start() {
+        mLoop = EventLoop.start("notices", 64);
+        mReceiver = transport("b", Optional.empty());
+        mSender = transport("a", Optional.of(mReceiver));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        mSender.close();
+        mReceiver.close();
+        mLoop.close();
+    }
+
+    @Test
+    public void the_peer_knows_the_conviction_before_the_caller_is_answered() throws Exception {
+        CompletableFuture<Boolean> known = push(() -> mReceived.isPoison(CONTENT));
+        assertThat(known.get(10, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    public void a_silent_peer_delays_the_caller_by_the_limit_only() throws Exception {
+        // given
+        mSender.cut("b", LinkCut.SILENT);
+        long start = System.nanoTime();
+        // when
+        CompletableFuture<Boolean> answered = push(() -> true);
+        // then
+        assertThat(answered.get(10, TimeUnit.SECONDS)).isTrue();
+        assertThat(Duration.ofNanos(System.nanoTime() - start))
+                .isGreaterThanOrEqualTo(PoisonNotices.LIMIT)
+                .isLessThan(Duration.ofSeconds(2));
+    }
+
+    private CompletableFuture<Boolean> push(java.util.function.BooleanSupplier atAnswer) {
+        PoisonNotices notices =
+                new PoisonNotices(
+                        mLoop, new PoisonTable(Clock.system()), mSender, () -> List.of("b"));
+        CompletableFuture<Boolean> result = new CompletableFuture<>();
+        mLoop.execute(
+                () -> notices.push(CONVICTED, () -> result.complete(atAnswer.getAsBoolean())));
+        return result;
+    }
+
+    private PeerTransport transport(String vm, Optional<PeerTransport> peer) {
+        EventLoop loop = mLoop;
+        try {
+            return PeerTransport.builder()
+                    .fleet("f")
+                    .sender(vm, "0")
+                    .secret("a-secret-of-the-test-fleet".getBytes(StandardCharsets.UTF_8))
+                    .accept(address -> true)
+                    .resolver(name -> peer.map(PeerTransport::address))
+                    .listener(
+                            (from, message, reply) -> {
+                                if (message instanceof PeerMessage.PoisonNotice notice) {
+                                    loop.execute(() -> receive(notice, reply));
+                                }
+                            })
+                    .start();
+        } catch (org.bulrushvale.adapters.peer.PeerException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void receive(
+            PeerMessage.PoisonNotice notice, org.bulrushvale.adapters.peer.PeerListener.Reply r) {
+        new PoisonNotices(mLoop, mReceived, mReceiver, List::of).receive(notice, r);
+    }
+}
--- a/system-tests/src/test/java/org/bulrushvale/system/EntryFleet.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/EntryFleet.java
@@ -88,8 +88,7 @@
     }
 
     EntryDaemon entry(String vm, ConfigService platform, String peers) throws BulrushvaleException {
-        EntryDaemon daemon =
-                EntryDaemon.start(Fleet.settings(vm, platform.port(), peers, ""));
+        EntryDaemon daemon = EntryDaemon.start(Fleet.settings(vm, platform.port(), peers, ""));
         mEntries.put(vm, daemon);
         return daemon;
     }
--- a/system-tests/src/test/java/org/bulrushvale/system/FleetConfigTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/FleetConfigTest.java
@@ -37,6 +37,24 @@
         }
     }
 
+    @Test
+    public void entries_that_do_not_watch_the_service_learn_a_revision_from_peers()
+            throws Exception {
+        try (EntryFleet fleet = EntryFleet.start(5)) {
+            // given three of five entries watch
+            ConfigService service = fleet.platform(0);
+            EntryFleet.await(
+                    "three watch", LIMIT, () -> service.stats().path("waiting").asInt() == 3);
+            // when
+            long revision = service.publish("domains", OUT);
+            // then
+            for (int i = 1; i <= 5; i++) {
+                String vm = "vm-" + i;
+                EntryFleet.await("in force", IN_FORCE, () -> fleet.revision(vm) == revision);
+            }
+        }
+    }
+
     @Test
     public void a_stale_service_never_takes_a_revision_back() throws Exception {
         try (EntryFleet fleet = new EntryFleet()) {
