Drop attempts whose connection predates a loss; tick only while some wait

The test of the cold server failed in one of four runs on a machine at load 20: the stand-in, restarted after 50 ms, fell over two more times. From the code, an attempt that waited for its connection while another one was lost was still sent, to a process that may have restarted since the server was chosen. The cause was not proven by a trace; a retry beyond the limit and a second warm-up owner were ruled out by reading only.

The queues were served every 20 ms even when empty. A task now repeats only while an attempt waits. Idle CPU before and after is not comparable, because the machine was loaded and the compiler threads still ran.

Tests: BackendUseTest, BadBackendTest and OverloadTest (14) passed once after the change; the other system tests passed just before the connection change.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ConnectionPool.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ConnectionPool.java
@@ -59,6 +59,11 @@
         return mGeneration;
     }
 
+    /** Returns true when no connection was lost since the opening of this one began. */
+    synchronized boolean isCurrent(Lease lease) {
+        return lease.mGeneration == mGeneration;
+    }
+
     /** Registers a connection whose opening began in the given generation. */
     Lease adopt(ClientConnection connection, long generation) {
         Lease lease = new Lease(connection, generation);
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
@@ -115,6 +115,12 @@
 
     private void send(ConnectionPool.Lease lease) {
         mConnected = true;
+        if (!mPool.isCurrent(lease)) {
+            // The server may have restarted since it was chosen; nothing was sent yet.
+            mPool.release(lease);
+            fail(BackendFailure.CONNECT, "another connection to the server was lost");
+            return;
+        }
         if (mEnded.get() || !mHandler.sent()) {
             mPool.release(lease);
             abort();
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -101,7 +101,8 @@
                                 clock,
                                 settings.caller().queueLength(),
                                 name -> isBelowTarget(config, attainment, name),
-                                mRouting),
+                                mRouting,
+                                task -> mLoop.schedule(WAITING_TICK, task)),
                         budget,
                         latency,
                         new DeadlineBudget(latency),
@@ -125,7 +126,6 @@
         mCore =
                 new EntryCore(
                         services, config, keys, mDrain.sequence(), this::onConfig, this::drain);
-        mLoop.scheduleEvery(WAITING_TICK, mWaiting::serveAll);
         mPlugins = PluginRegistry.of(loadPlugins());
         mPoller = ConfigPoller.start(settings.platform().configUrl(), mLoop, mCore);
         mVms =
--- a/daemon/src/main/java/org/bulrushvale/daemon/WaitingAttempts.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/WaitingAttempts.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.bulrushvale.decision.admission.AdmissionQueue;
 import org.bulrushvale.decision.admission.QueuedRequest;
@@ -23,13 +24,26 @@
     private final int mCapacity;
     private final Predicate<String> mBelowTarget;
     private final ServerPicker mPicker;
+    private final Consumer<Runnable> mLater;
     private final Map<String, AdmissionQueue<Waiting>> mQueues = new HashMap<>();
+    private boolean mTicking;
 
-    WaitingAttempts(Clock clock, int capacity, Predicate<String> belowTarget, ServerPicker picker) {
+    /**
+     * Creates queues without attempts.
+     *
+     * @param later runs a task on the event loop after a short delay
+     */
+    WaitingAttempts(
+            Clock clock,
+            int capacity,
+            Predicate<String> belowTarget,
+            ServerPicker picker,
+            Consumer<Runnable> later) {
         mClock = clock;
         mCapacity = capacity;
         mBelowTarget = belowTarget;
         mPicker = picker;
+        mLater = later;
     }
 
     /**
@@ -61,6 +75,21 @@
         }
         refuse(queue.offer(request));
         serve(pool, queue);
+        scheduleTick();
+    }
+
+    /** Limits also grow without an event, and late attempts are refused, while any wait. */
+    private void tick() {
+        mTicking = false;
+        serveAll();
+        scheduleTick();
+    }
+
+    private void scheduleTick() {
+        if (!mTicking && size() > 0) {
+            mTicking = true;
+            mLater.accept(this::tick);
+        }
     }
 
     /** Serves every pool. */
