--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -128,7 +128,6 @@
                         mFleet,
                         this::onConfig,
                         this::drain);
-        mLoop.scheduleEvery(WAITING_TICK, mWaiting::serveAll);
         mPlugins = PluginRegistry.of(loadPlugins());
         listening("peer", mFleet.port());
     }
@@ -183,7 +182,7 @@
         return daemon;
     }
 
-    private static WaitingAttempts waiting(
+    private WaitingAttempts waiting(
             EntrySettings settings,
             Clock clock,
             ConfigStore config,
@@ -193,7 +192,8 @@
                 clock,
                 settings.caller().queueLength(),
                 name -> isBelowTarget(config, attainment, name),
-                picker);
+                picker,
+                task -> mLoop.schedule(WAITING_TICK, task));
     }
 
     private static boolean isBelowTarget(
