--- a/system-tests/src/test/java/org/bulrushvale/systemtests/harness/StandinProcess.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/harness/StandinProcess.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.URI;
+import java.time.Duration;
 import java.util.List;
 import java.util.regex.Pattern;
 
@@ -42,6 +43,20 @@
         return Http.post(uri("/control"), json);
     }
 
+    /** Makes the server fall over; it listens again after the given time, cold. */
+    public void crash(Duration restart) throws Exception {
+        long before = count("falls");
+        try {
+            control("{\"restart_ms\":" + restart.toMillis() + ",\"crash\":\"restart\"}");
+        } catch (IOException expected) {
+            // The connection of the order falls with the server.
+        }
+        Await.until(
+                mName + " fell and listens again",
+                FleetProcesses.START_LIMIT,
+                () -> isListening() && count("falls") > before);
+    }
+
     /** Returns one of the counts since the start. */
     public long count(String name) throws IOException, InterruptedException {
         return stats().path(name).asLong();
