Make the silent connection and cold start tests independent of chance

ColdStartProcessTest read the state of a runner between two falls; it now waits until the runner listens and fails on the first violation. The content of truncated answers differs per entry, because two cut connections convict a content as poison.

--- a/system-tests/src/test/java/org/bulrushvale/systemtests/BrokenAnswerProcessTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/BrokenAnswerProcessTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.bulrushvale.standin.stage.StageOutput;
 import org.bulrushvale.systemtests.harness.Answer;
 import org.bulrushvale.systemtests.harness.Await;
@@ -25,6 +27,7 @@
  */
 public class BrokenAnswerProcessTest {
     private static final int TOKENS = 16;
+    private static final int CONCURRENT_ORDERS = 6;
     private static final Duration RECOVERY_LIMIT = Duration.ofSeconds(15);
     // Deadline of the class and time for the answer to arrive on a busy machine.
     private static final Duration ORDER_LIMIT = Duration.ofMillis(3_000 + 1_000);
@@ -79,13 +82,14 @@
         }
         // when
         for (EntryProcess entry : mFleet.entries()) {
-            Ask ask = Ask.of(workClass, "truncated " + how);
+            // The same content would count as poison after two lost connections.
+            Ask ask = Ask.of(workClass, "truncated " + workClass + how + entry.vm());
             Answer answer = mCaller.send(entry.uri(), stream ? ask.streamed() : ask);
             // then
             assertThat(answer.kind())
                     .as("answer of %s: %s", entry.vm(), answer)
                     .isEqualTo(Answer.Kind.REFUSED);
-            assertThat(answer.verdict()).isNotEqualTo("NOT_RUN");
+            assertThat(answer.verdict()).as("%s", answer).isNotEqualTo("NOT_RUN");
         }
         reset();
         for (EntryProcess entry : mFleet.entries()) {
@@ -118,28 +122,59 @@
     public void a_silent_connection_of_a_stage_that_is_not_repeatable_may_have_run()
             throws Exception {
         for (EntryProcess entry : mFleet.entries()) {
-            // given: a connection in use goes silent
+            // given: the connections in use go silent
             awaitWholeOrder(entry);
+            sendOrders(entry, "before");
             for (StandinProcess server : mFleet.pool("office")) {
                 server.control("{\"silent\":\"EXISTING\"}");
             }
-            // when
-            String key = mCaller.key(entry.uri(), FleetProcesses.ORDER);
-            long start = System.nanoTime();
-            Answer answer =
-                    mCaller.send(entry.uri(), Ask.keyed(FleetProcesses.ORDER, "silent", key));
-            Duration elapsed = Duration.ofNanos(System.nanoTime() - start);
+            // when: some orders take one of them, others may open a new one
+            List<TimedAnswer> answers = sendOrders(entry, "silent");
             // then
-            System.out.println("BrokenAnswerProcessTest silent: " + answer + " " + elapsed);
-            assertThat(answer.kind()).as("%s", answer).isEqualTo(Answer.Kind.REFUSED);
-            assertThat(answer.verdict()).isEqualTo("MAY_HAVE_RUN");
-            assertThat(elapsed).isLessThan(ORDER_LIMIT);
+            int silent = 0;
+            for (TimedAnswer timed : answers) {
+                assertThat(timed.elapsed()).as("%s", timed).isLessThan(ORDER_LIMIT);
+                if (!timed.answer().isWhole()) {
+                    silent++;
+                    assertThat(timed.answer().verdict()).as("%s", timed).isEqualTo("MAY_HAVE_RUN");
+                }
+            }
+            System.out.println(
+                    "BrokenAnswerProcessTest silent: " + silent + " of " + answers.size());
+            assertThat(silent).as("orders on a silent connection").isPositive();
             // Connections that were open stay silent; new ones work.
             Duration recovery = awaitWholeOrder(entry);
             System.out.println("BrokenAnswerProcessTest works again after " + recovery);
         }
     }
 
+    /** Thread safety: immutable. */
+    private record TimedAnswer(Answer answer, Duration elapsed) {}
+
+    private List<TimedAnswer> sendOrders(EntryProcess entry, String text) throws Exception {
+        List<CompletableFuture<TimedAnswer>> answers = new ArrayList<>();
+        for (int i = 0; i < CONCURRENT_ORDERS; i++) {
+            String key = mCaller.key(entry.uri(), FleetProcesses.ORDER);
+            Ask ask = Ask.keyed(FleetProcesses.ORDER, text + " " + i, key);
+            CompletableFuture<TimedAnswer> answer = new CompletableFuture<>();
+            answers.add(answer);
+            Thread thread = new Thread(() -> answer.complete(sendTimed(entry, ask)), "order");
+            thread.setDaemon(true);
+            thread.start();
+        }
+        List<TimedAnswer> ended = new ArrayList<>();
+        for (CompletableFuture<TimedAnswer> answer : answers) {
+            ended.add(answer.get());
+        }
+        return ended;
+    }
+
+    private TimedAnswer sendTimed(EntryProcess entry, Ask ask) {
+        long start = System.nanoTime();
+        Answer answer = mCaller.send(entry.uri(), ask);
+        return new TimedAnswer(answer, Duration.ofNanos(System.nanoTime() - start));
+    }
+
     private static void assertComplete(Answer answer, Ask ask) {
         String id = answer.body().path("request_id").asText();
         StageOutput expected = StageOutput.of(id, "generate", ask.input());
--- a/system-tests/src/test/java/org/bulrushvale/systemtests/ColdStartProcessTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/ColdStartProcessTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.List;
 import org.bulrushvale.systemtests.harness.Await;
@@ -69,6 +70,8 @@
     }
 
     private static boolean isWarm(StandinProcess runner) throws Exception {
-        return runner.isListening() && runner.stats().path("state").asText().equals("warm");
+        JsonNode stats = runner.awaitStats();
+        assertThat(stats.path("bearable_violations").asLong()).as("%s", stats).isZero();
+        return stats.path("state").asText().equals("warm");
     }
 }
--- a/system-tests/src/test/java/org/bulrushvale/systemtests/harness/StandinProcess.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/harness/StandinProcess.java
@@ -67,6 +67,24 @@
         return Http.json(uri("/control/stats"));
     }
 
+    /** Returns the counts as soon as the server listens. */
+    public JsonNode awaitStats() throws Exception {
+        JsonNode[] stats = new JsonNode[1];
+        Await.until(
+                mName + " listens",
+                FleetProcesses.START_LIMIT,
+                () -> {
+                    try {
+                        stats[0] = stats();
+                        return true;
+                    } catch (IOException expected) {
+                        // The server has fallen and does not listen yet.
+                        return false;
+                    }
+                });
+        return stats[0];
+    }
+
     /** Returns false while a server that fell has not started again. */
     public boolean isListening() throws InterruptedException {
         try {
