--- a/system-tests/src/test/java/org/bulrushvale/systemtests/harness/StandinProcess.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/harness/StandinProcess.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.URI;
+import java.time.Duration;
 import java.util.List;
 import java.util.regex.Pattern;
 
@@ -42,6 +43,20 @@
         return Http.post(uri("/control"), json);
     }
 
+    /** Makes the server fall over; it listens again after the given time, cold. */
+    public void crash(Duration restart) throws Exception {
+        long before = count("falls");
+        try {
+            control("{\"restart_ms\":" + restart.toMillis() + ",\"crash\":\"restart\"}");
+        } catch (IOException expected) {
+            // The connection of the order falls with the server.
+        }
+        Await.until(
+                mName + " fell and listens again",
+                FleetProcesses.START_LIMIT,
+                () -> isListening() && count("falls") > before);
+    }
+
     /** Returns one of the counts since the start. */
     public long count(String name) throws IOException, InterruptedException {
         return stats().path(name).asLong();
@@ -52,6 +67,24 @@
         return Http.json(uri("/control/stats"));
     }
 
+    /** Returns the counts as soon as the server listens. */
+    public JsonNode awaitStats() throws Exception {
+        JsonNode[] stats = new JsonNode[1];
+        Await.until(
+                mName + " listens",
+                FleetProcesses.START_LIMIT,
+                () -> {
+                    try {
+                        stats[0] = stats();
+                        return true;
+                    } catch (IOException expected) {
+                        // The server has fallen and does not listen yet.
+                        return false;
+                    }
+                });
+        return stats[0];
+    }
+
     /** Returns false while a server that fell has not started again. */
     public boolean isListening() throws InterruptedException {
         try {
