--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendClient.java
@@ -45,6 +45,12 @@
     private static final int MAX_REPORT_BYTES = 65_536;
     private static final int OK = 200;
 
+    /**
+     * Half of the 2 s for which a report permits sending, so that a silent connection is replaced
+     * before the last report expires.
+     */
+    private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
+
     /** A verified connection may be taken by another attempt before it is used; tried again. */
     private static final int VERIFICATIONS = 4;
 
@@ -187,7 +193,12 @@
             Consumer<BackendFailure> onFailure) {
         ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath("/v1/load");
         WholeBody handler = reportReader(onReport, onFailure);
-        var unused = start(address, request, new byte[0], handler, mSettings.progressTimeout());
+        var unused = start(address, request, new byte[0], handler, reportTimeout());
+    }
+
+    private Duration reportTimeout() {
+        Duration progress = mSettings.progressTimeout();
+        return progress.compareTo(REPORT_TIMEOUT) < 0 ? progress : REPORT_TIMEOUT;
     }
 
     private static WholeBody reportReader(
--- a/decision/src/main/java/org/bulrushvale/decision/warmup/WarmthTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/warmup/WarmthTable.java
@@ -29,8 +29,8 @@
  *
  * <p>Invariant: the limits of all entries for one cold server sum to at most what the ramp permits,
  * as long as the VM lists that entries read differ by at most the stated lag. An attempt that this
- * entry gave up, but that may still run, counts against its limit. Thread safety: single-writer,
- * used by the event loop only.
+ * entry gave up, but that may still run, counts against its limit unless the server reports that it
+ * is warm. Thread safety: single-writer, used by the event loop only.
  */
 public final class WarmthTable {
     private final WarmupOwnership mOwnership;
@@ -114,7 +114,12 @@
         if (report == null) {
             return 0;
         }
-        return Math.max(0, permitted(server, warmth, report, nowNanos) - warmth.orphans(nowNanos));
+        int permitted = permitted(server, warmth, report, nowNanos);
+        if (report.state() == ReportedState.WARM) {
+            // A warm server queues what passes its slots; only a cold one falls over.
+            return permitted;
+        }
+        return Math.max(0, permitted - warmth.orphans(nowNanos));
     }
 
     private int permitted(String server, ServerWarmth warmth, LoadReport report, long nowNanos) {
