--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerTransport.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerTransport.java
@@ -45,6 +45,11 @@
         return new Builder();
     }
 
+    /** Returns the size of a message on the wire in bytes, for capacity planning. */
+    public static int frameBytes(PeerMessage message) throws PeerException {
+        return PeerCodec.encode(0, message).remaining();
+    }
+
     /** Returns the address that peers connect to. */
     public InetSocketAddress address() {
         return mReactor.address();
--- a/bench/src/main/java/org/bulrushvale/bench/CapacityProbe.java
+++ b/bench/src/main/java/org/bulrushvale/bench/CapacityProbe.java
@@ -8,6 +8,9 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.IntFunction;
+import org.bulrushvale.adapters.peer.PeerException;
+import org.bulrushvale.adapters.peer.PeerMessage;
+import org.bulrushvale.adapters.peer.PeerTransport;
 import org.bulrushvale.decision.attainment.AttainmentTracker;
 import org.bulrushvale.decision.attainment.Cause;
 import org.bulrushvale.decision.config.ConfigDigest;
@@ -50,7 +53,7 @@
     private CapacityProbe() {}
 
     /** Prints one line per structure and size. */
-    public static void main(String[] args) {
+    public static void main(String[] args) throws PeerException {
         for (int workspaces : new int[] {5, 800, WORKSPACES}) {
             heap("ConfigStore, workspaces", workspaces, n -> store(BACKENDS, n));
         }
@@ -68,6 +71,13 @@
         for (int groups : new int[] {5, 64}) {
             heap("AttainmentTracker of 16 classes, groups", groups, CapacityProbe::attainment);
         }
+        for (int changes : new int[] {0, 10, 100}) {
+            System.out.printf(
+                    Locale.ROOT,
+                    "Gossip frame, warmth changes %d: %d B%n",
+                    changes,
+                    PeerTransport.frameBytes(gossip(changes)));
+        }
         System.out.printf(
                 Locale.ROOT, "heap in use at the end: %.0f KB%n", usedBytes() / BYTES_PER_KB);
     }
@@ -150,6 +160,22 @@
         return tracker;
     }
 
+    private static PeerMessage.Gossip gossip(int warmthChanges) {
+        List<PeerMessage.Warmth> warmth = new ArrayList<>();
+        for (int i = 0; i < warmthChanges; i++) {
+            warmth.add(new PeerMessage.Warmth("server-" + i, "1764800000000", true, i));
+        }
+        return new PeerMessage.Gossip(
+                new PeerMessage.Sender(Fixtures.vmName(0), "0123456789abcdef"),
+                new PeerMessage.ConfigState(1, "0".repeat(64), 500),
+                1,
+                500,
+                warmth,
+                List.of(),
+                false,
+                List.of("0123456789abcdef"));
+    }
+
     private static void heap(String what, int size, IntFunction<Object> factory) {
         List<Object> kept = new ArrayList<>();
         kept.add(factory.apply(size));
