Count each entry once in the fleet-wide reports

Found by running the quickstart: on entries that share one address the tool asked the same operator listener three times and tripled its figures (3 requests where 1 was sent).

--- a/cli/src/main/java/org/bulrushvale/cli/BurnCommand.java
+++ b/cli/src/main/java/org/bulrushvale/cli/BurnCommand.java
@@ -6,9 +6,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Clock;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import org.bulrushvale.decision.attainment.AttainmentSnapshot;
 import org.bulrushvale.decision.attainment.BurnReport;
@@ -42,10 +44,10 @@
     @Override
     public Integer call() throws CliException {
         Map<String, Optional<AttainmentSnapshot>> snapshots = new LinkedHashMap<>();
-        HostPort entry = mOptions.entry();
+        Set<String> merged = new HashSet<>();
         try (EntryClient client = mOptions.client()) {
-            Fleet.ask(client, entry, "/v1/burn")
-                    .forEach((name, json) -> snapshots.put(name, json.flatMap(BurnCommand::read)));
+            Fleet.ask(client, mOptions.entries(), "/v1/burn")
+                    .forEach((name, json) -> snapshots.put(name, firstFrom(merged, json)));
         }
         BurnReport report = BurnReport.of(snapshots);
         if (mHtml != null) {
@@ -61,6 +63,12 @@
         return CliException.OK;
     }
 
+    /** Drops the figures of an entry that already answered under another address. */
+    private static Optional<AttainmentSnapshot> firstFrom(
+            Set<String> merged, Optional<JsonNode> json) {
+        return json.flatMap(BurnCommand::read).filter(snapshot -> merged.add(snapshot.entry()));
+    }
+
     private static Optional<AttainmentSnapshot> read(JsonNode json) {
         try {
             return Optional.of(AttainmentSnapshot.fromJson(json.toString()));
--- a/cli/src/main/java/org/bulrushvale/cli/EntryOptions.java
+++ b/cli/src/main/java/org/bulrushvale/cli/EntryOptions.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.PrintWriter;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import picocli.CommandLine.Option;
 
 /**
@@ -13,9 +15,13 @@
 final class EntryOptions {
     @Option(
             names = "--entry",
-            paramLabel = "HOST:PORT",
+            paramLabel = "HOST:PORT[,HOST:PORT...]",
             defaultValue = "${env:BULRUSHVALE_ENTRY}",
-            description = "operator listener of an entry (default: $BULRUSHVALE_ENTRY)")
+            description = {
+                "operator listener of an entry (default: $BULRUSHVALE_ENTRY);",
+                "commands over the whole fleet ask exactly these when several are given,",
+                "else the entry and its peers"
+            })
     private String mEntry = "";
 
     @Option(
@@ -33,10 +39,18 @@
     private int mTimeoutMs = 5_000;
 
     HostPort entry() throws CliException {
+        return entries().get(0);
+    }
+
+    List<HostPort> entries() throws CliException {
         if (mEntry == null || mEntry.isEmpty()) {
             throw CliException.usage("--entry HOST:PORT or $BULRUSHVALE_ENTRY is required");
         }
-        return HostPort.parse(mEntry);
+        List<HostPort> entries = new ArrayList<>();
+        for (String entry : mEntry.split(",", -1)) {
+            entries.add(HostPort.parse(entry));
+        }
+        return entries;
     }
 
     EntryClient client() {
--- a/cli/src/main/java/org/bulrushvale/cli/StatusCommand.java
+++ b/cli/src/main/java/org/bulrushvale/cli/StatusCommand.java
@@ -39,7 +39,8 @@
                 mOptions.print(mOut, client.get(entry, "/v1/status"));
                 return CliException.OK;
             }
-            Map<String, Optional<JsonNode>> answers = Fleet.ask(client, entry, "/v1/status");
+            Map<String, Optional<JsonNode>> answers =
+                    Fleet.ask(client, mOptions.entries(), "/v1/status");
             ArrayNode list = JsonNodeFactory.instance.arrayNode();
             answers.forEach(
                     (name, status) -> {
--- a/cli/src/test/java/org/bulrushvale/cli/BulrushvalectlMainTest.java
+++ b/cli/src/test/java/org/bulrushvale/cli/BulrushvalectlMainTest.java
@@ -82,8 +82,8 @@
         try (FakeEntry first = new FakeEntry();
                 FakeEntry second = new FakeEntry()) {
             // given
-            first.answer("/v1/burn", burn(90, 10)).answer("/v1/peers", peers(second));
-            second.answer("/v1/burn", burn(100, 0));
+            first.answer("/v1/burn", burn("first", 90, 10)).answer("/v1/peers", peers(second));
+            second.answer("/v1/burn", burn("second", 100, 0));
             // when
             String[] burn = {"report", "burn", "--entry", first.address()};
             assertThat(run(burn[0], burn[1], burn[2], burn[3], "--html", page.toString())).isZero();
@@ -103,6 +103,23 @@
         }
     }
 
+    @Test
+    public void an_entry_that_answers_at_two_addresses_is_counted_once() throws IOException {
+        try (FakeEntry first = new FakeEntry();
+                FakeEntry second = new FakeEntry()) {
+            // given
+            first.answer("/v1/burn", burn("first", 90, 10));
+            second.answer("/v1/burn", burn("first", 90, 10));
+            String both = first.address() + "," + second.address();
+            // when
+            assertThat(run("report", "burn", "--entry", both, "--output", "json")).isZero();
+            // then
+            JsonNode json = JsonMapper.builder().build().readTree(mOut.toString());
+            assertThat(json.at("/classes/0/counts/met").asInt()).isEqualTo(90);
+            assertThat(json.at("/missing/0").asText()).isEqualTo(second.address());
+        }
+    }
+
     @Test
     public void config_check_accepts_what_entries_accept_and_names_faults() throws IOException {
         Path directory = Files.createTempDirectory("config");
@@ -166,9 +183,9 @@
                 + "\"}]}";
     }
 
-    private static String burn(int met, int missed) {
+    private static String burn(String entry, int met, int missed) {
         AttainmentTracker tracker =
-                new AttainmentTracker("e", ManualClock.startingAt(Instant.EPOCH));
+                new AttainmentTracker(entry, ManualClock.startingAt(Instant.EPOCH));
         WorkClass seat = new WorkClass("<seat>", 0.999, Duration.ofSeconds(1), 1, "p", true);
         for (int i = 0; i < met + missed; i++) {
             Cause cause = i < met ? Cause.MET : Cause.QUEUE;
