Import types instead of naming their packages in code

Several classes of the daemon spelled package names inside declarations after parallel work, which makes them hard to read. No behaviour changes; formatter, linter, Error Prone and NullAway pass on the module.

--- a/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
@@ -11,6 +11,7 @@
 import org.bulrushvale.adapters.backend.BackendClient;
 import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.adapters.backend.StageCall;
+import org.bulrushvale.adapters.caller.CallerAnswer;
 import org.bulrushvale.adapters.caller.CallerRequest;
 import org.bulrushvale.decision.admission.QueuedRequest;
 import org.bulrushvale.decision.attainment.Cause;
@@ -452,12 +453,11 @@
     }
 
     /** Returns the costs of the stages in the form of the caller listener. */
-    static List<org.bulrushvale.adapters.caller.CallerAnswer.StageCost> costs(
-            List<StageSummary> stages) {
+    static List<CallerAnswer.StageCost> costs(List<StageSummary> stages) {
         return stages.stream()
                 .map(
                         s ->
-                                new org.bulrushvale.adapters.caller.CallerAnswer.StageCost(
+                                new CallerAnswer.StageCost(
                                         s.stage(), s.attempts(), s.elapsed(), s.tokens()))
                 .toList();
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/KeyedRequests.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/KeyedRequests.java
@@ -23,6 +23,7 @@
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides for requests of non-idempotent classes whether they run here, join a running request or
@@ -145,10 +146,7 @@
         };
     }
 
-    private static void replay(
-            @org.jspecify.annotations.Nullable KeyOutcome outcome,
-            boolean stream,
-            CallerReply reply) {
+    private static void replay(@Nullable KeyOutcome outcome, boolean stream, CallerReply reply) {
         String output = outcome == null ? null : outcome.output();
         if (output == null) {
             reply.fail(
--- a/daemon/src/main/java/org/bulrushvale/daemon/fleet/FleetNode.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/fleet/FleetNode.java
@@ -36,6 +36,7 @@
 import org.bulrushvale.kernel.time.Clock;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Connects the views of this process with the platform and with its peers.
@@ -77,14 +78,14 @@
     private final KeyForwarder mForwarder;
     private final PoisonNotices mPoison;
     private WarmthExchange mWarmth = WarmthExchange.none();
-    private volatile @org.jspecify.annotations.Nullable Events mEvents;
-    private volatile @org.jspecify.annotations.Nullable PlatformReader mReader;
+    private volatile @Nullable Events mEvents;
+    private volatile @Nullable PlatformReader mReader;
     private volatile Consumer<View<VmList>> mOnVmList = view -> {};
     private boolean mDraining;
     private boolean mWatches;
     private long mLastRound;
     private long mLastServiceRead;
-    private @org.jspecify.annotations.Nullable Runnable mOnHandedOver;
+    private @Nullable Runnable mOnHandedOver;
     private long mHandoverSince;
 
     private FleetNode(
--- a/daemon/src/main/java/org/bulrushvale/daemon/fleet/KeyForwarder.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/fleet/KeyForwarder.java
@@ -21,6 +21,7 @@
 import org.bulrushvale.kernel.verdict.Advice;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Passes keyed requests on to the holder of their key and its answers back.
@@ -82,10 +83,7 @@
         return json.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    private static void deliver(
-            @org.jspecify.annotations.Nullable PeerMessage answer,
-            boolean stream,
-            CallerReply reply) {
+    private static void deliver(@Nullable PeerMessage answer, boolean stream, CallerReply reply) {
         if (!(answer instanceof PeerMessage.ForwardReply holder)) {
             reply.fail(unreachable());
             return;
--- a/daemon/src/main/java/org/bulrushvale/daemon/fleet/KeyMover.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/fleet/KeyMover.java
@@ -14,6 +14,7 @@
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Hands the key spaces of a leaving process over, and takes those of others.
@@ -71,7 +72,7 @@
                 .whenComplete((answer, error) -> mLoop.execute(() -> answered(move, answer)));
     }
 
-    private void answered(Move move, @org.jspecify.annotations.Nullable PeerMessage answer) {
+    private void answered(Move move, @Nullable PeerMessage answer) {
         move.mWaits = false;
         if (!(answer instanceof PeerMessage.KeyHandoverAck ack)
                 || !ack.space().equals(GossipText.space(move.mSpace))) {
