--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
@@ -263,7 +263,7 @@
                     });
         }
         HttpReply reply = new HttpReply(exchange, request.stream(), mMetrics::answered);
-        DisconnectWatch.watch(exchange, mPort.submit(request, reply));
+        DisconnectWatch.watch(exchange, mPort.submit(request, reply)::cancel);
     }
 
     private void onKeyRequest(HttpServerExchange exchange, byte[] body) {
@@ -282,7 +282,7 @@
         Problem problem = Problem.refusal(code, detail, keyed);
         mMetrics.answered(code.httpStatus());
         new HttpReply(exchange, false, mMetrics::answered)
-                .whole(code.httpStatus(), "application/problem+json", problem.json());
+                .whole(code.httpStatus(), Problem.CONTENT_TYPE, problem.json());
     }
 
     private static void text(HttpServerExchange exchange, int status, String text) {
--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/DisconnectWatch.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/DisconnectWatch.java
@@ -17,19 +17,23 @@
  * only be seen when the answer is written. The watch therefore reads the connection itself; bytes
  * of a pipelined request are handed back.
  *
- * <p>Invariant: at most one call is watched per connection. Thread safety: used on the connection's
- * I/O thread only.
+ * <p>Invariant: at most one exchange is watched per connection. Thread safety: used on the
+ * connection's I/O thread only.
  */
-final class DisconnectWatch {
+public final class DisconnectWatch {
     private static final AttachmentKey<DisconnectWatch> KEY =
             AttachmentKey.create(DisconnectWatch.class);
 
-    private CallerPort.@Nullable Call mCall;
+    private @Nullable Runnable mOnClose;
 
     private DisconnectWatch() {}
 
-    /** Watches the connection of an exchange whose request was read completely. */
-    static void watch(HttpServerExchange exchange, CallerPort.Call call) {
+    /**
+     * Watches the connection of an exchange whose request was read completely.
+     *
+     * @param onClose called at most once, when the caller closes before the exchange is complete
+     */
+    public static void watch(HttpServerExchange exchange, Runnable onClose) {
         ServerConnection connection = exchange.getConnection();
         DisconnectWatch watch = connection.getAttachment(KEY);
         if (watch == null) {
@@ -39,10 +43,10 @@
             watch = created;
         }
         DisconnectWatch current = watch;
-        current.mCall = call;
+        current.mOnClose = onClose;
         exchange.addExchangeCompleteListener(
                 (done, next) -> {
-                    current.mCall = null;
+                    current.mOnClose = null;
                     next.proceed();
                 });
         if (!connection.isOpen()) {
@@ -54,10 +58,10 @@
     }
 
     private void disconnected() {
-        CallerPort.Call call = mCall;
-        mCall = null;
-        if (call != null) {
-            call.cancel();
+        Runnable onClose = mOnClose;
+        mOnClose = null;
+        if (onClose != null) {
+            onClose.run();
         }
     }
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/HttpReply.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/HttpReply.java
@@ -5,17 +5,10 @@
 import io.undertow.io.IoCallback;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
-import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
-import org.xnio.channels.StreamSinkChannel;
 
 /**
  * Writes the answer to one HTTP exchange, whole or as an event stream.
@@ -27,17 +20,11 @@
 final class HttpReply implements CallerReply {
     private static final Logger LOG = Logger.getLogger(HttpReply.class);
 
-    // A reader this far behind is treated as gone, so that it cannot fill the memory.
-    private static final int MAX_PENDING_BYTES = 1 << 20;
-
     private final HttpServerExchange mExchange;
     private final boolean mStream;
     private final Consumer<Integer> mOnEnd;
-    private final Deque<ByteBuffer> mPending = new ArrayDeque<>();
-    private @Nullable StreamSinkChannel mChannel;
-    private int mPendingBytes;
+    private final ChunkWriter mWriter;
     private boolean mEnded;
-    private boolean mLost;
 
     /**
      * Creates the reply.
@@ -46,6 +33,7 @@
      */
     HttpReply(HttpServerExchange exchange, boolean stream, Consumer<Integer> onEnd) {
         mExchange = exchange;
+        mWriter = new ChunkWriter(exchange);
         mStream = stream;
         mOnEnd = onEnd;
     }
@@ -83,7 +71,7 @@
                     if (mEnded) {
                         return;
                     }
-                    if (mChannel != null) {
+                    if (mWriter.isStarted()) {
                         event("error", problem.json());
                         end(problem.code().httpStatus());
                         return;
@@ -91,7 +79,7 @@
                     mEnded = true;
                     int status = problem.code().httpStatus();
                     mOnEnd.accept(status);
-                    whole(status, "application/problem+json", problem.json());
+                    whole(status, Problem.CONTENT_TYPE, problem.json());
                 });
     }
 
@@ -109,70 +97,20 @@
     private void end(int status) {
         mEnded = true;
         mOnEnd.accept(status);
-        flush();
+        mWriter.end();
     }
 
     private void event(String name, ObjectNode json) {
-        if (mEnded || mLost) {
+        if (mEnded) {
             return;
         }
-        if (mChannel == null) {
+        if (!mWriter.isStarted()) {
             mExchange.setStatusCode(200);
             mExchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
             mExchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-store");
-            mChannel = mExchange.getResponseChannel();
         }
         String text = "event: " + name + "\ndata: " + json + "\n\n";
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        mPendingBytes += bytes.length;
-        if (mPendingBytes > MAX_PENDING_BYTES) {
-            lose();
-            return;
-        }
-        mPending.addLast(ByteBuffer.wrap(bytes));
-        flush();
-    }
-
-    private void flush() {
-        StreamSinkChannel channel = mChannel;
-        if (channel == null || mLost) {
-            return;
-        }
-        try {
-            for (ByteBuffer next = mPending.peekFirst();
-                    next != null;
-                    next = mPending.peekFirst()) {
-                int written = channel.write(next);
-                mPendingBytes -= written;
-                if (written == 0) {
-                    awaitWritable(channel);
-                    return;
-                }
-                if (!next.hasRemaining()) {
-                    mPending.removeFirst();
-                }
-            }
-            if (mEnded) {
-                mExchange.endExchange();
-            } else if (!channel.flush()) {
-                awaitWritable(channel);
-            } else {
-                channel.suspendWrites();
-            }
-        } catch (IOException e) {
-            lose();
-        }
-    }
-
-    private void awaitWritable(StreamSinkChannel channel) {
-        channel.getWriteSetter().set(sink -> flush());
-        channel.resumeWrites();
-    }
-
-    private void lose() {
-        mLost = true;
-        mPending.clear();
-        IoUtils.safeClose(mExchange.getConnection());
+        mWriter.write(text.getBytes(StandardCharsets.UTF_8));
     }
 
     private void onIoThread(Runnable task) {
--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/Problem.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/Problem.java
@@ -21,6 +21,9 @@
  */
 public record Problem(
         ErrorCode code, Verdict verdict, Advice advice, String detail, OptionalLong retryAfterMs) {
+    /** Media type of the body. */
+    public static final String CONTENT_TYPE = "application/problem+json";
+
     // Long enough for a burst to pass, short against a deadline of 5 s.
     private static final long RETRY_AFTER_MS = 200;
 
@@ -50,7 +53,8 @@
         };
     }
 
-    ObjectNode json() {
+    /** Returns the body. */
+    public ObjectNode json() {
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         String type = code.name().toLowerCase(Locale.ROOT).replace('_', '-');
         json.put("type", "urn:bulrushvale:problem:" + type);
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/ForwardServer.java
@@ -0,0 +1,234 @@
+package org.bulrushvale.adapters.forward;
+
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.io.Receiver;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.HttpContinueReadHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.bulrushvale.adapters.caller.Problem;
+import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.kernel.time.Clock;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * HTTP listeners of the forwarding entry: callers, readiness and metrics.
+ *
+ * <p>Invariant: a request reaches the port only after it was read completely and within the limits;
+ * every other request gets a typed answer. Thread safety: the public methods may be called from any
+ * thread.
+ */
+public final class ForwardServer implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int BACKLOG = 1024;
+
+    private final ForwardSettings mSettings;
+    private final XnioWorker mWorker;
+    private final ForwardPort mPort;
+    private final Clock mClock;
+    private final ByteBufferPool mBuffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+    private final List<AcceptingChannel<StreamConnection>> mAcceptors = new ArrayList<>();
+    private final AtomicInteger mRunning = new AtomicInteger();
+    private volatile boolean mDraining;
+
+    private ForwardServer(
+            ForwardSettings settings, XnioWorker worker, ForwardPort port, Clock clock) {
+        mSettings = settings;
+        mWorker = worker;
+        mPort = port;
+        mClock = clock;
+    }
+
+    /** Starts the listeners. */
+    public static ForwardServer start(
+            ForwardSettings settings,
+            XnioWorker worker,
+            ForwardPort port,
+            Supplier<String> metrics,
+            Clock clock)
+            throws BulrushvaleException {
+        ForwardServer server = new ForwardServer(settings, worker, port, clock);
+        ForwardSettings.Listeners listen = settings.listeners();
+        try {
+            server.listen(listen.ready(), server::onReady);
+            server.listen(listen.metrics(), exchange -> text(exchange, 200, metrics.get()));
+            server.listen(listen.callers(), new HttpContinueReadHandler(server::onRequest));
+        } catch (IOException e) {
+            server.close();
+            throw new BulrushvaleException(
+                    ErrorCode.INTERNAL, Verdict.NOT_RUN, "a listener cannot start: " + e);
+        }
+        return server;
+    }
+
+    private void listen(InetSocketAddress address, HttpHandler handler) throws IOException {
+        ForwardSettings.Limits limits = mSettings.limits();
+        OptionMap options =
+                OptionMap.builder()
+                        .set(UndertowOptions.MAX_HEADER_SIZE, 2 * limits.maxHeaderBytes())
+                        .set(UndertowOptions.MAX_ENTITY_SIZE, (long) limits.maxBodyBytes())
+                        .set(
+                                UndertowOptions.REQUEST_PARSE_TIMEOUT,
+                                (int) limits.readTimeout().toMillis())
+                        .set(
+                                UndertowOptions.NO_REQUEST_TIMEOUT,
+                                (int) limits.idleTimeout().toMillis())
+                        .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                        .set(UndertowOptions.DECODE_URL, false)
+                        .getMap();
+        OptionMap sockets =
+                OptionMap.builder()
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.BACKLOG, BACKLOG)
+                        .getMap();
+        HttpOpenListener listener = new HttpOpenListener(mBuffers, options);
+        listener.setRootHandler(handler);
+        AcceptingChannel<StreamConnection> acceptor =
+                mWorker.createStreamConnectionServer(
+                        address, ChannelListeners.openListenerAdapter(listener), sockets);
+        mAcceptors.add(acceptor);
+        acceptor.resumeAccepts();
+    }
+
+    /** Returns the addresses of the listeners: readiness, metrics, callers. */
+    public List<InetSocketAddress> addresses() {
+        return mAcceptors.stream()
+                .map(acceptor -> acceptor.getLocalAddress(InetSocketAddress.class))
+                .toList();
+    }
+
+    /** Returns the number of requests in progress. */
+    public int running() {
+        return mRunning.get();
+    }
+
+    /** Closes each connection after its next answer. */
+    public void drain() {
+        mDraining = true;
+    }
+
+    @Override
+    public void close() {
+        mAcceptors.forEach(IoUtils::safeClose);
+    }
+
+    private void onReady(HttpServerExchange exchange) {
+        String reason = mPort.notReadyReason();
+        text(exchange, reason.isEmpty() ? 200 : 503, reason.isEmpty() ? "ready\n" : reason + "\n");
+    }
+
+    private void onRequest(HttpServerExchange exchange) {
+        long arrived = mClock.monotonicNanos();
+        if (mDraining) {
+            exchange.setPersistent(false);
+        }
+        if (headerBytes(exchange) > mSettings.limits().maxHeaderBytes()) {
+            exchange.setPersistent(false);
+            refuse(exchange, ErrorCode.HEADERS_TOO_LARGE, "headers larger than the limit");
+            return;
+        }
+        if (mRunning.incrementAndGet() > mSettings.limits().maxConcurrent()) {
+            mRunning.decrementAndGet();
+            refuse(exchange, ErrorCode.OVERLOADED, "too many requests in progress");
+            return;
+        }
+        exchange.addExchangeCompleteListener(
+                (done, chain) -> {
+                    mRunning.decrementAndGet();
+                    chain.proceed();
+                });
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> receive(exchange, arrived));
+    }
+
+    private void receive(HttpServerExchange exchange, long arrived) {
+        XnioExecutor.Key timer =
+                exchange.getIoThread()
+                        .executeAfter(
+                                () -> slowSender(exchange),
+                                mSettings.limits().readTimeout().toMillis(),
+                                TimeUnit.MILLISECONDS);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (same, body) -> {
+                            timer.remove();
+                            // Undertow ends an exchange when the handler returns undispatched.
+                            same.dispatch(
+                                    SameThreadExecutor.INSTANCE,
+                                    () -> mPort.request(new CallerExchange(same, body, arrived)));
+                        },
+                        (same, error) -> {
+                            timer.remove();
+                            notReceived(same, error);
+                        });
+    }
+
+    private static void notReceived(HttpServerExchange exchange, IOException error) {
+        exchange.setPersistent(false);
+        boolean tooLarge =
+                error instanceof Receiver.RequestToLargeException
+                        || error instanceof io.undertow.server.RequestTooBigException;
+        refuse(
+                exchange,
+                tooLarge ? ErrorCode.BODY_TOO_LARGE : ErrorCode.MALFORMED_REQUEST,
+                tooLarge ? "body larger than the limit" : "body not received completely");
+    }
+
+    private static void slowSender(HttpServerExchange exchange) {
+        if (!exchange.isRequestComplete() && !exchange.isResponseStarted()) {
+            exchange.setPersistent(false);
+            refuse(exchange, ErrorCode.REQUEST_TIMEOUT, "body not received in time");
+            // Ending the exchange would wait for the rest of the body.
+            exchange.getIoThread()
+                    .executeAfter(
+                            () -> IoUtils.safeClose(exchange.getConnection()), 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void refuse(HttpServerExchange exchange, ErrorCode code, String detail) {
+        Problem problem = Problem.refusal(code, detail, false);
+        exchange.setStatusCode(code.httpStatus());
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, Problem.CONTENT_TYPE);
+        exchange.getResponseSender().send(problem.json().toString(), StandardCharsets.UTF_8);
+    }
+
+    private static void text(HttpServerExchange exchange, int status, String text) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; charset=utf-8");
+        exchange.getResponseSender().send(text);
+    }
+
+    private static long headerBytes(HttpServerExchange exchange) {
+        HeaderMap headers = exchange.getRequestHeaders();
+        long bytes = 0;
+        for (var values : headers) {
+            for (String value : values) {
+                bytes += values.getHeaderName().length() + value.length();
+            }
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -0,0 +1,294 @@
+package org.bulrushvale.adapters.forward;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.bulrushvale.adapters.backend.BackendFailure;
+import org.jspecify.annotations.Nullable;
+import org.xnio.ChannelExceptionHandler;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * One HTTP call.
+ *
+ * <p>Invariant: the listener is told at most one end, none after a cancel; a connection is used
+ * again only after the whole request was written and the whole answer was read. Thread safety: used
+ * on the I/O thread only.
+ */
+final class UpstreamCall {
+    // Servers state their idle time-out in whole seconds; half of the shortest is used without one.
+    private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(2);
+    private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(600);
+
+    private final UpstreamCalls mCalls;
+    private final HttpCalls.Request mRequest;
+    private final HttpCalls.Listener mListener;
+    private final String mAddress;
+    private final ByteBuffer mBody;
+    private @Nullable ClientConnection mConnection;
+    private XnioExecutor.@Nullable Key mTimer;
+    private long mLastProgress;
+    private boolean mEnded;
+    private boolean mSent;
+    private boolean mWritten;
+    private boolean mHeadSeen;
+    private long mKeepAliveNanos = DEFAULT_KEEP_ALIVE.toNanos();
+
+    UpstreamCall(UpstreamCalls calls, HttpCalls.Request request, HttpCalls.Listener listener) {
+        mCalls = calls;
+        mRequest = request;
+        mListener = listener;
+        mAddress = request.host() + ":" + request.port();
+        mBody = ByteBuffer.wrap(request.body());
+    }
+
+    void start() {
+        if (mEnded) {
+            return;
+        }
+        ClientConnection idle = mCalls.idle().take(mAddress, System.nanoTime());
+        if (idle != null) {
+            send(idle);
+            return;
+        }
+        mTimer =
+                mCalls.thread()
+                        .executeAfter(
+                                () -> fail(BackendFailure.CONNECT, "connection timed out"),
+                                mCalls.connectTimeout().toMillis(),
+                                TimeUnit.MILLISECONDS);
+        UndertowClient.getInstance()
+                .connect(
+                        new ClientCallback<ClientConnection>() {
+                            @Override
+                            public void completed(ClientConnection connection) {
+                                mCalls.thread().execute(() -> connected(connection));
+                            }
+
+                            @Override
+                            public void failed(IOException e) {
+                                mCalls.thread()
+                                        .execute(
+                                                () ->
+                                                        fail(
+                                                                BackendFailure.CONNECT,
+                                                                "connection failed"));
+                            }
+                        },
+                        URI.create("http://" + mAddress),
+                        mCalls.thread(),
+                        mCalls.buffers(),
+                        UpstreamCalls.SOCKETS);
+    }
+
+    void cancel() {
+        mEnded = true;
+        stopTimer();
+        IoUtils.safeClose(mConnection);
+    }
+
+    private void connected(ClientConnection connection) {
+        stopTimer();
+        if (mEnded) {
+            mCalls.idle().put(mAddress, connection, System.nanoTime() + mKeepAliveNanos);
+            return;
+        }
+        send(connection);
+    }
+
+    private void send(ClientConnection connection) {
+        mConnection = connection;
+        mLastProgress = System.nanoTime();
+        watchProgress(mRequest.silence().toNanos());
+        ClientRequest request =
+                new ClientRequest().setMethod(mRequest.method()).setPath(mRequest.target());
+        for (var header : mRequest.headers()) {
+            request.getRequestHeaders().addAll(header.getHeaderName(), header);
+        }
+        mSent = true;
+        connection.sendRequest(
+                request,
+                new ClientCallback<ClientExchange>() {
+                    @Override
+                    public void completed(ClientExchange exchange) {
+                        exchange.setResponseListener(responseListener());
+                        writeBody(exchange.getRequestChannel());
+                    }
+
+                    @Override
+                    public void failed(IOException e) {
+                        fail(BackendFailure.RESET, "request could not be written");
+                    }
+                });
+    }
+
+    private ClientCallback<ClientExchange> responseListener() {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                onHead(exchange);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                fail(BackendFailure.RESET, "connection lost before an answer");
+            }
+        };
+    }
+
+    private void writeBody(StreamSinkChannel channel) {
+        try {
+            while (mBody.hasRemaining()) {
+                if (channel.write(mBody) == 0) {
+                    channel.getWriteSetter().set(this::writeBody);
+                    channel.resumeWrites();
+                    return;
+                }
+            }
+            channel.shutdownWrites();
+            if (channel.flush()) {
+                mWritten = true;
+                return;
+            }
+            ChannelExceptionHandler<StreamSinkChannel> onError =
+                    (failed, e) -> fail(BackendFailure.RESET, "request not written completely");
+            channel.getWriteSetter()
+                    .set(
+                            ChannelListeners.flushingChannelListener(
+                                    flushed -> mWritten = true, onError));
+            channel.resumeWrites();
+        } catch (IOException e) {
+            fail(BackendFailure.RESET, "request not written completely");
+        }
+    }
+
+    private void onHead(ClientExchange exchange) {
+        if (mEnded) {
+            return;
+        }
+        mHeadSeen = true;
+        mLastProgress = System.nanoTime();
+        ClientResponse response = exchange.getResponse();
+        readKeepAlive(response.getResponseHeaders());
+        if (!mListener.head(response.getResponseCode(), response.getResponseHeaders())) {
+            fail(BackendFailure.MALFORMED, "answer refused");
+            return;
+        }
+        read(exchange.getResponseChannel());
+    }
+
+    private void readKeepAlive(HeaderMap headers) {
+        String connection = headers.getFirst(Headers.CONNECTION);
+        if (connection != null && connection.toLowerCase(java.util.Locale.ROOT).contains("close")) {
+            mKeepAliveNanos = 0;
+            return;
+        }
+        String value = headers.getFirst(Headers.KEEP_ALIVE);
+        int at = value == null ? -1 : value.indexOf("timeout=");
+        if (value == null || at < 0) {
+            return;
+        }
+        String seconds = value.substring(at + "timeout=".length()).split("[,; ]", 2)[0];
+        try {
+            mKeepAliveNanos =
+                    Duration.ofSeconds(Long.parseLong(seconds)).minus(KEEP_ALIVE_MARGIN).toNanos();
+        } catch (NumberFormatException e) {
+            mKeepAliveNanos = 0;
+        }
+    }
+
+    private void read(StreamSourceChannel channel) {
+        try (PooledByteBuffer pooled = mCalls.buffers().allocate()) {
+            ByteBuffer buffer = pooled.getBuffer();
+            while (!mEnded) {
+                buffer.clear();
+                int count = channel.read(buffer);
+                if (count < 0) {
+                    finish();
+                    return;
+                }
+                if (count == 0) {
+                    channel.getReadSetter().set(this::read);
+                    channel.resumeReads();
+                    return;
+                }
+                mLastProgress = System.nanoTime();
+                byte[] bytes = new byte[count];
+                buffer.flip().get(bytes);
+                if (!mListener.body(bytes)) {
+                    fail(BackendFailure.MALFORMED, "answer refused");
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            fail(BackendFailure.CUT, "answer ended early");
+        }
+    }
+
+    private void finish() {
+        mEnded = true;
+        stopTimer();
+        ClientConnection connection = mConnection;
+        if (connection != null) {
+            if (mWritten && mKeepAliveNanos > 0 && connection.isOpen()) {
+                long until = System.nanoTime() + mKeepAliveNanos;
+                mCalls.idle().put(mAddress, connection, until);
+            } else {
+                IoUtils.safeClose(connection);
+            }
+        }
+        mListener.end();
+    }
+
+    private void fail(BackendFailure failure, String detail) {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        stopTimer();
+        IoUtils.safeClose(mConnection);
+        BackendFailure seen =
+                failure == BackendFailure.RESET && mHeadSeen ? BackendFailure.CUT : failure;
+        mListener.failed(mSent, seen, detail);
+    }
+
+    private void stopTimer() {
+        XnioExecutor.Key timer = mTimer;
+        mTimer = null;
+        if (timer != null) {
+            timer.remove();
+        }
+    }
+
+    private void watchProgress(long delayNanos) {
+        mTimer =
+                mCalls.thread()
+                        .executeAfter(
+                                () -> {
+                                    long idle = System.nanoTime() - mLastProgress;
+                                    long left = mRequest.silence().toNanos() - idle;
+                                    if (left <= 0) {
+                                        fail(BackendFailure.SILENT, "no byte in time");
+                                    } else if (!mEnded) {
+                                        watchProgress(left);
+                                    }
+                                },
+                                delayNanos,
+                                TimeUnit.NANOSECONDS);
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCalls.java
@@ -0,0 +1,70 @@
+package org.bulrushvale.adapters.forward;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * HTTP calls through Undertow's client on one I/O thread.
+ *
+ * <p>Thread safety: safe for use by any thread.
+ */
+public final class UpstreamCalls implements HttpCalls {
+    static final OptionMap SOCKETS = OptionMap.create(Options.TCP_NODELAY, true);
+
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final Duration SWEEP = Duration.ofSeconds(1);
+
+    private final XnioIoThread mThread;
+    private final ByteBufferPool mBuffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+    private final IdleConnections mIdle = new IdleConnections();
+    private final Duration mConnectTimeout;
+
+    private UpstreamCalls(XnioWorker worker, Duration connectTimeout) {
+        mThread = worker.getIoThread();
+        mConnectTimeout = connectTimeout;
+    }
+
+    /** Returns calls on the worker's I/O thread. */
+    public static UpstreamCalls on(XnioWorker worker, Duration connectTimeout) {
+        UpstreamCalls calls = new UpstreamCalls(worker, connectTimeout);
+        calls.mThread.executeAtInterval(
+                () -> calls.mIdle.closeExpired(System.nanoTime()),
+                SWEEP.toMillis(),
+                TimeUnit.MILLISECONDS);
+        return calls;
+    }
+
+    @Override
+    public Call start(Request request, Listener listener) {
+        UpstreamCall call = new UpstreamCall(this, request, listener);
+        mThread.execute(call::start);
+        return () -> mThread.execute(call::cancel);
+    }
+
+    @Override
+    public void after(Duration delay, Runnable task) {
+        mThread.executeAfter(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    XnioIoThread thread() {
+        return mThread;
+    }
+
+    ByteBufferPool buffers() {
+        return mBuffers;
+    }
+
+    IdleConnections idle() {
+        return mIdle;
+    }
+
+    Duration connectTimeout() {
+        return mConnectTimeout;
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
@@ -0,0 +1,177 @@
+package org.bulrushvale.adapters.settings;
+
+import static org.bulrushvale.adapters.settings.SettingKey.optional;
+import static org.bulrushvale.adapters.settings.SettingKey.required;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Checked settings of the forwarding entry.
+ *
+ * <pre>{@code
+ * ForwardSettings.Result result = ForwardSettings.check(Files.readString(path));
+ * result.faults().forEach(System.err::println);
+ * }</pre>
+ *
+ * <p>Thread safety: immutable.
+ */
+public record ForwardSettings(
+        Entry entry, Listeners listeners, Fleet fleet, Limits limits, Drain drain, Log log) {
+    private static final SettingKey.Rule MILLIS = SettingKey.range(1, 600_000);
+    private static final List<SettingKey> KEYS =
+            List.of(
+                    required("entry", "vm", SettingKey.identifier()),
+                    required("entry", "failure_domain", SettingKey.identifier()),
+                    required("entry", "region", SettingKey.identifier()),
+                    required("listen", "callers", SettingKey.endpoint()),
+                    required("listen", "ready", SettingKey.endpoint()),
+                    required("listen", "peers", SettingKey.endpoint()),
+                    required("listen", "metrics", SettingKey.endpoint()),
+                    required("fleet", "name", SettingKey.identifier()),
+                    SettingKey.secret("fleet", "secret"),
+                    optional("fleet", "seeds", "", SettingKey.endpointList()),
+                    required("store", "address", SettingKey.endpoint()),
+                    optional("store", "lapse_ms", "1800", MILLIS),
+                    optional("limits", "max_header_bytes", "16384", SettingKey.range(512, 65_536)),
+                    optional("limits", "max_body_bytes", "4194304", SettingKey.range(1, 64 << 20)),
+                    optional("limits", "read_timeout_ms", "10000", MILLIS),
+                    optional("limits", "idle_timeout_ms", "60000", MILLIS),
+                    optional("limits", "connect_timeout_ms", "400", MILLIS),
+                    optional("limits", "max_concurrent", "1500", SettingKey.range(1, 65_536)),
+                    optional("limits", "repeat_ratio", "0.2", SettingKey.decimal(0, 1)),
+                    optional("limits", "repeat_slack", "50", SettingKey.range(0, 100_000)),
+                    optional("limits", "repeat_window_s", "10", SettingKey.range(1, 600)),
+                    optional("drain", "unready_ms", "2600", MILLIS),
+                    optional("drain", "grace_ms", "8000", MILLIS),
+                    optional(
+                            "log",
+                            "level",
+                            "INFO",
+                            SettingKey.oneOf("ERROR", "WARN", "INFO", "DEBUG")),
+                    optional("log", "lines_per_second", "200", SettingKey.range(1, 100_000)));
+
+    /** Checks the text of a settings file. */
+    public static Result check(String text) {
+        SettingsTable table = SettingsTable.read(text, KEYS);
+        return table.faults().isEmpty()
+                ? new Result(Optional.of(build(table)), List.of())
+                : new Result(Optional.empty(), table.faults());
+    }
+
+    private static ForwardSettings build(SettingsTable values) {
+        return new ForwardSettings(
+                new Entry(
+                        values.text("entry", "vm"),
+                        values.text("entry", "failure_domain"),
+                        values.text("entry", "region")),
+                new Listeners(
+                        values.endpoint("listen", "callers"),
+                        values.endpoint("listen", "ready"),
+                        values.endpoint("listen", "peers"),
+                        values.endpoint("listen", "metrics")),
+                new Fleet(
+                        values.text("fleet", "name"),
+                        values.text("fleet", "secret"),
+                        values.endpoints("fleet", "seeds"),
+                        values.endpoint("store", "address"),
+                        values.millis("store", "lapse_ms")),
+                new Limits(
+                        values.number("limits", "max_header_bytes"),
+                        values.number("limits", "max_body_bytes"),
+                        values.millis("limits", "read_timeout_ms"),
+                        values.millis("limits", "idle_timeout_ms"),
+                        values.millis("limits", "connect_timeout_ms"),
+                        values.number("limits", "max_concurrent"),
+                        values.decimal("limits", "repeat_ratio"),
+                        values.number("limits", "repeat_slack"),
+                        Duration.ofSeconds(values.number("limits", "repeat_window_s"))),
+                new Drain(values.millis("drain", "unready_ms"), values.millis("drain", "grace_ms")),
+                new Log(values.text("log", "level"), values.number("log", "lines_per_second")));
+    }
+
+    /**
+     * Outcome of a check.
+     *
+     * <p>Invariant: settings are present only when there is no fault. Thread safety: immutable.
+     */
+    public record Result(Optional<ForwardSettings> settings, List<SettingsFault> faults) {
+        public Result {
+            faults = List.copyOf(faults);
+        }
+    }
+
+    /**
+     * Where the process runs.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Entry(String vm, String failureDomain, String region) {}
+
+    /**
+     * Addresses that the process listens on.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Listeners(
+            InetSocketAddress callers,
+            InetSocketAddress ready,
+            InetSocketAddress peers,
+            InetSocketAddress metrics) {}
+
+    /**
+     * The fleet and the store with the published state.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param seeds addresses of members that may be stale or down
+     * @param lapse time for which servers that vanished during an outage of the store are kept
+     */
+    public record Fleet(
+            String name,
+            String secret,
+            List<InetSocketAddress> seeds,
+            InetSocketAddress store,
+            Duration lapse) {
+        public Fleet {
+            seeds = List.copyOf(seeds);
+        }
+    }
+
+    /**
+     * Limits of one process.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Limits(
+            int maxHeaderBytes,
+            int maxBodyBytes,
+            Duration readTimeout,
+            Duration idleTimeout,
+            Duration connectTimeout,
+            int maxConcurrent,
+            double repeatRatio,
+            int repeatSlack,
+            Duration repeatWindow) {}
+
+    /**
+     * Graceful shutdown.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param unready time after which the balancer sends nothing new to an unready entry
+     * @param grace time after which the process is killed
+     */
+    public record Drain(Duration unready, Duration grace) {}
+
+    /**
+     * Log output.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param linesPerSecond most lines a second; what exceeds it is counted and left out
+     */
+    public record Log(String level, int linesPerSecond) {}
+}
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingKey.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingKey.java
@@ -90,14 +90,14 @@
 
     static Rule addressList() {
         return value ->
-                SettingsCheck.splitList(value).stream().allMatch(SettingKey::isAddress)
+                SettingsTable.splitList(value).stream().allMatch(SettingKey::isAddress)
                         ? Optional.empty()
                         : Optional.of("must be IP addresses separated by commas");
     }
 
     static Rule endpointList() {
         return value ->
-                SettingsCheck.splitList(value).stream().allMatch(SettingKey::isEndpoint)
+                SettingsTable.splitList(value).stream().allMatch(SettingKey::isEndpoint)
                         ? Optional.empty()
                         : Optional.of("must be address:port pairs separated by commas");
     }
@@ -114,6 +114,24 @@
         };
     }
 
+    static Rule endpoint() {
+        return value ->
+                isEndpoint(value) ? Optional.empty() : Optional.of("must be an address:port pair");
+    }
+
+    static Rule decimal(double min, double max) {
+        return value -> {
+            try {
+                double number = Double.parseDouble(value);
+                return number >= min && number <= max
+                        ? Optional.empty()
+                        : Optional.of("must be between " + min + " and " + max);
+            } catch (NumberFormatException e) {
+                return Optional.of("must be a number");
+            }
+        };
+    }
+
     private static Optional<String> refuseSecret(String value) {
         return value.length() >= MIN_SECRET_LENGTH
                 ? Optional.empty()
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsCheck.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsCheck.java
@@ -3,20 +3,9 @@
 import static org.bulrushvale.adapters.settings.SettingKey.optional;
 import static org.bulrushvale.adapters.settings.SettingKey.required;
 
-import java.io.IOException;
-import java.io.StringReader;
 import java.net.URI;
-import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Stream;
-import org.apache.commons.configuration2.INIConfiguration;
-import org.apache.commons.configuration2.SubnodeConfiguration;
-import org.apache.commons.configuration2.ex.ConfigurationException;
 import org.bulrushvale.adapters.settings.EntrySettings.Backend;
 import org.bulrushvale.adapters.settings.EntrySettings.Caller;
 import org.bulrushvale.adapters.settings.EntrySettings.Drain;
@@ -108,89 +97,13 @@
 
     /** Checks the text of a settings file. */
     public static Result check(String text) {
-        INIConfiguration ini = new INIConfiguration();
-        try {
-            ini.read(new StringReader(text));
-        } catch (ConfigurationException | IOException e) {
-            String reason = "not an INI file: " + e.getMessage();
-            return new Result(Optional.empty(), List.of(new SettingsFault("", "", "", reason)));
-        }
-        List<SettingsFault> faults = new ArrayList<>();
-        Map<SettingKey, String> values = new HashMap<>();
-        for (String section : ini.getSections()) {
-            readSection(section, ini.getSection(section), values, faults);
-        }
-        for (SettingKey key : KEYS) {
-            checkValue(key, values, faults);
-        }
-        return faults.isEmpty()
-                ? new Result(Optional.of(build(new Values(values))), List.of())
-                : new Result(Optional.empty(), faults);
-    }
-
-    static List<String> splitList(String value) {
-        return Stream.of(value.split(",", -1))
-                .map(String::trim)
-                .filter(item -> !item.isEmpty())
-                .toList();
-    }
-
-    private static void readSection(
-            String section,
-            SubnodeConfiguration content,
-            Map<SettingKey, String> values,
-            List<SettingsFault> faults) {
-        String name = section == null ? "" : section;
-        if (KEYS.stream().noneMatch(key -> key.section().equals(name))) {
-            faults.add(SettingsFault.unknownSection(name));
-            return;
-        }
-        for (Iterator<String> keys = content.getKeys(); keys.hasNext(); ) {
-            String keyName = keys.next();
-            Optional<SettingKey> key = find(name, keyName);
-            if (key.isEmpty()) {
-                faults.add(SettingsFault.unknownKey(name, keyName));
-                continue;
-            }
-            Object value = content.getProperty(keyName);
-            if (value instanceof String single) {
-                values.put(key.get(), single.trim());
-            } else {
-                faults.add(SettingsFault.of(key.get(), String.valueOf(value), "given twice"));
-            }
-        }
-    }
-
-    private static Optional<SettingKey> find(String section, String name) {
-        return KEYS.stream()
-                .filter(key -> key.section().equals(section) && key.name().equals(name))
-                .findFirst();
-    }
-
-    private static void checkValue(
-            SettingKey key, Map<SettingKey, String> values, List<SettingsFault> faults) {
-        String value = values.getOrDefault(key, "");
-        if (value.isEmpty() && key.defaultValue() != null) {
-            values.put(key, key.defaultValue());
-            return;
-        }
-        boolean duplicate =
-                faults.stream()
-                        .anyMatch(
-                                fault ->
-                                        fault.section().equals(key.section())
-                                                && fault.key().equals(key.name()));
-        if (duplicate) {
-            return;
-        }
-        if (value.isEmpty()) {
-            faults.add(SettingsFault.of(key, "", "missing"));
-            return;
-        }
-        key.rule().refuse(value).ifPresent(r -> faults.add(SettingsFault.of(key, value, r)));
+        SettingsTable table = SettingsTable.read(text, KEYS);
+        return table.faults().isEmpty()
+                ? new Result(Optional.of(build(table)), List.of())
+                : new Result(Optional.empty(), table.faults());
     }
 
-    private static EntrySettings build(Values values) {
+    private static EntrySettings build(SettingsTable values) {
         return new EntrySettings(
                 new Entry(
                         values.text("entry", "vm"),
@@ -209,12 +122,12 @@
                 new Operator(
                         values.text("operator", "address"),
                         values.number("operator", "port"),
-                        splitList(values.text("operator", "allowed_addresses"))),
+                        SettingsTable.splitList(values.text("operator", "allowed_addresses"))),
                 new Peer(
                         values.text("peer", "address"),
                         values.number("peer", "port"),
                         values.text("peer", "secret"),
-                        splitList(values.text("peer", "peers"))),
+                        SettingsTable.splitList(values.text("peer", "peers"))),
                 new Platform(
                         URI.create(values.text("platform", "config_url")),
                         URI.create(values.text("platform", "vms_url"))),
@@ -235,30 +148,11 @@
                 warmup(values));
     }
 
-    private static Warmup warmup(Values values) {
+    private static Warmup warmup(SettingsTable values) {
         return new Warmup(
                 values.millis("warmup", "list_lag_max_ms"),
                 values.millis("warmup", "longest_deadline_ms"),
                 values.millis("warmup", "view_age_max_ms"),
                 values.millis("warmup", "report_age_max_ms"));
     }
-
-    /**
-     * Typed access to checked values.
-     *
-     * <p>Invariant: holds a value for every key. Thread safety: immutable.
-     */
-    private record Values(Map<SettingKey, String> map) {
-        String text(String section, String name) {
-            return map.getOrDefault(find(section, name).orElseThrow(), "");
-        }
-
-        int number(String section, String name) {
-            return Integer.parseInt(text(section, name));
-        }
-
-        Duration millis(String section, String name) {
-            return Duration.ofMillis(Long.parseLong(text(section, name)));
-        }
-    }
 }
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsTable.java
@@ -0,0 +1,141 @@
+package org.bulrushvale.adapters.settings;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+
+/**
+ * The values of a settings file, checked against a list of keys.
+ *
+ * <p>Invariant: without faults there is a value for every key. Values are taken literally, with no
+ * variable substitution. Thread safety: immutable after {@link #read}.
+ */
+final class SettingsTable {
+    private final List<SettingKey> mKeys;
+    private final Map<SettingKey, String> mValues = new HashMap<>();
+    private final List<SettingsFault> mFaults = new ArrayList<>();
+
+    private SettingsTable(List<SettingKey> keys) {
+        mKeys = keys;
+    }
+
+    /** Reads the text of a settings file and reports every fault at once. */
+    static SettingsTable read(String text, List<SettingKey> keys) {
+        SettingsTable table = new SettingsTable(keys);
+        INIConfiguration ini = new INIConfiguration();
+        try {
+            ini.read(new StringReader(text));
+        } catch (ConfigurationException | IOException e) {
+            String reason = "not an INI file: " + e.getMessage();
+            table.mFaults.add(new SettingsFault("", "", "", reason));
+            return table;
+        }
+        for (String section : ini.getSections()) {
+            table.readSection(section, ini.getSection(section));
+        }
+        keys.forEach(table::checkValue);
+        return table;
+    }
+
+    List<SettingsFault> faults() {
+        return List.copyOf(mFaults);
+    }
+
+    static List<String> splitList(String value) {
+        return Stream.of(value.split(",", -1))
+                .map(String::trim)
+                .filter(item -> !item.isEmpty())
+                .toList();
+    }
+
+    private void readSection(String section, SubnodeConfiguration content) {
+        String name = section == null ? "" : section;
+        if (mKeys.stream().noneMatch(key -> key.section().equals(name))) {
+            mFaults.add(SettingsFault.unknownSection(name));
+            return;
+        }
+        for (Iterator<String> keys = content.getKeys(); keys.hasNext(); ) {
+            String keyName = keys.next();
+            Optional<SettingKey> key = find(name, keyName);
+            if (key.isEmpty()) {
+                mFaults.add(SettingsFault.unknownKey(name, keyName));
+                continue;
+            }
+            Object value = content.getProperty(keyName);
+            if (value instanceof String single) {
+                mValues.put(key.get(), single.trim());
+            } else {
+                mFaults.add(SettingsFault.of(key.get(), String.valueOf(value), "given twice"));
+            }
+        }
+    }
+
+    private Optional<SettingKey> find(String section, String name) {
+        return mKeys.stream()
+                .filter(key -> key.section().equals(section) && key.name().equals(name))
+                .findFirst();
+    }
+
+    private void checkValue(SettingKey key) {
+        String value = mValues.getOrDefault(key, "");
+        if (value.isEmpty() && key.defaultValue() != null) {
+            mValues.put(key, key.defaultValue());
+            return;
+        }
+        boolean duplicate =
+                mFaults.stream()
+                        .anyMatch(
+                                fault ->
+                                        fault.section().equals(key.section())
+                                                && fault.key().equals(key.name()));
+        if (duplicate) {
+            return;
+        }
+        if (value.isEmpty()) {
+            mFaults.add(SettingsFault.of(key, "", "missing"));
+            return;
+        }
+        key.rule().refuse(value).ifPresent(r -> mFaults.add(SettingsFault.of(key, value, r)));
+    }
+
+    String text(String section, String name) {
+        return mValues.getOrDefault(find(section, name).orElseThrow(), "");
+    }
+
+    int number(String section, String name) {
+        return Integer.parseInt(text(section, name));
+    }
+
+    double decimal(String section, String name) {
+        return Double.parseDouble(text(section, name));
+    }
+
+    Duration millis(String section, String name) {
+        return Duration.ofMillis(Long.parseLong(text(section, name)));
+    }
+
+    InetSocketAddress endpoint(String section, String name) {
+        return endpoint(text(section, name));
+    }
+
+    List<InetSocketAddress> endpoints(String section, String name) {
+        return splitList(text(section, name)).stream().map(SettingsTable::endpoint).toList();
+    }
+
+    private static InetSocketAddress endpoint(String value) {
+        int colon = value.lastIndexOf(':');
+        return new InetSocketAddress(
+                value.substring(0, colon), Integer.parseInt(value.substring(colon + 1)));
+    }
+}
--- a/daemon/src/main/java/org/bulrushvale/daemon/LogSetup.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/LogSetup.java
@@ -14,7 +14,7 @@
  * <p>Invariant: one handler writes to standard output; records of a request carry their fields.
  * Thread safety: called once by the main thread before any other class logs.
  */
-final class LogSetup {
+public final class LogSetup {
     private static final String PATTERN =
             "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5p [%c{1}] %X{request} %X{workspace} %X{class} "
                     + "%X{stage} %X{attempt} %X{verdict} %s%e%n";
@@ -22,16 +22,21 @@
     private LogSetup() {}
 
     /** Selects the log manager; must run before the first logger is created. */
-    static void selectManager() {
+    public static void selectManager() {
         System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
         System.setProperty("org.jboss.logging.provider", "jboss");
     }
 
     static void configure(EntrySettings.Log settings) {
+        configure(settings.json(), settings.level());
+    }
+
+    /** Writes records of the level and above, as JSON or as text. */
+    public static void configure(boolean json, String level) {
         ConsoleHandler handler =
                 new ConsoleHandler(
                         ConsoleHandler.Target.SYSTEM_OUT,
-                        settings.json() ? new JsonFormatter() : new PatternFormatter(PATTERN));
+                        json ? new JsonFormatter() : new PatternFormatter(PATTERN));
         handler.setLevel(Level.ALL);
         handler.setAutoFlush(true);
         Logger root = Logger.getLogger("");
@@ -39,7 +44,7 @@
             root.removeHandler(old);
         }
         root.addHandler(handler);
-        root.setLevel(level(settings.level()));
+        root.setLevel(level(level));
         Logger.getLogger("org.xnio").setLevel(Level.WARNING);
         Logger.getLogger("io.undertow").setLevel(Level.WARNING);
     }
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/Answers.java
@@ -0,0 +1,44 @@
+package org.bulrushvale.daemon.forward;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.bulrushvale.adapters.caller.Problem;
+import org.bulrushvale.adapters.forward.CallerExchange;
+import org.bulrushvale.adapters.forward.ForwardProtocol;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+
+/**
+ * Answers of the entry's own.
+ *
+ * <p>Thread safety: stateless.
+ */
+final class Answers {
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
+    private Answers() {}
+
+    /** Answers with a problem body. */
+    static void problem(
+            CallerExchange caller,
+            ForwardProtocol protocol,
+            String requestId,
+            ErrorCode code,
+            Verdict verdict,
+            String detail) {
+        Problem problem = Problem.failure(code, verdict, code.defaultAdvice(), detail);
+        HeaderMap headers = new HeaderMap();
+        headers.put(Headers.CONTENT_TYPE, Problem.CONTENT_TYPE);
+        protocol.echo(requestId, headers);
+        problem.retryAfterMs()
+                .ifPresent(millis -> headers.put(Headers.RETRY_AFTER, seconds(millis)));
+        byte[] body = problem.json().toString().getBytes(StandardCharsets.UTF_8);
+        caller.answer(code.httpStatus(), headers, body);
+    }
+
+    private static String seconds(long millis) {
+        return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -0,0 +1,200 @@
+package org.bulrushvale.daemon.forward;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.ServiceLoader;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.bulrushvale.adapters.forward.ForwardProtocol;
+import org.bulrushvale.adapters.forward.ForwardServer;
+import org.bulrushvale.adapters.forward.PublishedSource;
+import org.bulrushvale.adapters.forward.UpstreamCalls;
+import org.bulrushvale.adapters.metrics.EntryMetrics;
+import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.daemon.forward.ForwardServices.ForwardReports;
+import org.bulrushvale.decision.forward.ColdLimit;
+import org.bulrushvale.decision.forward.RepeatBudget;
+import org.bulrushvale.decision.forward.ServerChoice;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.time.Clock;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * One forwarding entry: event loop, sockets, published state and requests.
+ *
+ * <p>Invariant: several daemons in one process share no state. Thread safety: {@link #drain} may be
+ * called from any thread; {@link #close} is called once.
+ */
+public final class ForwardDaemon implements AutoCloseable {
+    private static final int RING_SLOTS = 8_192;
+
+    // Calls that wait for memory or for a server that was busy are looked at again this often.
+    private static final Duration STAGE_TICK = Duration.ofMillis(100);
+    private static final Duration DRAIN_TICK = Duration.ofMillis(50);
+
+    // The last part of the grace time is left for closing down.
+    private static final Duration DRAIN_MARGIN = Duration.ofMillis(500);
+
+    private final ForwardSettings mSettings;
+    private final Clock mClock = Clock.system();
+    private final EventLoop mLoop = EventLoop.start("forward", RING_SLOTS);
+    private final DecisionLog mLog;
+    private final XnioWorker mWorker;
+    private final Published mPublished;
+    private final PublishedSource mSource;
+    private final ForwardCore mCore;
+    private final StageDesks mDesks;
+    private final ForwardServer mServer;
+    private final CountDownLatch mDrained = new CountDownLatch(1);
+    private long mDrainStarted;
+
+    private ForwardDaemon(ForwardSettings settings) throws BulrushvaleException {
+        mSettings = settings;
+        mLog =
+                new DecisionLog(
+                        mClock, System.out, settings.entry().vm(), settings.log().linesPerSecond());
+        mWorker = worker();
+        EntryMetrics metrics = new EntryMetrics();
+        ForwardProtocol protocol = only(ForwardProtocol.class);
+        mSource = only(PublishedSource.class);
+        UpstreamCalls calls = UpstreamCalls.on(mWorker, settings.limits().connectTimeout());
+        mPublished =
+                new Published(mLoop, mClock, settings.fleet().lapse(), mLog, this::onPublished);
+        ColdLimit cold = new ColdLimit(mClock, this::entries);
+        ForwardServices services =
+                new ForwardServices(
+                        mLoop,
+                        mClock,
+                        calls,
+                        protocol,
+                        mPublished,
+                        new ServerChoice(mClock, cold),
+                        cold,
+                        new RepeatBudget(
+                                mClock,
+                                settings.limits().repeatRatio(),
+                                settings.limits().repeatSlack(),
+                                settings.limits().repeatWindow(),
+                                this::entries),
+                        new ForwardReports(mLog, metrics));
+        mDesks = new StageDesks(services);
+        mCore = new ForwardCore(services, mDesks);
+        mServer = ForwardServer.start(settings, mWorker, mCore, metrics::scrape, mClock);
+        mLoop.scheduleEvery(STAGE_TICK, mDesks::dispatch);
+        mSource.start(settings.fleet().store(), calls, mPublished);
+    }
+
+    /** Starts a daemon; it reports ready once the published state was read. */
+    public static ForwardDaemon start(ForwardSettings settings) throws BulrushvaleException {
+        ForwardDaemon daemon = new ForwardDaemon(settings);
+        daemon.mLog
+                .line("start")
+                .with("failure_domain", settings.entry().failureDomain())
+                .with("callers", settings.listeners().callers().toString())
+                .writeAlways();
+        return daemon;
+    }
+
+    private int entries() {
+        return 1;
+    }
+
+    private void onPublished() {
+        mCore.publishedChanged();
+        mDesks.dispatch();
+    }
+
+    private static <T> T only(Class<T> type) throws BulrushvaleException {
+        List<ServiceLoader.Provider<T>> found = ServiceLoader.load(type).stream().toList();
+        if (found.size() != 1) {
+            throw new BulrushvaleException(
+                    ErrorCode.INTERNAL,
+                    Verdict.NOT_RUN,
+                    "expected one platform adapter for "
+                            + type.getSimpleName()
+                            + ", found "
+                            + found.size());
+        }
+        return found.get(0).get();
+    }
+
+    private static XnioWorker worker() throws BulrushvaleException {
+        OptionMap threads =
+                OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.THREAD_DAEMON, true)
+                        .set(Options.WORKER_NAME, "forward")
+                        .getMap();
+        try {
+            return Xnio.getInstance(ForwardDaemon.class.getClassLoader()).createWorker(threads);
+        } catch (IOException e) {
+            throw new BulrushvaleException(
+                    ErrorCode.INTERNAL, Verdict.NOT_RUN, "no I/O thread: " + e.getMessage());
+        }
+    }
+
+    /** Returns the addresses of the listeners: readiness, metrics, callers. */
+    public List<InetSocketAddress> addresses() {
+        return mServer.addresses();
+    }
+
+    /** Starts a graceful shutdown: not ready, then the requests in progress, then the end. */
+    public void drain() {
+        mLoop.execute(
+                () -> {
+                    mLog.line("stop").with("running", mCore.running()).writeAlways();
+                    mDrainStarted = mClock.monotonicNanos();
+                    mCore.drain();
+                    mServer.drain();
+                    mLoop.scheduleEvery(DRAIN_TICK, this::checkDrained);
+                });
+    }
+
+    private void checkDrained() {
+        Duration elapsed = mClock.elapsedSince(mDrainStarted);
+        ForwardSettings.Drain limits = mSettings.drain();
+        boolean idle =
+                elapsed.compareTo(limits.unready()) >= 0
+                        && mCore.running() == 0
+                        && mServer.running() == 0;
+        if (idle || elapsed.compareTo(limits.grace().minus(DRAIN_MARGIN)) >= 0) {
+            mDrained.countDown();
+        }
+    }
+
+    /** Waits until a graceful shutdown has ended. */
+    public void awaitDrained() throws InterruptedException {
+        mDrained.await();
+    }
+
+    /** Waits until a graceful shutdown has ended, at most for the grace time. */
+    void awaitDrainedWithinGrace() throws InterruptedException {
+        boolean drained =
+                mDrained.await(mSettings.drain().grace().toMillis(), TimeUnit.MILLISECONDS);
+        mLog.line("stopped").with("drained", String.valueOf(drained)).writeAlways();
+    }
+
+    /** Records that the settings file was read again. */
+    void reloaded(String outcome) {
+        mLog.line("reload").with("outcome", outcome).writeAlways();
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+        mSource.close();
+        mLoop.close();
+        mWorker.shutdownNow();
+        mLog.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -0,0 +1,41 @@
+package org.bulrushvale.daemon.forward;
+
+import org.bulrushvale.adapters.forward.ForwardProtocol;
+import org.bulrushvale.adapters.forward.HttpCalls;
+import org.bulrushvale.adapters.metrics.EntryMetrics;
+import org.bulrushvale.decision.forward.ColdLimit;
+import org.bulrushvale.decision.forward.RepeatBudget;
+import org.bulrushvale.decision.forward.ServerChoice;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.time.Clock;
+
+/**
+ * What requests and stages share within one process.
+ *
+ * <p>Thread safety: the parts have their own rules; decisions are used on the event loop.
+ */
+record ForwardServices(
+        EventLoop loop,
+        Clock clock,
+        HttpCalls calls,
+        ForwardProtocol protocol,
+        Published published,
+        ServerChoice choice,
+        ColdLimit cold,
+        RepeatBudget budget,
+        ForwardReports reports) {
+    DecisionLog log() {
+        return reports.log();
+    }
+
+    EntryMetrics metrics() {
+        return reports.metrics();
+    }
+
+    /**
+     * Log and metrics.
+     *
+     * <p>Thread safety: safe for use by any thread.
+     */
+    record ForwardReports(DecisionLog log, EntryMetrics metrics) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -0,0 +1,519 @@
+package org.bulrushvale.daemon.forward;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import net.openhft.hashing.LongHashFunction;
+import org.bulrushvale.adapters.backend.BackendFailure;
+import org.bulrushvale.adapters.forward.CallerExchange;
+import org.bulrushvale.adapters.forward.HopHeaders;
+import org.bulrushvale.adapters.forward.HttpCalls;
+import org.bulrushvale.adapters.forward.PieceResult;
+import org.bulrushvale.adapters.forward.RequestFacts;
+import org.bulrushvale.adapters.forward.SendFacts;
+import org.bulrushvale.decision.forward.BackendDirectory.Server;
+import org.bulrushvale.decision.forward.EventSplitter;
+import org.bulrushvale.decision.forward.ForwardConfig;
+import org.bulrushvale.decision.forward.RequestKind;
+import org.bulrushvale.decision.forward.Route;
+import org.bulrushvale.decision.forward.ServiceSpec;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.verdict.ErrorCode;
+import org.bulrushvale.kernel.verdict.Verdict;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One admitted request: its stages, its attempts at backend servers and its answer.
+ *
+ * <p>Invariants: one attempt at a time; a request that may have run is sent again only if its route
+ * allows it; the caller gets one answer, and a refusal that says "not run" only when no attempt may
+ * have run; no event is delivered twice. Thread safety: used on the event loop.
+ */
+final class ForwardedRequest implements Attempt.Handler, StagePlan.Listener, StagePlan.Times {
+    // Below this a server cannot do anything useful any more.
+    private static final long MIN_SEND_MILLIS = 5;
+
+    // Refused attempts are cheap, but each one counts against the budget of repeats.
+    private static final int MAX_REFUSALS = 3;
+
+    private static final Duration NO_SERVER_RECHECK = Duration.ofMillis(20);
+
+    // An eighth of the latency target may pass before a refusal costs anything.
+    private static final int HOLD_SHARE = 8;
+
+    private final ForwardServices mServices;
+    private final StageWork mStages;
+    private final CallerExchange mCaller;
+    private final RequestFacts mFacts;
+    private final Route mRoute;
+    private final String mWorkspace;
+    private final String mService;
+    private final double mColdPerSecond;
+    private final Consumption mOnEnd;
+    private final long mEndNanos;
+    private final Set<String> mTried = new HashSet<>();
+    private StagePlan mPlan;
+    private List<String> mInputs = List.of();
+    private @Nullable Server mServer;
+    private HttpCalls.@Nullable Call mCall;
+    private EventLoop.@Nullable Timer mTimer;
+    private EventSplitter mSplitter = new EventSplitter();
+    private Attempt.@Nullable Head mStreamHead;
+    private Verdict mVerdict = Verdict.NOT_RUN;
+    private int mMayHaveRun;
+    private int mRefusals;
+    private int mArrivals;
+    private boolean mStagesRepeated;
+    private boolean mDelivering;
+    private boolean mAnswered;
+    private boolean mCallerGone;
+    private long mLastEvent;
+
+    ForwardedRequest(
+            ForwardServices services,
+            StageWork stages,
+            CallerExchange caller,
+            RequestFacts facts,
+            Route route,
+            String workspace,
+            ForwardConfig config,
+            Consumption onEnd) {
+        mServices = services;
+        mStages = stages;
+        mCaller = caller;
+        mFacts = facts;
+        mRoute = route;
+        mWorkspace = workspace;
+        mService = route.service(LongHashFunction.xx().hashChars(facts.id()));
+        mColdPerSecond = config.service(mService).map(ServiceSpec::coldPerSecond).orElse(0.0);
+        mOnEnd = onEnd;
+        Duration wait =
+                facts.deadline().compareTo(route.timeout()) < 0
+                        ? facts.deadline()
+                        : route.timeout();
+        mEndNanos = caller.arrivedNanos() + wait.toNanos();
+        mLastEvent = facts.resumeAfter();
+        mPlan = newPlan();
+    }
+
+    /** Counts a request that ended. */
+    interface Consumption {
+        /** Called once. */
+        void ended(ForwardedRequest request);
+    }
+
+    private StagePlan newPlan() {
+        return new StagePlan(
+                mStages, mRoute, mFacts.id(), mFacts.pieceKey(), mFacts.pieces(), this, this);
+    }
+
+    void start() {
+        mServices.budget().requested(mService);
+        mTimer = mServices.loop().schedule(Duration.ofMillis(deadlineMillis()), this::timeIsOver);
+        mCaller.onClose(() -> mServices.loop().execute(this::callerLeft));
+        mPlan.advance();
+    }
+
+    @Override
+    public long targetMillis() {
+        long target = mCaller.arrivedNanos() + mRoute.latencyTarget().toNanos();
+        return TimeUnit.NANOSECONDS.toMillis(target - mServices.clock().monotonicNanos());
+    }
+
+    @Override
+    public long deadlineMillis() {
+        long left = mEndNanos - mServices.clock().monotonicNanos();
+        return Math.max(0, TimeUnit.NANOSECONDS.toMillis(left));
+    }
+
+    @Override
+    public void stagesDone(List<String> inputs) {
+        mInputs = inputs;
+        send();
+    }
+
+    @Override
+    public void stagesFailed(PieceResult.Outcome outcome) {
+        if (outcome == PieceResult.Outcome.INPUT_GONE && repeatStages()) {
+            return;
+        }
+        giveUp(
+                outcome == PieceResult.Outcome.LATE ? ErrorCode.OVERLOADED : ErrorCode.NO_BACKEND,
+                "a stage failed: " + outcome);
+    }
+
+    private boolean repeatStages() {
+        if (mStagesRepeated || mAnswered) {
+            return false;
+        }
+        mStagesRepeated = true;
+        mPlan.release();
+        mPlan = newPlan();
+        mPlan.advance();
+        return true;
+    }
+
+    private void send() {
+        if (mAnswered || mCallerGone) {
+            return;
+        }
+        long left = deadlineMillis();
+        if (left < MIN_SEND_MILLIS) {
+            timeIsOver();
+            return;
+        }
+        Server server =
+                mServices
+                        .choice()
+                        .choose(
+                                mServices.published().directory().eligibleOf(mService),
+                                mTried,
+                                mColdPerSecond,
+                                mFacts.affinity(),
+                                LongHashFunction.xx().hashChars(mFacts.id()));
+        if (server == null) {
+            awaitServer();
+            return;
+        }
+        if (mArrivals > 0 && !mServices.budget().tryRepeat(mService)) {
+            giveUp(ErrorCode.NO_BACKEND, "no repeat left in the budget");
+            return;
+        }
+        sendTo(server, left);
+    }
+
+    private void awaitServer() {
+        Duration waited = mServices.clock().elapsedSince(mCaller.arrivedNanos());
+        boolean mayWait =
+                mTried.isEmpty()
+                        && waited.compareTo(mRoute.latencyTarget().dividedBy(HOLD_SHARE)) < 0;
+        if (mayWait) {
+            mServices.loop().schedule(NO_SERVER_RECHECK, this::send);
+        } else {
+            giveUp(ErrorCode.NO_BACKEND, "no backend server may receive the request");
+        }
+    }
+
+    private void sendTo(Server server, long leftMillis) {
+        String id = server.entry().id();
+        mServer = server;
+        mTried.add(id);
+        mArrivals++;
+        server.started(mFacts.promptTokens());
+        if (server.isCold(mServices.clock().monotonicNanos())) {
+            mServices.cold().sent(server);
+        }
+        HeaderMap headers = HopHeaders.passOn(mCaller.headers(), mServices.protocol()::isReserved);
+        if (mCaller.headers().contains(Headers.CONTENT_LENGTH)
+                || mCaller.headers().contains(Headers.TRANSFER_ENCODING)) {
+            headers.put(Headers.CONTENT_LENGTH, mCaller.body().length);
+        }
+        mServices
+                .protocol()
+                .send(
+                        new SendFacts(
+                                Duration.ofMillis(leftMillis), mWorkspace, id, mInputs, mLastEvent),
+                        headers);
+        mServices
+                .log()
+                .line("send")
+                .with("request", mFacts.id())
+                .with("route", mRoute.name())
+                .with("server", id)
+                .with("attempt", mArrivals)
+                .with("left_ms", leftMillis)
+                .with("outstanding", server.outstanding())
+                .write();
+        mSplitter = new EventSplitter();
+        mStreamHead = null;
+        HttpCalls.Request request =
+                new HttpCalls.Request(
+                        server.entry().host(),
+                        server.entry().port(),
+                        mCaller.method(),
+                        mCaller.target(),
+                        headers,
+                        mCaller.body(),
+                        Duration.ofMillis(leftMillis));
+        mCall =
+                mServices
+                        .calls()
+                        .start(
+                                request,
+                                new Attempt(
+                                        mServices.loop(),
+                                        mServices.protocol(),
+                                        mFacts.id(),
+                                        current(mArrivals)));
+    }
+
+    /** Events of an attempt that was given up are dropped. */
+    private Attempt.Handler current(int attempt) {
+        return new Attempt.Handler() {
+            private boolean isCurrent() {
+                return attempt == mArrivals && !mAnswered && mServer != null;
+            }
+
+            @Override
+            public void answered(Attempt.Head head, byte[] body) {
+                if (isCurrent()) {
+                    ForwardedRequest.this.answered(head, body);
+                }
+            }
+
+            @Override
+            public void streamBegins(Attempt.Head head) {
+                if (isCurrent()) {
+                    ForwardedRequest.this.streamBegins(head);
+                }
+            }
+
+            @Override
+            public void streamBytes(byte[] bytes) {
+                if (isCurrent()) {
+                    ForwardedRequest.this.streamBytes(bytes);
+                }
+            }
+
+            @Override
+            public void streamEnds() {
+                if (isCurrent()) {
+                    ForwardedRequest.this.streamEnds();
+                }
+            }
+
+            @Override
+            public void lost(boolean sent, BackendFailure failure, String detail) {
+                if (isCurrent()) {
+                    ForwardedRequest.this.lost(sent, failure, detail);
+                }
+            }
+        };
+    }
+
+    @Override
+    public void answered(Attempt.Head head, byte[] body) {
+        Server server = attemptEnded();
+        int status = head.status();
+        if (head.facts().notRun() || status == 421) {
+            refused(head, body, server);
+            return;
+        }
+        mMayHaveRun++;
+        mVerdict = Verdict.RAN;
+        if (status >= 500) {
+            server.failed(mServices.clock().monotonicNanos());
+            if (mayRepeat()) {
+                send();
+                return;
+            }
+        } else {
+            server.succeeded();
+        }
+        deliver(head, body);
+    }
+
+    private void refused(Attempt.Head head, byte[] body, Server server) {
+        mRefusals++;
+        if (head.status() == 409 && repeatStages()) {
+            mTried.remove(server.entry().id());
+            return;
+        }
+        if (head.status() == 503 || head.status() == 429) {
+            server.busy(mServices.clock().monotonicNanos(), TimeUnit.MILLISECONDS.toNanos(100));
+        }
+        boolean permanent = head.status() == 400 || head.status() == 413;
+        if (permanent && mVerdict == Verdict.NOT_RUN) {
+            deliver(head, body);
+        } else if (mRefusals < MAX_REFUSALS) {
+            send();
+        } else {
+            giveUp(ErrorCode.OVERLOADED, "backend servers refuse the request");
+        }
+    }
+
+    private void deliver(Attempt.Head head, byte[] body) {
+        if (!finish("answered", head.status())) {
+            return;
+        }
+        mCaller.answer(head.status(), HopHeaders.passOn(head.headers(), name -> false), body);
+    }
+
+    @Override
+    public void streamBegins(Attempt.Head head) {
+        mStreamHead = head;
+    }
+
+    @Override
+    public void streamBytes(byte[] bytes) {
+        for (EventSplitter.Event event : mSplitter.add(bytes)) {
+            event(event);
+        }
+    }
+
+    private void event(EventSplitter.Event event) {
+        Server server = mServer;
+        if (event.id() != EventSplitter.Event.NO_ID) {
+            if (event.id() <= mLastEvent) {
+                return;
+            }
+            mLastEvent = event.id();
+        }
+        if (server != null) {
+            server.succeeded();
+        }
+        if (!mDelivering && mStreamHead != null) {
+            mDelivering = true;
+            mVerdict = Verdict.RAN;
+            mPlan.release();
+            mCaller.begin(
+                    mStreamHead.status(), HopHeaders.passOn(mStreamHead.headers(), name -> false));
+        }
+        mCaller.part(event.bytes());
+    }
+
+    @Override
+    public void streamEnds() {
+        if (mSplitter.isInsideEvent() || !mDelivering) {
+            lost(true, BackendFailure.TRUNCATED, "stream ended inside an event");
+            return;
+        }
+        attemptEnded();
+        if (finish("streamed", 200)) {
+            mCaller.end();
+        }
+    }
+
+    @Override
+    public void lost(boolean sent, BackendFailure failure, String detail) {
+        Server server = attemptEnded();
+        server.failed(mServices.clock().monotonicNanos());
+        mServices
+                .log()
+                .line("attempt_lost")
+                .with("request", mFacts.id())
+                .with("server", server.entry().id())
+                .with("sent", String.valueOf(sent))
+                .with("failure", failure.name())
+                .with("detail", detail)
+                .write();
+        if (sent) {
+            mMayHaveRun++;
+            mVerdict = mVerdict.and(Verdict.MAY_HAVE_RUN);
+        } else {
+            mArrivals--;
+        }
+        if (!sent || mayRepeat()) {
+            send();
+        } else {
+            giveUp(ErrorCode.BACKEND_FAILED, detail);
+        }
+    }
+
+    private boolean mayRepeat() {
+        return mRoute.mayRepeat() && mMayHaveRun < mRoute.maxAttempts() && !mCallerGone;
+    }
+
+    private Server attemptEnded() {
+        Server server = mServer;
+        if (server == null) {
+            throw new IllegalStateException("no attempt in progress");
+        }
+        mServer = null;
+        mCall = null;
+        server.ended(mFacts.promptTokens());
+        return server;
+    }
+
+    private void callerLeft() {
+        if (mAnswered) {
+            return;
+        }
+        mCallerGone = true;
+        boolean cancel = mRoute.kind() != RequestKind.UNSAFE || mServer == null;
+        if (cancel) {
+            abortAttempt();
+            finish("caller_left", 499);
+        }
+    }
+
+    private void timeIsOver() {
+        if (mAnswered) {
+            return;
+        }
+        if (mServer != null) {
+            mVerdict = mVerdict.and(Verdict.MAY_HAVE_RUN);
+        }
+        abortAttempt();
+        giveUp(ErrorCode.DEADLINE_EXCEEDED, "the time of the request is over");
+    }
+
+    private void abortAttempt() {
+        HttpCalls.Call call = mCall;
+        if (mServer != null) {
+            attemptEnded();
+        }
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    /** Ends the request without a server's answer. */
+    private void giveUp(ErrorCode wanted, String detail) {
+        boolean delivering = mDelivering;
+        ErrorCode code = truthful(wanted);
+        if (!finish(code.name() + ": " + detail, code.httpStatus())) {
+            return;
+        }
+        if (delivering) {
+            mCaller.breakOff();
+        } else if (!mCallerGone) {
+            Answers.problem(mCaller, mServices.protocol(), mFacts.id(), code, mVerdict, detail);
+        }
+    }
+
+    /** A status that promises "not run" is kept for requests that did not run. */
+    private ErrorCode truthful(ErrorCode wanted) {
+        if (mVerdict == Verdict.NOT_RUN) {
+            return wanted == ErrorCode.DEADLINE_EXCEEDED || wanted == ErrorCode.BACKEND_FAILED
+                    ? ErrorCode.OVERLOADED
+                    : wanted;
+        }
+        return wanted == ErrorCode.DEADLINE_EXCEEDED ? wanted : ErrorCode.BACKEND_FAILED;
+    }
+
+    private boolean finish(String outcome, int status) {
+        if (mAnswered) {
+            return false;
+        }
+        mAnswered = true;
+        EventLoop.Timer timer = mTimer;
+        if (timer != null) {
+            timer.cancel();
+        }
+        mPlan.release();
+        Duration elapsed = mServices.clock().elapsedSince(mCaller.arrivedNanos());
+        mServices
+                .log()
+                .line("request")
+                .with("request", mFacts.id())
+                .with("route", mRoute.name())
+                .with("service", mService)
+                .with("workspace", mWorkspace)
+                .with("status", status)
+                .with("attempts", mArrivals)
+                .with("verdict", mVerdict.name())
+                .with("ms", elapsed.toMillis())
+                .with("outcome", outcome)
+                .write();
+        mServices
+                .metrics()
+                .requestEnded(mRoute.name(), String.valueOf(status), mVerdict.name(), elapsed);
+        mOnEnd.ended(this);
+        return true;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
@@ -0,0 +1,279 @@
+package org.bulrushvale.daemon.forward;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bulrushvale.adapters.backend.BackendAddress;
+import org.bulrushvale.adapters.backend.BackendFailure;
+import org.bulrushvale.adapters.forward.AnswerFacts;
+import org.bulrushvale.adapters.forward.ForwardProtocol.StageMessage;
+import org.bulrushvale.adapters.forward.HttpCalls;
+import org.bulrushvale.adapters.forward.MadePiece;
+import org.bulrushvale.adapters.forward.PieceResult;
+import org.bulrushvale.decision.forward.BackendDirectory.Server;
+import org.bulrushvale.decision.forward.BackendEntry;
+import org.bulrushvale.decision.forward.ForwardConfig;
+import org.bulrushvale.decision.forward.ServiceSpec;
+import org.bulrushvale.decision.forward.StageQueue;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
+
+/**
+ * Forms and makes the calls of one stage service.
+ *
+ * <p>Invariant: every piece gets a result or is abandoned by its request. Thread safety: used on
+ * the event loop.
+ */
+final class StageDesk {
+    // A call takes well under a second; a server without a byte for so long is given up.
+    private static final Duration CALL_SILENCE = Duration.ofMillis(2_500);
+
+    // Servers drop results after some seconds; their memory counts as taken for so long.
+    private static final Duration RESULT_LIFETIME = Duration.ofSeconds(5);
+    private static final Duration BUSY_PAUSE = Duration.ofMillis(60);
+
+    // Results given up within this time share a call.
+    private static final Duration RELEASE_DELAY = Duration.ofMillis(40);
+    private static final Duration RELEASE_SILENCE = Duration.ofMillis(1_000);
+    private static final int MAX_FAILURES = 2;
+    private static final int MAX_ANSWER_BYTES = 1 << 20;
+    private static final String JSON = "application/json";
+
+    private final ForwardServices mServices;
+    private final String mService;
+    private final StageQueue<StagePiece> mQueue;
+    private final List<MadePiece> mReleases = new ArrayList<>();
+
+    StageDesk(ForwardServices services, String service) {
+        mServices = services;
+        mService = service;
+        mQueue = new StageQueue<>(services.clock(), RESULT_LIFETIME.toNanos());
+    }
+
+    void add(List<StagePiece> pieces) {
+        for (StagePiece piece : pieces) {
+            mServices.budget().requested(mService);
+            mQueue.add(piece);
+        }
+        dispatch();
+    }
+
+    /** Returns the number of waiting pieces. */
+    int waiting() {
+        return mQueue.waiting();
+    }
+
+    /** Starts the calls that can start now. */
+    void dispatch() {
+        for (StagePiece late : mQueue.expired()) {
+            late.deliver(PieceResult.failed(PieceResult.Outcome.LATE));
+        }
+        List<Server> servers = mServices.published().directory().eligibleOf(mService);
+        for (StageQueue.Call<StagePiece> call : mQueue.nextCalls(servers, this::capacity)) {
+            start(call);
+        }
+    }
+
+    private StageQueue.Capacity capacity(Server server) {
+        ForwardConfig config = mServices.published().config();
+        Optional<ServiceSpec> service =
+                config == null ? Optional.empty() : config.service(mService);
+        return service.flatMap(ServiceSpec::pieces)
+                .map(p -> new StageQueue.Capacity(p.slots(), p.batch(), p.roomBytes()))
+                .orElse(new StageQueue.Capacity(0, 0, 0));
+    }
+
+    private void start(StageQueue.Call<StagePiece> call) {
+        long started = mServices.clock().monotonicNanos();
+        StageMessage message =
+                mServices
+                        .protocol()
+                        .makePieces(call.pieces().stream().map(StagePiece::order).toList());
+        String server = call.server().entry().id();
+        HeaderMap headers = new HeaderMap();
+        mServices.protocol().expectServer(server, headers);
+        BackendEntry entry = call.server().entry();
+        mServices
+                .calls()
+                .start(
+                        request(entry.host(), entry.port(), message, CALL_SILENCE, headers),
+                        new HttpCalls.WholeAnswer(MAX_ANSWER_BYTES) {
+                            @Override
+                            protected void complete(int status, HeaderMap answer, byte[] body) {
+                                AnswerFacts facts = mServices.protocol().answer(answer);
+                                mServices
+                                        .loop()
+                                        .execute(
+                                                () -> answered(call, status, facts, body, started));
+                            }
+
+                            @Override
+                            public void failed(
+                                    boolean sent, BackendFailure failure, String detail) {
+                                mServices.loop().execute(() -> lost(call, detail, started));
+                            }
+                        });
+    }
+
+    private void answered(
+            StageQueue.Call<StagePiece> call,
+            int status,
+            AnswerFacts facts,
+            byte[] body,
+            long started) {
+        Server server = call.server();
+        if (status != 200) {
+            if (facts.notRun()) {
+                server.busy(mServices.clock().monotonicNanos(), BUSY_PAUSE.toNanos());
+                mServices.loop().schedule(BUSY_PAUSE, this::dispatch);
+            } else {
+                server.failed(mServices.clock().monotonicNanos());
+            }
+            log(call, "refused_" + status, started);
+            ended(call);
+            repeat(call, !facts.notRun());
+            return;
+        }
+        List<PieceResult> results;
+        try {
+            results = mServices.protocol().pieceResults(body, call.pieces().size());
+        } catch (BulrushvaleException e) {
+            lost(call, e.detail(), started);
+            return;
+        }
+        server.succeeded();
+        log(call, "made", started);
+        ended(call);
+        for (int i = 0; i < results.size(); i++) {
+            StagePiece piece = call.pieces().get(i);
+            PieceResult result = results.get(i);
+            if (result.outcome() != PieceResult.Outcome.MADE) {
+                mQueue.released(piece.name());
+            }
+            if (result.outcome().mayTryElsewhere()) {
+                repeat(piece, server.entry().id(), result);
+            } else {
+                piece.deliver(result);
+            }
+        }
+        dispatch();
+    }
+
+    private void lost(StageQueue.Call<StagePiece> call, String detail, long started) {
+        call.server().failed(mServices.clock().monotonicNanos());
+        log(call, "lost: " + detail, started);
+        ended(call);
+        repeat(call, true);
+    }
+
+    private void ended(StageQueue.Call<StagePiece> call) {
+        mQueue.ended(call.server().entry().id());
+    }
+
+    private void repeat(StageQueue.Call<StagePiece> call, boolean avoid) {
+        String server = call.server().entry().id();
+        for (StagePiece piece : call.pieces()) {
+            mQueue.released(piece.name());
+            repeat(piece, avoid ? server : "", PieceResult.failed(PieceResult.Outcome.FAILED));
+        }
+        dispatch();
+    }
+
+    private void repeat(StagePiece piece, String failedServer, PieceResult result) {
+        if (!failedServer.isEmpty()) {
+            piece.avoid(failedServer);
+        }
+        if (piece.isAbandoned()) {
+            return;
+        }
+        if (piece.failures() > MAX_FAILURES || !mServices.budget().tryRepeat(mService)) {
+            piece.deliver(result);
+            return;
+        }
+        mQueue.add(piece);
+    }
+
+    private void log(StageQueue.Call<StagePiece> call, String outcome, long started) {
+        mServices
+                .log()
+                .line("stage_call")
+                .with("service", mService)
+                .with("server", call.server().entry().id())
+                .with("pieces", call.pieces().size())
+                .with("waiting", mQueue.waiting())
+                .with("ms", mServices.clock().elapsedSince(started).toMillis())
+                .with("outcome", outcome)
+                .write();
+        mServices.metrics().count("bulrushvale.stage.calls", "outcome", outcome.split(":")[0]);
+    }
+
+    /** Gives up results, so that their memory is free at their maker. */
+    void release(List<MadePiece> pieces) {
+        if (mReleases.isEmpty()) {
+            mServices.loop().schedule(RELEASE_DELAY, this::sendReleases);
+        }
+        mReleases.addAll(pieces);
+        for (MadePiece piece : pieces) {
+            mQueue.released(StagePiece.name(piece.requestId(), piece.stage(), piece.piece()));
+        }
+        dispatch();
+    }
+
+    private void sendReleases() {
+        Map<BackendAddress, List<String>> byMaker = new HashMap<>();
+        for (MadePiece piece : mReleases) {
+            try {
+                BackendAddress maker = mServices.protocol().maker(piece.handle());
+                byMaker.computeIfAbsent(maker, address -> new ArrayList<>()).add(piece.handle());
+            } catch (BulrushvaleException e) {
+                mServices.log().line("release_refused").with("detail", e.detail()).write();
+            }
+        }
+        mReleases.clear();
+        byMaker.forEach(this::sendRelease);
+    }
+
+    private void sendRelease(BackendAddress maker, List<String> handles) {
+        StageMessage message = mServices.protocol().releaseResults(handles);
+        HttpCalls.Request request =
+                request(maker.host(), maker.port(), message, RELEASE_SILENCE, new HeaderMap());
+        mServices.calls().start(request, new ReleaseAnswer());
+    }
+
+    private static HttpCalls.Request request(
+            String host, int port, StageMessage message, Duration silence, HeaderMap headers) {
+        headers.put(Headers.HOST, host + ":" + port);
+        headers.put(Headers.CONTENT_TYPE, JSON);
+        headers.put(Headers.CONTENT_LENGTH, message.body().length);
+        return new HttpCalls.Request(
+                host, port, Methods.POST, message.path(), headers, message.body(), silence);
+    }
+
+    /**
+     * Answer to a release; a result that is not released ends by itself.
+     *
+     * <p>Thread safety: called on the I/O thread.
+     */
+    private final class ReleaseAnswer extends HttpCalls.WholeAnswer {
+        ReleaseAnswer() {
+            super(MAX_ANSWER_BYTES);
+        }
+
+        @Override
+        protected void complete(int status, HeaderMap headers, byte[] body) {
+            if (status != 200) {
+                mServices.log().line("release_failed").with("status", status).write();
+            }
+        }
+
+        @Override
+        public void failed(boolean sent, BackendFailure failure, String detail) {
+            mServices.log().line("release_failed").with("detail", detail).write();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesks.java
@@ -0,0 +1,88 @@
+package org.bulrushvale.daemon.forward;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.bulrushvale.adapters.forward.MadePiece;
+import org.bulrushvale.adapters.forward.PieceOrder;
+import org.bulrushvale.adapters.forward.PieceResult;
+import org.bulrushvale.adapters.forward.StageJob;
+
+/**
+ * The desks of this process, one for each stage service.
+ *
+ * <p>Thread safety: used on the event loop.
+ */
+final class StageDesks implements StageWork {
+    private final ForwardServices mServices;
+    private final Map<String, StageDesk> mDesks = new HashMap<>();
+
+    StageDesks(ForwardServices services) {
+        mServices = services;
+    }
+
+    @Override
+    public Runnable make(StageJob job, Consumer<List<PieceResult>> onDone) {
+        long now = mServices.clock().monotonicNanos();
+        long target = now + TimeUnit.MILLISECONDS.toNanos(job.targetMillis());
+        long deadline = now + TimeUnit.MILLISECONDS.toNanos(job.deadlineMillis());
+        Collected collected = new Collected(job.pieces().size(), onDone);
+        List<StagePiece> pieces = new ArrayList<>();
+        for (int i = 0; i < job.pieces().size(); i++) {
+            int index = i;
+            PieceOrder order = job.pieces().get(i);
+            pieces.add(
+                    new StagePiece(
+                            order,
+                            target,
+                            deadline,
+                            job.resultBytes(),
+                            result -> collected.add(index, result)));
+        }
+        desk(job.service()).add(pieces);
+        return () -> pieces.forEach(StagePiece::abandon);
+    }
+
+    @Override
+    public void release(String service, List<MadePiece> pieces) {
+        desk(service).release(pieces);
+    }
+
+    /** Starts calls that became possible, such as after a change of the published servers. */
+    void dispatch() {
+        mDesks.values().forEach(StageDesk::dispatch);
+    }
+
+    private StageDesk desk(String service) {
+        return mDesks.computeIfAbsent(service, name -> new StageDesk(mServices, name));
+    }
+
+    /**
+     * Results of one job.
+     *
+     * <p>Thread safety: used on the event loop.
+     */
+    private static final class Collected {
+        private final PieceResult[] mResults;
+        private final Consumer<List<PieceResult>> mOnDone;
+        private int mMissing;
+
+        Collected(int pieces, Consumer<List<PieceResult>> onDone) {
+            mResults = new PieceResult[pieces];
+            mMissing = pieces;
+            mOnDone = onDone;
+        }
+
+        void add(int index, PieceResult result) {
+            mResults[index] = result;
+            mMissing--;
+            if (mMissing == 0) {
+                mOnDone.accept(Arrays.asList(mResults));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -0,0 +1,170 @@
+package org.bulrushvale.decision.forward;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bulrushvale.kernel.time.Clock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The published backend servers and what this entry has outstanding at each.
+ *
+ * <p>Invariant: a server that is leaving, removed or in an evacuated failure domain is never
+ * eligible. Thread safety: not safe; used by the event loop.
+ */
+public final class BackendDirectory {
+    private final Clock mClock;
+    private final Map<String, Server> mServers = new HashMap<>();
+    private final Map<String, List<Server>> mByService = new HashMap<>();
+    private Set<String> mEvacuated = Set.of();
+
+    /** Creates an empty directory. */
+    public BackendDirectory(Clock clock) {
+        mClock = clock;
+    }
+
+    /** Adds a server or replaces what is known of it. */
+    public void put(BackendEntry entry) {
+        Server known = mServers.get(entry.id());
+        if (known != null && known.isSameProcess(entry)) {
+            known.update(entry, mClock.monotonicNanos());
+            return;
+        }
+        remove(entry.id());
+        Server server = new Server(entry, mClock.monotonicNanos());
+        mServers.put(entry.id(), server);
+        mByService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(server);
+    }
+
+    /** Removes a server. */
+    public void remove(String id) {
+        Server server = mServers.remove(id);
+        if (server != null) {
+            mByService.getOrDefault(server.entry().service(), List.of()).remove(server);
+        }
+    }
+
+    /** Replaces the set of failure domains that receive no work. */
+    public void evacuated(Collection<String> domains) {
+        mEvacuated = new HashSet<>(domains);
+    }
+
+    /** Returns the ids of all known servers. */
+    public Set<String> ids() {
+        return Set.copyOf(mServers.keySet());
+    }
+
+    /** Returns a server that may receive work, or null. */
+    public @Nullable Server eligible(String id) {
+        Server server = mServers.get(id);
+        return server != null && isEligible(server) ? server : null;
+    }
+
+    /** Returns the servers of a service that may receive work. */
+    public List<Server> eligibleOf(String service) {
+        List<Server> servers = new ArrayList<>();
+        for (Server server : mByService.getOrDefault(service, List.of())) {
+            if (isEligible(server)) {
+                servers.add(server);
+            }
+        }
+        return servers;
+    }
+
+    private boolean isEligible(Server server) {
+        return !server.entry().leaving() && !mEvacuated.contains(server.entry().domain());
+    }
+
+    /**
+     * One process of a backend server.
+     *
+     * <p>Thread safety: not safe; used by the event loop.
+     */
+    public static final class Server {
+        private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+        // A failure is no longer evidence after this time: a crashed server is back or removed.
+        private static final long SUSPECT_NANOS = 2 * NANOS_PER_SECOND;
+
+        private BackendEntry mEntry;
+        private long mColdUntilNanos;
+        private long mSuspectUntilNanos;
+        private int mOutstanding;
+        private long mOutstandingTokens;
+        private int mFailures;
+
+        private Server(BackendEntry entry, long nowNanos) {
+            mEntry = entry;
+            mColdUntilNanos = nowNanos + entry.coldLeft().toNanos();
+            mSuspectUntilNanos = nowNanos;
+        }
+
+        private boolean isSameProcess(BackendEntry entry) {
+            return mEntry.startedMillis() == entry.startedMillis()
+                    && mEntry.address().equals(entry.address())
+                    && mEntry.service().equals(entry.service());
+        }
+
+        private void update(BackendEntry entry, long nowNanos) {
+            mEntry = entry;
+            mColdUntilNanos = nowNanos + entry.coldLeft().toNanos();
+        }
+
+        /** Returns what is published. */
+        public BackendEntry entry() {
+            return mEntry;
+        }
+
+        /** Returns the requests that this entry has at the server. */
+        public int outstanding() {
+            return mOutstanding;
+        }
+
+        /** Returns the prompt tokens of the requests that this entry has at the server. */
+        public long outstandingTokens() {
+            return mOutstandingTokens;
+        }
+
+        /** Returns true while the server bears little load. */
+        public boolean isCold(long nowNanos) {
+            return mColdUntilNanos - nowNanos > 0;
+        }
+
+        /** Returns true shortly after failures of the server. */
+        public boolean isSuspect(long nowNanos) {
+            return mSuspectUntilNanos - nowNanos > 0;
+        }
+
+        /** Records a request that is about to be sent. */
+        public void started(long tokens) {
+            mOutstanding++;
+            mOutstandingTokens += tokens;
+        }
+
+        /** Records the end of a request. */
+        public void ended(long tokens) {
+            mOutstanding--;
+            mOutstandingTokens -= tokens;
+        }
+
+        /** Records an answer that shows the server at work. */
+        public void succeeded() {
+            mFailures = 0;
+        }
+
+        /** Records a failure that speaks against the server; repeated ones keep it out longer. */
+        public void failed(long nowNanos) {
+            mFailures = Math.min(mFailures + 1, 3);
+            mSuspectUntilNanos = nowNanos + mFailures * SUSPECT_NANOS;
+        }
+
+        /** Keeps the server out for a time that it asked for. */
+        public void busy(long nowNanos, long forNanos) {
+            mSuspectUntilNanos = Math.max(mSuspectUntilNanos, nowNanos + forNanos);
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/EventSplitter.java
@@ -0,0 +1,64 @@
+package org.bulrushvale.decision.forward;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Splits the bytes of an event stream into whole events.
+ *
+ * <p>Invariant: an event is returned once, with all its bytes, when its blank line has arrived.
+ * Thread safety: not safe.
+ */
+public final class EventSplitter {
+    private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
+    private int mLineLength;
+
+    /** Adds bytes and returns the events that they complete. */
+    public List<Event> add(byte[] bytes) {
+        List<Event> events = new ArrayList<>();
+        for (byte value : bytes) {
+            mPending.write(value);
+            if (value == '\n') {
+                if (mLineLength == 0 && mPending.size() > 1) {
+                    events.add(event(mPending.toByteArray()));
+                    mPending.reset();
+                }
+                mLineLength = 0;
+            } else if (value != '\r') {
+                mLineLength++;
+            }
+        }
+        return events;
+    }
+
+    /** Returns true when an event has begun that is not complete. */
+    public boolean isInsideEvent() {
+        return mPending.size() > 0;
+    }
+
+    private static Event event(byte[] bytes) {
+        long id = Event.NO_ID;
+        for (String line : new String(bytes, StandardCharsets.UTF_8).split("\n", -1)) {
+            if (line.startsWith("id:")) {
+                try {
+                    id = Long.parseLong(line.substring("id:".length()).trim());
+                } catch (NumberFormatException e) {
+                    id = Event.NO_ID;
+                }
+            }
+        }
+        return new Event(id, bytes);
+    }
+
+    /**
+     * One event with its blank line.
+     *
+     * <p>Invariant: the bytes are not changed. Thread safety: immutable.
+     */
+    public record Event(long id, byte[] bytes) {
+        /** Id of an event that states none. */
+        public static final long NO_ID = -1;
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ForwardConfig.java
@@ -0,0 +1,84 @@
+package org.bulrushvale.decision.forward;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One published version of routes, services and workspaces.
+ *
+ * <p>Thread safety: immutable.
+ */
+public final class ForwardConfig {
+    private final long mVersion;
+    private final Map<String, List<Route>> mRoutesByHost = new HashMap<>();
+    private final Map<String, ServiceSpec> mServices = new HashMap<>();
+    private final Map<String, Workspace> mWorkspacesByKey;
+
+    private ForwardConfig(
+            long version,
+            List<Route> routes,
+            List<ServiceSpec> services,
+            Map<String, Workspace> workspacesByKey) {
+        mVersion = version;
+        for (Route route : routes) {
+            mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+        }
+        Comparator<Route> longestFirst =
+                Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
+        mRoutesByHost.values().forEach(list -> list.sort(longestFirst));
+        services.forEach(service -> mServices.put(service.name(), service));
+        mWorkspacesByKey = Map.copyOf(workspacesByKey);
+    }
+
+    /** Returns a configuration. */
+    public static ForwardConfig of(
+            long version,
+            List<Route> routes,
+            List<ServiceSpec> services,
+            Map<String, Workspace> workspacesByKey) {
+        return new ForwardConfig(version, routes, services, workspacesByKey);
+    }
+
+    /** Returns the version; versions only increase. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns the route with the longest prefix of the path among those of the host. */
+    public Optional<Route> route(String host, String path) {
+        for (Route route : mRoutesByHost.getOrDefault(host, List.of())) {
+            if (path.startsWith(route.prefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns a service by name. */
+    public Optional<ServiceSpec> service(String name) {
+        return Optional.ofNullable(mServices.get(name));
+    }
+
+    /** Returns the workspace that holds an API key. */
+    public Optional<Workspace> workspace(String apiKey) {
+        return Optional.ofNullable(mWorkspacesByKey.get(apiKey));
+    }
+
+    /** Returns true when API keys are published; without any, no request needs one. */
+    public boolean hasWorkspaces() {
+        return !mWorkspacesByKey.isEmpty();
+    }
+
+    /**
+     * A workspace.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param priority rank that takes precedence over the route's, if any
+     */
+    public record Workspace(String name, Optional<Integer> priority) {}
+}
--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ServiceSpec.java
@@ -0,0 +1,26 @@
+package org.bulrushvale.decision.forward;
+
+import java.util.Optional;
+
+/**
+ * One published service.
+ *
+ * <p>Thread safety: immutable.
+ *
+ * @param maxConnections most connections that one backend server accepts from all callers
+ * @param coldPerSecond requests a second that a cold backend server bears; 0 for no limit
+ * @param pieces limits of a stage service
+ */
+public record ServiceSpec(
+        String name, int maxConnections, double coldPerSecond, Optional<PieceLimits> pieces) {
+    /**
+     * What one backend server of a stage service bears.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param slots calls in progress at the same time
+     * @param batch most pieces of one call
+     * @param roomBytes memory for results
+     */
+    public record PieceLimits(int slots, int batch, long roomBytes) {}
+}
--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions of the forwarding entry: routes, backend servers, budgets and stage batches. */
+package org.bulrushvale.decision.forward;
--- a/kernel/src/main/java/org/bulrushvale/kernel/verdict/ErrorCode.java
+++ b/kernel/src/main/java/org/bulrushvale/kernel/verdict/ErrorCode.java
@@ -22,6 +22,7 @@
     KEY_HOLDER_UNREACHABLE(503, "Holder of the idempotency key unreachable", Advice.RETRY_SAME_KEY),
     RESULT_NOT_HELD(410, "Request ran but its result is no longer held", Advice.DO_NOT_RETRY),
     OUTCOME_UNKNOWN(503, "Outcome unknown", Advice.CHECK_BEFORE_RETRY),
+    HEADERS_TOO_LARGE(431, "Headers too large", Advice.FIX_REQUEST),
     BODY_TOO_LARGE(413, "Body too large", Advice.FIX_REQUEST),
     DEADLINE_INVALID(400, "Deadline invalid", Advice.FIX_REQUEST),
     DEADLINE_EXCEEDED(504, "Deadline exceeded", Advice.RETRY),
