Collect the stage pieces of all entries at one member per service

Members are now found through the seeds and a bounded exchange, and the pieces of a service go to the member that ranks highest for it; a collector that fails is replaced by the next or by the entry itself. Ruled out: waiting for fuller batches per entry (the pieces of one entry alone do not fill them).

--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
@@ -103,6 +103,8 @@
             writeBytes(hello.nonce(), out);
         } else if (message instanceof PeerMessage.Proof proof) {
             writeBytes(proof.mac(), out);
+        } else {
+            StageCodec.write(message, out);
         }
     }
 
@@ -139,8 +141,7 @@
         }
     }
 
-    private static void writeStrings(List<String> texts, MessageBufferPacker out)
-            throws IOException {
+    static void writeStrings(List<String> texts, MessageBufferPacker out) throws IOException {
         out.packArrayHeader(texts.size());
         for (String text : texts) {
             out.packString(text);
@@ -191,6 +192,18 @@
             case HELLO ->
                     new PeerMessage.Hello(raw.unpackInt(), in.text(), in.sender(), in.bytes());
             case PROOF -> new PeerMessage.Proof(in.bytes());
+            case MEMBERS ->
+                    new PeerMessage.Members(
+                            in.list(
+                                    () ->
+                                            new PeerMessage.Member(
+                                                    in.text(),
+                                                    raw.unpackBoolean(),
+                                                    raw.unpackLong())));
+            case STAGE_ORDER -> StageCodec.readOrder(in);
+            case STAGE_RESULTS -> StageCodec.readResults(in);
+            case STAGE_GIVE_UP -> new PeerMessage.StageGiveUp(in.text());
+            case STAGE_RELEASE -> StageCodec.readRelease(in);
         };
     }
 
@@ -227,7 +240,12 @@
         LEAVING(PeerMessage.Leaving.class),
         HEARTBEAT(PeerMessage.Heartbeat.class),
         HELLO(PeerMessage.Hello.class),
-        PROOF(PeerMessage.Proof.class);
+        PROOF(PeerMessage.Proof.class),
+        MEMBERS(PeerMessage.Members.class),
+        STAGE_ORDER(PeerMessage.StageOrder.class),
+        STAGE_RESULTS(PeerMessage.StageResults.class),
+        STAGE_GIVE_UP(PeerMessage.StageGiveUp.class),
+        STAGE_RELEASE(PeerMessage.StageRelease.class);
 
         private final Class<? extends PeerMessage> mClass;
 
@@ -246,12 +264,12 @@
     }
 
     /** One item of a list. */
-    private interface Item<T> {
+    interface Item<T> {
         T read() throws IOException;
     }
 
     /** Reads fields with lengths bounded by the frame. */
-    private static final class Reader {
+    static final class Reader {
         private final MessageUnpacker mRaw;
         private final int mFrameBytes;
 
@@ -260,6 +278,10 @@
             mFrameBytes = frameBytes;
         }
 
+        MessageUnpacker raw() {
+            return mRaw;
+        }
+
         String text() throws IOException {
             return new String(payload(mRaw.unpackRawStringHeader()), StandardCharsets.UTF_8);
         }
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -1,6 +1,9 @@
 package org.bulrushvale.adapters.peer;
 
 import java.util.List;
+import org.bulrushvale.adapters.forward.MadePiece;
+import org.bulrushvale.adapters.forward.PieceResult;
+import org.bulrushvale.adapters.forward.StageJob;
 import org.bulrushvale.kernel.verdict.Verdict;
 
 /**
@@ -161,6 +164,60 @@
     record KeyHandoverAck(String space, String successor, boolean accepted)
             implements PeerMessage {}
 
+    /**
+     * Members that the sender has heard of, itself first.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record Members(List<Member> members) implements PeerMessage {
+        public Members {
+            members = List.copyOf(members);
+        }
+    }
+
+    /**
+     * One member and how long ago it was heard of, in milliseconds.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record Member(String vm, boolean leaving, long ageMillis) {}
+
+    /**
+     * Asks the collector of a stage service for the pieces of a job.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record StageOrder(StageJob job) implements PeerMessage {}
+
+    /**
+     * Results of a {@link StageOrder}, one for each piece.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record StageResults(List<PieceResult> results) implements PeerMessage {
+        public StageResults {
+            results = List.copyOf(results);
+        }
+    }
+
+    /**
+     * Nobody waits for the pieces of a request any more.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record StageGiveUp(String requestId) implements PeerMessage {}
+
+    /**
+     * Gives up results of a stage service.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record StageRelease(String service, List<MadePiece> pieces) implements PeerMessage {
+        public StageRelease {
+            pieces = List.copyOf(pieces);
+        }
+    }
+
     /**
      * The sender shuts down.
      *
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetLink.java
@@ -0,0 +1,325 @@
+package org.bulrushvale.daemon.forward;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.UUID;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.bulrushvale.adapters.forward.MadePiece;
+import org.bulrushvale.adapters.forward.PieceResult;
+import org.bulrushvale.adapters.forward.StageJob;
+import org.bulrushvale.adapters.peer.PeerException;
+import org.bulrushvale.adapters.peer.PeerListener;
+import org.bulrushvale.adapters.peer.PeerMessage;
+import org.bulrushvale.adapters.peer.PeerTransport;
+import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.decision.forward.MemberTable;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.time.Clock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Members of the fleet, and stage work at the collectors among them.
+ *
+ * <p>Members are named by the address of their peer listener; its port is the same everywhere.
+ *
+ * <p>Invariant: a job whose collector fails is made again by another one or by this entry; results
+ * are delivered once. Thread safety: used on the event loop; messages of peers are handed over.
+ */
+final class FleetLink implements StageWork, AutoCloseable {
+    private static final Duration GREET_PERIOD = Duration.ofSeconds(1);
+    private static final Duration HEARTBEAT = Duration.ofMillis(300);
+    private static final Duration SILENCE = Duration.ofMillis(1_000);
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
+    private static final Duration LONGEST_BACKOFF = Duration.ofMillis(1_000);
+
+    // The answer of a collector needs a moment after the last piece.
+    private static final Duration REPLY_MARGIN = Duration.ofMillis(100);
+    private static final int MAX_COLLECTORS = 2;
+
+    private final ForwardSettings mSettings;
+    private final EventLoop mLoop;
+    private final DecisionLog mLog;
+    private final MemberTable mMembers;
+    private final StageDesks mDesks;
+    private final PeerTransport mTransport;
+    private final Map<String, Set<Runnable>> mForOthers = new HashMap<>();
+    private Set<String> mLive = Set.of();
+
+    private FleetLink(
+            ForwardSettings settings,
+            EventLoop loop,
+            Clock clock,
+            DecisionLog log,
+            MemberTable members,
+            StageDesks desks)
+            throws PeerException {
+        mSettings = settings;
+        mLoop = loop;
+        mLog = log;
+        mMembers = members;
+        mDesks = desks;
+        mTransport =
+                PeerTransport.builder()
+                        .fleet(settings.fleet().name())
+                        .sender(self(settings), UUID.randomUUID().toString())
+                        .secret(settings.fleet().secret().getBytes(StandardCharsets.UTF_8))
+                        .bind(settings.listeners().peers())
+                        .accept(address -> true)
+                        .resolver(this::resolve)
+                        .listener(this::received)
+                        .heartbeat(HEARTBEAT, SILENCE)
+                        .backoff(FIRST_BACKOFF, LONGEST_BACKOFF)
+                        .clock(clock)
+                        .start();
+    }
+
+    /** Returns the table of members for these settings. */
+    static MemberTable members(ForwardSettings settings, Clock clock) {
+        return new MemberTable(clock, new SplittableRandom(), self(settings), seeds(settings));
+    }
+
+    static FleetLink start(
+            ForwardSettings settings,
+            EventLoop loop,
+            Clock clock,
+            DecisionLog log,
+            MemberTable members,
+            StageDesks desks)
+            throws PeerException {
+        FleetLink link = new FleetLink(settings, loop, clock, log, members, desks);
+        loop.execute(link::greet);
+        loop.scheduleEvery(GREET_PERIOD, link::greet);
+        return link;
+    }
+
+    private static String self(ForwardSettings settings) {
+        return settings.listeners().peers().getHostString();
+    }
+
+    private static Set<String> seeds(ForwardSettings settings) {
+        return settings.fleet().seeds().stream()
+                .map(InetSocketAddress::getHostString)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    private Optional<InetSocketAddress> resolve(String member) {
+        int port = mSettings.listeners().peers().getPort();
+        return Optional.of(new InetSocketAddress(member, port));
+    }
+
+    /** Takes over the seeds of changed settings. */
+    void reloaded(ForwardSettings settings) {
+        mLoop.execute(() -> mMembers.seeds(seeds(settings)));
+    }
+
+    /** Tells the members that this entry leaves. */
+    void drain() {
+        mMembers.leaving();
+        greet();
+    }
+
+    private void greet() {
+        noteChanges();
+        PeerMessage message = memberList();
+        for (String member : mMembers.greeted()) {
+            mTransport
+                    .request(member, message, SILENCE)
+                    .whenComplete(
+                            (answer, error) -> {
+                                if (answer instanceof PeerMessage.Members members) {
+                                    mLoop.execute(() -> heard(members));
+                                }
+                            });
+        }
+    }
+
+    private PeerMessage memberList() {
+        return new PeerMessage.Members(
+                mMembers.heard().stream()
+                        .map(
+                                heard ->
+                                        new PeerMessage.Member(
+                                                heard.name(),
+                                                heard.leaving(),
+                                                heard.age().toMillis()))
+                        .toList());
+    }
+
+    private void heard(PeerMessage.Members members) {
+        for (PeerMessage.Member member : members.members()) {
+            Duration age = Duration.ofMillis(Math.max(0, member.ageMillis()));
+            mMembers.heard(member.vm(), member.leaving(), age);
+        }
+    }
+
+    private void noteChanges() {
+        Set<String> live = new HashSet<>(mMembers.live());
+        if (!live.equals(mLive)) {
+            mLive = live;
+            mLog.line("members")
+                    .with("count", live.size())
+                    .with("divisor", mMembers.divisor())
+                    .writeAlways();
+        }
+    }
+
+    private void received(PeerMessage.Sender from, PeerMessage message, PeerListener.Reply reply) {
+        mLoop.execute(() -> handle(message, reply));
+    }
+
+    private void handle(PeerMessage message, PeerListener.Reply reply) {
+        if (message instanceof PeerMessage.Members members) {
+            heard(members);
+            reply.send(memberList());
+        } else if (message instanceof PeerMessage.StageOrder order) {
+            makeForOther(order.job(), reply);
+        } else if (message instanceof PeerMessage.StageGiveUp giveUp) {
+            Set<Runnable> jobs = mForOthers.remove(giveUp.requestId());
+            if (jobs != null) {
+                jobs.forEach(Runnable::run);
+            }
+        } else if (message instanceof PeerMessage.StageRelease release) {
+            mDesks.release(release.service(), release.pieces());
+        }
+    }
+
+    private void makeForOther(StageJob job, PeerListener.Reply reply) {
+        if (job.pieces().isEmpty()) {
+            reply.send(new PeerMessage.StageResults(List.of()));
+            return;
+        }
+        String request = job.pieces().get(0).requestId();
+        OtherJob other = new OtherJob();
+        other.mGiveUp =
+                mDesks.make(
+                        job,
+                        results -> {
+                            forget(request, other);
+                            reply.send(new PeerMessage.StageResults(results));
+                        });
+        mForOthers.computeIfAbsent(request, id -> new HashSet<>()).add(other);
+    }
+
+    private void forget(String request, Runnable job) {
+        Set<Runnable> jobs = mForOthers.get(request);
+        if (jobs != null && jobs.remove(job) && jobs.isEmpty()) {
+            mForOthers.remove(request);
+        }
+    }
+
+    @Override
+    public Runnable make(StageJob job, Consumer<List<PieceResult>> onDone) {
+        RemoteJob remote = new RemoteJob(job, onDone);
+        remote.start();
+        return remote::giveUp;
+    }
+
+    @Override
+    public void release(String service, List<MadePiece> pieces) {
+        String collector = mMembers.collector(service);
+        if (collector.equals(self(mSettings))
+                || !mTransport.send(collector, new PeerMessage.StageRelease(service, pieces))) {
+            mDesks.release(service, pieces);
+        }
+    }
+
+    @Override
+    public void close() {
+        mTransport.close();
+    }
+
+    /**
+     * A job that this entry makes for another one; running it gives the job up.
+     *
+     * <p>Thread safety: used on the event loop.
+     */
+    private static final class OtherJob implements Runnable {
+        private Runnable mGiveUp = () -> {};
+
+        @Override
+        public void run() {
+            mGiveUp.run();
+        }
+    }
+
+    /**
+     * A job at its collector.
+     *
+     * <p>Thread safety: used on the event loop.
+     */
+    private final class RemoteJob {
+        private final StageJob mJob;
+        private final Consumer<List<PieceResult>> mOnDone;
+        private int mCollectors;
+        private boolean mEnded;
+        private Runnable mGiveUp = () -> {};
+
+        RemoteJob(StageJob job, Consumer<List<PieceResult>> onDone) {
+            mJob = job;
+            mOnDone = onDone;
+        }
+
+        void start() {
+            if (mEnded) {
+                return;
+            }
+            String collector = mMembers.collector(mJob.service());
+            if (mCollectors >= MAX_COLLECTORS || collector.equals(self(mSettings))) {
+                mGiveUp = mDesks.make(mJob, this::done);
+                return;
+            }
+            mCollectors++;
+            String request = mJob.pieces().get(0).requestId();
+            mGiveUp = () -> mTransport.send(collector, new PeerMessage.StageGiveUp(request));
+            Duration timeout = Duration.ofMillis(mJob.deadlineMillis()).plus(REPLY_MARGIN);
+            mTransport
+                    .request(collector, new PeerMessage.StageOrder(mJob), timeout)
+                    .whenComplete(
+                            (answer, error) ->
+                                    mLoop.execute(() -> answered(collector, answer, error)));
+        }
+
+        private void answered(
+                String collector, @Nullable PeerMessage answer, @Nullable Throwable error) {
+            if (mEnded) {
+                return;
+            }
+            if (answer instanceof PeerMessage.StageResults results
+                    && results.results().size() == mJob.pieces().size()) {
+                done(results.results());
+                return;
+            }
+            mMembers.failed(collector);
+            mLog.line("collector_lost")
+                    .with("collector", collector)
+                    .with("service", mJob.service())
+                    .with("request", mJob.pieces().get(0).requestId())
+                    .with("detail", String.valueOf(error))
+                    .write();
+            start();
+        }
+
+        private void done(List<PieceResult> results) {
+            if (!mEnded) {
+                mEnded = true;
+                mOnDone.accept(results);
+            }
+        }
+
+        void giveUp() {
+            if (!mEnded) {
+                mEnded = true;
+                mGiveUp.run();
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -15,6 +15,7 @@
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.daemon.forward.ForwardServices.ForwardReports;
 import org.bulrushvale.decision.forward.ColdLimit;
+import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
 import org.bulrushvale.decision.forward.ServerChoice;
 import org.bulrushvale.kernel.event.EventLoop;
@@ -52,6 +53,7 @@
     private final PublishedSource mSource;
     private final ForwardCore mCore;
     private final StageDesks mDesks;
+    private final FleetLink mFleet;
     private final ForwardServer mServer;
     private final CountDownLatch mDrained = new CountDownLatch(1);
     private long mDrainStarted;
@@ -68,7 +70,8 @@
         UpstreamCalls calls = UpstreamCalls.on(mWorker, settings.limits().connectTimeout());
         mPublished =
                 new Published(mLoop, mClock, settings.fleet().lapse(), mLog, this::onPublished);
-        ColdLimit cold = new ColdLimit(mClock, this::entries);
+        MemberTable members = FleetLink.members(settings, mClock);
+        ColdLimit cold = new ColdLimit(mClock, members::divisor);
         ForwardServices services =
                 new ForwardServices(
                         mLoop,
@@ -83,10 +86,11 @@
                                 settings.limits().repeatRatio(),
                                 settings.limits().repeatSlack(),
                                 settings.limits().repeatWindow(),
-                                this::entries),
+                                members::divisor),
                         new ForwardReports(mLog, metrics));
         mDesks = new StageDesks(services);
-        mCore = new ForwardCore(services, mDesks);
+        mFleet = FleetLink.start(settings, mLoop, mClock, mLog, members, mDesks);
+        mCore = new ForwardCore(services, mFleet);
         mServer = ForwardServer.start(settings, mWorker, mCore, metrics::scrape, mClock);
         mLoop.scheduleEvery(STAGE_TICK, mDesks::dispatch);
         mSource.start(settings.fleet().store(), calls, mPublished);
@@ -103,10 +107,6 @@
         return daemon;
     }
 
-    private int entries() {
-        return 1;
-    }
-
     private void onPublished() {
         mCore.publishedChanged();
         mDesks.dispatch();
@@ -155,6 +155,7 @@
                     mLog.line("stop").with("running", mCore.running()).writeAlways();
                     mDrainStarted = mClock.monotonicNanos();
                     mCore.drain();
+                    mFleet.drain();
                     mServer.drain();
                     mLoop.scheduleEvery(DRAIN_TICK, this::checkDrained);
                 });
@@ -184,8 +185,10 @@
         mLog.line("stopped").with("drained", String.valueOf(drained)).writeAlways();
     }
 
-    /** Records that the settings file was read again. */
-    void reloaded(String outcome) {
+    /** Takes over what may change in the settings of a running process: the seeds. */
+    void reload(ForwardSettings.Result result) {
+        String outcome = result.settings().isPresent() ? "ok" : result.faults().toString();
+        result.settings().ifPresent(mFleet::reloaded);
         mLog.line("reload").with("outcome", outcome).writeAlways();
     }
 
@@ -193,6 +196,7 @@
     public void close() {
         mServer.close();
         mSource.close();
+        mFleet.close();
         mLoop.close();
         mWorker.shutdownNow();
         mLog.close();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
@@ -8,6 +8,7 @@
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.daemon.LogSetup;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -27,6 +28,7 @@
         description = "Forwarding entry: serves callers by the published routes.",
         mixinStandardHelpOptions = true)
 public final class ForwardMain implements Callable<Integer> {
+    private static final Logger LOG = Logger.getLogger(ForwardMain.class);
     private static final int BAD_SETTINGS = 2;
 
     @Option(
@@ -87,10 +89,9 @@
 
     private static void reload(ForwardDaemon daemon, Path path) {
         try {
-            ForwardSettings.Result result = ForwardSettings.check(Files.readString(path));
-            daemon.reloaded(result.faults().isEmpty() ? "ok" : result.faults().toString());
+            daemon.reload(ForwardSettings.check(Files.readString(path)));
         } catch (IOException e) {
-            daemon.reloaded("settings file cannot be read");
+            LOG.errorf("settings file cannot be read: %s", e.getMessage());
         }
     }
 
