Start stage pieces by slack, whole jobs at a time, where their data lies

A piece now carries the time by which it must start; late ones go last, by rank. A call takes whole jobs, large inputs and results decide the failure domain, and memory counts as taken until the release was answered. Slow servers are used only when the others cannot take all pieces. The cold limit is divided by rank, so that its sum holds for more entries than the rate.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/StageJob.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/StageJob.java
@@ -8,16 +8,20 @@
  * <p>Times are relative, because the clocks of two processes differ. Thread safety: immutable.
  *
  * @param service stage service that makes the pieces
- * @param targetMillis time within which the request should be answered
- * @param deadlineMillis time after which nobody waits
+ * @param startByMillis time within which the pieces must start to meet the request's target
+ * @param giveUpMillis time from which waiting for a server is useless
+ * @param rank rank of the request; 0 is the most important
  * @param resultBytes approximate size of one result
+ * @param preferredDomain failure domain that saves moving large results; empty for none
  */
 public record StageJob(
         String service,
         List<PieceOrder> pieces,
-        long targetMillis,
-        long deadlineMillis,
-        long resultBytes) {
+        long startByMillis,
+        long giveUpMillis,
+        int rank,
+        long resultBytes,
+        String preferredDomain) {
     public StageJob {
         pieces = List.copyOf(pieces);
     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/StageCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/StageCodec.java
@@ -42,8 +42,9 @@
     }
 
     private static void writeJob(StageJob job, MessageBufferPacker out) throws IOException {
-        out.packString(job.service()).packLong(job.targetMillis());
-        out.packLong(job.deadlineMillis()).packLong(job.resultBytes());
+        out.packString(job.service()).packLong(job.startByMillis());
+        out.packLong(job.giveUpMillis()).packInt(job.rank()).packLong(job.resultBytes());
+        out.packString(job.preferredDomain());
         out.packArrayHeader(job.pieces().size());
         for (PieceOrder p : job.pieces()) {
             out.packString(p.requestId()).packInt(p.stage()).packInt(p.piece());
@@ -55,9 +56,11 @@
     static PeerMessage readOrder(Reader in) throws IOException {
         MessageUnpacker raw = in.raw();
         String service = in.text();
-        long target = raw.unpackLong();
-        long deadline = raw.unpackLong();
+        long startBy = raw.unpackLong();
+        long giveUp = raw.unpackLong();
+        int rank = raw.unpackInt();
         long bytes = raw.unpackLong();
+        String domain = in.text();
         return new PeerMessage.StageOrder(
                 new StageJob(
                         service,
@@ -70,9 +73,11 @@
                                                 raw.unpackLong(),
                                                 in.text(),
                                                 in.list(in::text))),
-                        target,
-                        deadline,
-                        bytes));
+                        startBy,
+                        giveUp,
+                        rank,
+                        bytes,
+                        domain));
     }
 
     static PeerMessage readResults(Reader in) throws IOException {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetLink.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetLink.java
@@ -41,8 +41,8 @@
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(1_000);
 
-    // The answer of a collector needs a moment after the last piece.
-    private static final Duration REPLY_MARGIN = Duration.ofMillis(100);
+    // Pieces that start at the last moment take a call; a dead collector is found by its silence.
+    private static final Duration REPLY_MARGIN = Duration.ofSeconds(4);
     private static final int MAX_COLLECTORS = 2;
 
     private final ForwardSettings mSettings;
@@ -167,7 +167,7 @@
             mLive = live;
             mLog.line("members")
                     .with("count", live.size())
-                    .with("divisor", mMembers.divisor())
+                    .with("divisor", mMembers.entries())
                     .writeAlways();
         }
     }
@@ -232,6 +232,11 @@
         }
     }
 
+    /** Returns the number of requests of other entries whose pieces are made here. */
+    int makingForOthers() {
+        return mForOthers.size();
+    }
+
     @Override
     public void close() {
         mTransport.close();
@@ -280,7 +285,8 @@
             mCollectors++;
             String request = mJob.pieces().get(0).requestId();
             mGiveUp = () -> mTransport.send(collector, new PeerMessage.StageGiveUp(request));
-            Duration timeout = Duration.ofMillis(mJob.deadlineMillis()).plus(REPLY_MARGIN);
+            Duration timeout =
+                    Duration.ofMillis(Math.max(0, mJob.giveUpMillis())).plus(REPLY_MARGIN);
             mTransport
                     .request(collector, new PeerMessage.StageOrder(mJob), timeout)
                     .whenComplete(
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
@@ -94,7 +94,7 @@
                         exchange,
                         facts,
                         route.get(),
-                        workspace.map(Workspace::name).orElse(""),
+                        workspace,
                         config,
                         mRunning::remove);
         mRunning.add(request);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -38,7 +38,7 @@
     private static final int RING_SLOTS = 8_192;
 
     // Calls that wait for memory or for a server that was busy are looked at again this often.
-    private static final Duration STAGE_TICK = Duration.ofMillis(100);
+    private static final Duration STAGE_TICK = Duration.ofMillis(50);
     private static final Duration DRAIN_TICK = Duration.ofMillis(50);
 
     // The last part of the grace time is left for closing down.
@@ -71,7 +71,7 @@
         mPublished =
                 new Published(mLoop, mClock, settings.fleet().lapse(), mLog, this::onPublished);
         MemberTable members = FleetLink.members(settings, mClock);
-        ColdLimit cold = new ColdLimit(mClock, members::divisor);
+        ColdLimit cold = new ColdLimit(mClock, members);
         ForwardServices services =
                 new ForwardServices(
                         mLoop,
@@ -86,7 +86,7 @@
                                 settings.limits().repeatRatio(),
                                 settings.limits().repeatSlack(),
                                 settings.limits().repeatWindow(),
-                                members::divisor),
+                                members::entries),
                         new ForwardReports(mLog, metrics));
         mDesks = new StageDesks(services);
         mFleet = FleetLink.start(settings, mLoop, mClock, mLog, members, mDesks);
@@ -167,6 +167,7 @@
         boolean idle =
                 elapsed.compareTo(limits.unready()) >= 0
                         && mCore.running() == 0
+                        && mFleet.makingForOthers() == 0
                         && mServer.running() == 0;
         if (idle || elapsed.compareTo(limits.grace().minus(DRAIN_MARGIN)) >= 0) {
             mDrained.countDown();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -8,6 +8,7 @@
 import org.bulrushvale.decision.forward.ServerChoice;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
+import org.bulrushvale.kernel.verdict.BulrushvaleException;
 
 /**
  * What requests and stages share within one process.
@@ -24,6 +25,15 @@
         ColdLimit cold,
         RepeatBudget budget,
         ForwardReports reports) {
+    /** Returns the failure domain in which a stage result lies; empty when it is not known. */
+    String domainOf(String handle) {
+        try {
+            return published.directory().domainAt(protocol.maker(handle).name());
+        } catch (BulrushvaleException e) {
+            return "";
+        }
+    }
+
     DecisionLog log() {
         return reports.log();
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -3,8 +3,11 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import net.openhft.hashing.LongHashFunction;
@@ -18,6 +21,7 @@
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.EventSplitter;
 import org.bulrushvale.decision.forward.ForwardConfig;
+import org.bulrushvale.decision.forward.ForwardConfig.Workspace;
 import org.bulrushvale.decision.forward.RequestKind;
 import org.bulrushvale.decision.forward.Route;
 import org.bulrushvale.decision.forward.ServiceSpec;
@@ -33,13 +37,22 @@
  * allows it; the caller gets one answer, and a refusal that says "not run" only when no attempt may
  * have run; no event is delivered twice. Thread safety: used on the event loop.
  */
-final class ForwardedRequest implements Attempt.Handler, StagePlan.Listener, StagePlan.Times {
+final class ForwardedRequest implements Attempt.Handler, StagePlan.Listener, StagePlan.RequestView {
     // Below this a server cannot do anything useful any more.
     private static final long MIN_SEND_MILLIS = 5;
 
     // Refused attempts are cheap, but each one counts against the budget of repeats.
     private static final int MAX_REFUSALS = 3;
 
+    // Reading the prompt and making the first event takes some hundred ms.
+    private static final Duration FIRST_EVENT_ALLOWANCE = Duration.ofMillis(200);
+
+    // A piece waits about a third of a call for a server at half load.
+    private static final double WAIT_FACTOR = 1.3;
+
+    // An answer sent at the very end would reach the caller after it has gone.
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(30);
+
     private static final Duration NO_SERVER_RECHECK = Duration.ofMillis(20);
 
     // An eighth of the latency target may pass before a refusal costs anything.
@@ -51,8 +64,10 @@
     private final RequestFacts mFacts;
     private final Route mRoute;
     private final String mWorkspace;
+    private final int mRank;
     private final String mService;
     private final double mColdPerSecond;
+    private final ForwardConfig mConfig;
     private final Consumption mOnEnd;
     private final long mEndNanos;
     private final Set<String> mTried = new HashSet<>();
@@ -79,7 +94,7 @@
             CallerExchange caller,
             RequestFacts facts,
             Route route,
-            String workspace,
+            Optional<Workspace> workspace,
             ForwardConfig config,
             Consumption onEnd) {
         mServices = services;
@@ -87,15 +102,17 @@
         mCaller = caller;
         mFacts = facts;
         mRoute = route;
-        mWorkspace = workspace;
+        mWorkspace = workspace.map(Workspace::name).orElse("");
+        mRank = workspace.flatMap(Workspace::priority).orElse(route.priority());
         mService = route.service(LongHashFunction.xx().hashChars(facts.id()));
         mColdPerSecond = config.service(mService).map(ServiceSpec::coldPerSecond).orElse(0.0);
+        mConfig = config;
         mOnEnd = onEnd;
         Duration wait =
                 facts.deadline().compareTo(route.timeout()) < 0
                         ? facts.deadline()
                         : route.timeout();
-        mEndNanos = caller.arrivedNanos() + wait.toNanos();
+        mEndNanos = caller.arrivedNanos() + wait.minus(ANSWER_MARGIN).toNanos();
         mLastEvent = facts.resumeAfter();
         mPlan = newPlan();
     }
@@ -120,8 +137,30 @@
 
     @Override
     public long targetMillis() {
-        long target = mCaller.arrivedNanos() + mRoute.latencyTarget().toNanos();
-        return TimeUnit.NANOSECONDS.toMillis(target - mServices.clock().monotonicNanos());
+        Duration target = mRoute.latencyTarget().minus(FIRST_EVENT_ALLOWANCE);
+        long at = mCaller.arrivedNanos() + target.toNanos();
+        return TimeUnit.NANOSECONDS.toMillis(at - mServices.clock().monotonicNanos());
+    }
+
+    @Override
+    public int rank() {
+        return mRank;
+    }
+
+    @Override
+    public String domainOf(List<String> handles) {
+        Map<String, Integer> counts = new HashMap<>();
+        handles.forEach(handle -> counts.merge(mServices.domainOf(handle), 1, Integer::sum));
+        return counts.entrySet().stream()
+                .max(Map.Entry.comparingByValue())
+                .map(Map.Entry::getKey)
+                .orElse("");
+    }
+
+    @Override
+    public String readerDomain() {
+        Server server = choose();
+        return server == null ? "" : server.entry().domain();
     }
 
     @Override
@@ -130,6 +169,21 @@
         return Math.max(0, TimeUnit.NANOSECONDS.toMillis(left));
     }
 
+    @Override
+    public long giveUpMillis() {
+        Duration wait = Duration.ofNanos(mEndNanos - mCaller.arrivedNanos());
+        long giveUp = mCaller.arrivedNanos() + wait.dividedBy(2).toNanos();
+        return TimeUnit.NANOSECONDS.toMillis(giveUp - mServices.clock().monotonicNanos());
+    }
+
+    @Override
+    public long stageMillis(String service) {
+        return mConfig.service(service)
+                .flatMap(ServiceSpec::pieces)
+                .map(pieces -> (long) (pieces.typicalCallTime().toMillis() * WAIT_FACTOR))
+                .orElse(0L);
+    }
+
     @Override
     public void stagesDone(List<String> inputs) {
         mInputs = inputs;
@@ -166,15 +220,7 @@
             timeIsOver();
             return;
         }
-        Server server =
-                mServices
-                        .choice()
-                        .choose(
-                                mServices.published().directory().eligibleOf(mService),
-                                mTried,
-                                mColdPerSecond,
-                                mFacts.affinity(),
-                                LongHashFunction.xx().hashChars(mFacts.id()));
+        Server server = choose();
         if (server == null) {
             awaitServer();
             return;
@@ -186,6 +232,17 @@
         sendTo(server, left);
     }
 
+    private @Nullable Server choose() {
+        return mServices
+                .choice()
+                .choose(
+                        mServices.published().directory().eligibleOf(mService),
+                        mTried,
+                        mColdPerSecond,
+                        mFacts.affinity(),
+                        LongHashFunction.xx().hashChars(mFacts.id()));
+    }
+
     private void awaitServer() {
         Duration waited = mServices.clock().elapsedSince(mCaller.arrivedNanos());
         boolean mayWait =
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
@@ -20,6 +20,7 @@
 import org.bulrushvale.decision.forward.BackendEntry;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.ServiceSpec;
+import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.decision.forward.StageQueue;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 
@@ -74,18 +75,14 @@
             late.deliver(PieceResult.failed(PieceResult.Outcome.LATE));
         }
         List<Server> servers = mServices.published().directory().eligibleOf(mService);
-        for (StageQueue.Call<StagePiece> call : mQueue.nextCalls(servers, this::capacity)) {
-            start(call);
-        }
+        limits().ifPresent(limits -> mQueue.nextCalls(servers, limits).forEach(this::start));
     }
 
-    private StageQueue.Capacity capacity(Server server) {
+    private Optional<PieceLimits> limits() {
         ForwardConfig config = mServices.published().config();
         Optional<ServiceSpec> service =
                 config == null ? Optional.empty() : config.service(mService);
-        return service.flatMap(ServiceSpec::pieces)
-                .map(p -> new StageQueue.Capacity(p.slots(), p.batch(), p.roomBytes()))
-                .orElse(new StageQueue.Capacity(0, 0, 0));
+        return service.flatMap(ServiceSpec::pieces);
     }
 
     private void start(StageQueue.Call<StagePiece> call) {
@@ -146,7 +143,13 @@
             lost(call, e.detail(), started);
             return;
         }
+        long now = mServices.clock().monotonicNanos();
         server.succeeded();
+        limits().map(limits -> limits.callTime(call.pieces().size()))
+                .filter(expected -> !expected.isZero())
+                .ifPresent(
+                        expected ->
+                                server.took((double) (now - started) / expected.toNanos(), now));
         log(call, "made", started);
         ended(call);
         for (int i = 0; i < results.size(); i++) {
@@ -155,6 +158,9 @@
             if (result.outcome() != PieceResult.Outcome.MADE) {
                 mQueue.released(piece.name());
             }
+            if (result.outcome() == PieceResult.Outcome.NO_ROOM) {
+                mQueue.full(server.entry().id());
+            }
             if (result.outcome().mayTryElsewhere()) {
                 repeat(piece, server.entry().id(), result);
             } else {
@@ -218,18 +224,14 @@
             mServices.loop().schedule(RELEASE_DELAY, this::sendReleases);
         }
         mReleases.addAll(pieces);
-        for (MadePiece piece : pieces) {
-            mQueue.released(StagePiece.name(piece.requestId(), piece.stage(), piece.piece()));
-        }
-        dispatch();
     }
 
     private void sendReleases() {
-        Map<BackendAddress, List<String>> byMaker = new HashMap<>();
+        Map<BackendAddress, List<MadePiece>> byMaker = new HashMap<>();
         for (MadePiece piece : mReleases) {
             try {
                 BackendAddress maker = mServices.protocol().maker(piece.handle());
-                byMaker.computeIfAbsent(maker, address -> new ArrayList<>()).add(piece.handle());
+                byMaker.computeIfAbsent(maker, address -> new ArrayList<>()).add(piece);
             } catch (BulrushvaleException e) {
                 mServices.log().line("release_refused").with("detail", e.detail()).write();
             }
@@ -238,11 +240,21 @@
         byMaker.forEach(this::sendRelease);
     }
 
-    private void sendRelease(BackendAddress maker, List<String> handles) {
-        StageMessage message = mServices.protocol().releaseResults(handles);
+    private void sendRelease(BackendAddress maker, List<MadePiece> pieces) {
+        StageMessage message =
+                mServices
+                        .protocol()
+                        .releaseResults(pieces.stream().map(MadePiece::handle).toList());
         HttpCalls.Request request =
                 request(maker.host(), maker.port(), message, RELEASE_SILENCE, new HeaderMap());
-        mServices.calls().start(request, new ReleaseAnswer());
+        mServices.calls().start(request, new ReleaseAnswer(pieces));
+    }
+
+    private void released(List<MadePiece> pieces) {
+        for (MadePiece piece : pieces) {
+            mQueue.released(StagePiece.name(piece.requestId(), piece.stage(), piece.piece()));
+        }
+        dispatch();
     }
 
     private static HttpCalls.Request request(
@@ -260,13 +272,18 @@
      * <p>Thread safety: called on the I/O thread.
      */
     private final class ReleaseAnswer extends HttpCalls.WholeAnswer {
-        ReleaseAnswer() {
+        private final List<MadePiece> mPieces;
+
+        ReleaseAnswer(List<MadePiece> pieces) {
             super(MAX_ANSWER_BYTES);
+            mPieces = pieces;
         }
 
         @Override
         protected void complete(int status, HeaderMap headers, byte[] body) {
-            if (status != 200) {
+            if (status == 200) {
+                mServices.loop().execute(() -> released(mPieces));
+            } else {
                 mServices.log().line("release_failed").with("status", status).write();
             }
         }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesks.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesks.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.bulrushvale.adapters.forward.MadePiece;
 import org.bulrushvale.adapters.forward.PieceOrder;
@@ -28,22 +27,15 @@
     @Override
     public Runnable make(StageJob job, Consumer<List<PieceResult>> onDone) {
         long now = mServices.clock().monotonicNanos();
-        long target = now + TimeUnit.MILLISECONDS.toNanos(job.targetMillis());
-        long deadline = now + TimeUnit.MILLISECONDS.toNanos(job.deadlineMillis());
+        StageDesk desk = desk(job.service());
         Collected collected = new Collected(job.pieces().size(), onDone);
         List<StagePiece> pieces = new ArrayList<>();
         for (int i = 0; i < job.pieces().size(); i++) {
             int index = i;
             PieceOrder order = job.pieces().get(i);
-            pieces.add(
-                    new StagePiece(
-                            order,
-                            target,
-                            deadline,
-                            job.resultBytes(),
-                            result -> collected.add(index, result)));
+            pieces.add(new StagePiece(job, order, now, result -> collected.add(index, result)));
         }
-        desk(job.service()).add(pieces);
+        desk.add(pieces);
         return () -> pieces.forEach(StagePiece::abandon);
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StagePiece.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StagePiece.java
@@ -2,9 +2,11 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.bulrushvale.adapters.forward.PieceOrder;
 import org.bulrushvale.adapters.forward.PieceResult;
+import org.bulrushvale.adapters.forward.StageJob;
 import org.bulrushvale.decision.forward.StageQueue;
 
 /**
@@ -13,24 +15,19 @@
  * <p>Invariant: the result is delivered once. Thread safety: not safe; used by the event loop.
  */
 final class StagePiece implements StageQueue.Piece {
+    private final StageJob mJob;
     private final PieceOrder mOrder;
-    private final long mTargetNanos;
-    private final long mDeadlineNanos;
-    private final long mResultBytes;
+    private final long mStartByNanos;
+    private final long mGiveUpNanos;
     private final Consumer<PieceResult> mOnResult;
     private final Set<String> mAvoided = new HashSet<>();
     private boolean mDelivered;
 
-    StagePiece(
-            PieceOrder order,
-            long targetNanos,
-            long deadlineNanos,
-            long resultBytes,
-            Consumer<PieceResult> onResult) {
+    StagePiece(StageJob job, PieceOrder order, long nowNanos, Consumer<PieceResult> onResult) {
+        mJob = job;
         mOrder = order;
-        mTargetNanos = targetNanos;
-        mDeadlineNanos = deadlineNanos;
-        mResultBytes = resultBytes;
+        mStartByNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(job.startByMillis());
+        mGiveUpNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(job.giveUpMillis());
         mOnResult = onResult;
     }
 
@@ -64,18 +61,33 @@
     }
 
     @Override
-    public long targetNanos() {
-        return mTargetNanos;
+    public String group() {
+        return mOrder.requestId() + "/" + mOrder.stage();
     }
 
     @Override
-    public long deadlineNanos() {
-        return mDeadlineNanos;
+    public int rank() {
+        return mJob.rank();
+    }
+
+    @Override
+    public long startByNanos() {
+        return mStartByNanos;
+    }
+
+    @Override
+    public long giveUpNanos() {
+        return mGiveUpNanos;
     }
 
     @Override
     public long resultBytes() {
-        return mResultBytes;
+        return mJob.resultBytes();
+    }
+
+    @Override
+    public String preferredDomain() {
+        return mJob.preferredDomain();
     }
 
     @Override
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StagePlan.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StagePlan.java
@@ -18,12 +18,15 @@
  * of this request only. Thread safety: used on the event loop.
  */
 final class StagePlan {
+    // Moving less than this between domains costs less than waiting for a server.
+    private static final long LARGE_BYTES = 100_000;
+
     private final StageWork mWork;
     private final Route mRoute;
     private final String mRequestId;
     private final String mPieceKey;
     private final List<Integer> mPieces;
-    private final Times mTimes;
+    private final RequestView mRequest;
     private final Listener mListener;
     private final Map<Integer, List<String>> mHandles = new HashMap<>();
     private final Map<Integer, Runnable> mRunning = new HashMap<>();
@@ -35,14 +38,14 @@
             String requestId,
             String pieceKey,
             List<Integer> statedPieces,
-            Times times,
+            RequestView request,
             Listener listener) {
         mWork = work;
         mRoute = route;
         mRequestId = requestId;
         mPieceKey = pieceKey;
         mPieces = padded(statedPieces, route.stages().size());
-        mTimes = times;
+        mRequest = request;
         mListener = listener;
     }
 
@@ -83,7 +86,8 @@
     private void start(int stage) {
         Route.StageStep step = mRoute.stages().get(stage);
         List<String> inputs = inputs(step.after());
-        long left = mTimes.deadlineMillis();
+        long left = mRequest.deadlineMillis();
+        long later = mRequest.stageMillis(step.service()) + laterMillis(stage);
         List<PieceOrder> orders = new ArrayList<>();
         for (int piece = 0; piece < mPieces.get(stage); piece++) {
             String key = inputs.isEmpty() ? mPieceKey : "";
@@ -91,13 +95,43 @@
         }
         StageJob job =
                 new StageJob(
-                        step.service(), orders, mTimes.targetMillis(), left, step.resultBytes());
+                        step.service(),
+                        orders,
+                        mRequest.targetMillis() - later,
+                        mRequest.giveUpMillis() - later,
+                        mRequest.rank(),
+                        step.resultBytes(),
+                        preferredDomain(stage, inputs));
         // Reserved first: a result may be there before the call returns.
         mRunning.put(stage, () -> {});
         Runnable giveUp = mWork.make(job, results -> onResults(stage, results));
         mRunning.replace(stage, giveUp);
     }
 
+    /** Large inputs are used where they lie; large results are made where they are read. */
+    private String preferredDomain(int stage, List<String> inputs) {
+        Route.StageStep step = mRoute.stages().get(stage);
+        long inputBytes = 0;
+        for (int input : step.after()) {
+            inputBytes += mPieces.get(input) * mRoute.stages().get(input).resultBytes();
+        }
+        if (inputBytes >= LARGE_BYTES) {
+            return mRequest.domainOf(inputs);
+        }
+        boolean last = followers(stage).isEmpty();
+        return last && step.resultBytes() >= LARGE_BYTES ? mRequest.readerDomain() : "";
+    }
+
+    /** Returns the time of the stages that follow, along the longest way. */
+    private long laterMillis(int stage) {
+        long longest = 0;
+        for (int follower : followers(stage)) {
+            String service = mRoute.stages().get(follower).service();
+            longest = Math.max(longest, mRequest.stageMillis(service) + laterMillis(follower));
+        }
+        return longest;
+    }
+
     private void onResults(int stage, List<PieceResult> results) {
         mRunning.remove(stage);
         List<MadePiece> made = new ArrayList<>();
@@ -172,13 +206,28 @@
         }
     }
 
-    /** Remaining times of the request. */
-    interface Times {
+    /** What a plan needs to know of its request. */
+    interface RequestView {
+        /** Returns the rank of the request; 0 is the most important. */
+        int rank();
+
+        /** Returns the failure domain in which most results lie; empty when it is not known. */
+        String domainOf(List<String> handles);
+
+        /** Returns the failure domain of the server that will read the last results. */
+        String readerDomain();
+
         /** Returns the time left until the request should be answered. */
         long targetMillis();
 
         /** Returns the time left until the request ends. */
         long deadlineMillis();
+
+        /** Returns the time left until an answer that has not begun is not worth waiting for. */
+        long giveUpMillis();
+
+        /** Returns the typical time of a call to a stage service. */
+        long stageMillis(String service);
     }
 
     /** Told once about the end of the stages. */
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -75,6 +75,16 @@
         return servers;
     }
 
+    /** Returns the failure domain of the server at an address; empty when it is not known. */
+    public String domainAt(String address) {
+        for (Server server : mServers.values()) {
+            if (server.entry().address().equals(address)) {
+                return server.entry().domain();
+            }
+        }
+        return "";
+    }
+
     private boolean isEligible(Server server) {
         return !server.entry().leaving() && !mEvacuated.contains(server.entry().domain());
     }
@@ -90,12 +100,17 @@
         // A failure is no longer evidence after this time: a crashed server is back or removed.
         private static final long SUSPECT_NANOS = 2 * NANOS_PER_SECOND;
 
+        // A slow server is tried again after this time, because slowness ends.
+        private static final long SLOWNESS_MEMORY_NANOS = 3 * NANOS_PER_SECOND;
+
         private BackendEntry mEntry;
         private long mColdUntilNanos;
         private long mSuspectUntilNanos;
         private int mOutstanding;
         private long mOutstandingTokens;
         private int mFailures;
+        private double mSlowness = 1;
+        private long mSlownessAtNanos;
 
         private Server(BackendEntry entry, long nowNanos) {
             mEntry = entry;
@@ -156,6 +171,17 @@
             mFailures = 0;
         }
 
+        /** Records how many times as long as expected the server took. */
+        public void took(double ratio, long nowNanos) {
+            mSlowness = (slowness(nowNanos) + ratio) / 2;
+            mSlownessAtNanos = nowNanos;
+        }
+
+        /** Returns how many times as long as expected the server takes; 1 when not known. */
+        public double slowness(long nowNanos) {
+            return nowNanos - mSlownessAtNanos > SLOWNESS_MEMORY_NANOS ? 1 : mSlowness;
+        }
+
         /** Records a failure that speaks against the server; repeated ones keep it out longer. */
         public void failed(long nowNanos) {
             mFailures = Math.min(mFailures + 1, 3);
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ColdLimit.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ColdLimit.java
@@ -4,16 +4,15 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.IntSupplier;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.kernel.time.Clock;
 
 /**
  * Bounds the requests a second that this entry sends to a cold backend server.
  *
- * <p>Each entry spends the published rate divided by the number of entries that it knows of, at
- * least one request. The published limit has a reserve of half the rate and five requests over the
- * rate, which covers entries whose counts differ.
+ * <p>Each entry spends the published rate divided by the number of entries that it knows of; those
+ * that rank highest for a server share the remainder. The published limit has a reserve of half the
+ * rate and five requests over the rate, which covers entries whose views differ.
  *
  * <p>Invariant: in any second at most the share is sent. Thread safety: not safe; used by the event
  * loop.
@@ -22,17 +21,13 @@
     private static final long WINDOW_NANOS = 1_000_000_000L;
 
     private final Clock mClock;
-    private final IntSupplier mEntries;
+    private final Fleet mFleet;
     private final Map<String, Deque<Long>> mSentAt = new HashMap<>();
 
-    /**
-     * Creates the limit.
-     *
-     * @param entries number of entries that share the rate
-     */
-    public ColdLimit(Clock clock, IntSupplier entries) {
+    /** Creates the limit of one entry of a fleet. */
+    public ColdLimit(Clock clock, Fleet fleet) {
         mClock = clock;
-        mEntries = entries;
+        mFleet = fleet;
     }
 
     /** Returns true when one more request may be sent to the cold server now. */
@@ -40,7 +35,8 @@
         if (perSecond <= 0) {
             return true;
         }
-        return recent(server.entry().id()).size() < share(perSecond);
+        String id = server.entry().id();
+        return recent(id).size() < share(id, (int) perSecond);
     }
 
     /** Records a request sent to a cold server. */
@@ -48,8 +44,10 @@
         recent(server.entry().id()).addLast(mClock.monotonicNanos());
     }
 
-    private int share(double perSecond) {
-        return Math.max(1, (int) (perSecond / Math.max(1, mEntries.getAsInt())));
+    private int share(String server, int perSecond) {
+        int entries = Math.max(1, mFleet.entries());
+        int remainder = mFleet.rank(server) < perSecond % entries ? 1 : 0;
+        return perSecond / entries + remainder;
     }
 
     private Deque<Long> recent(String id) {
@@ -60,4 +58,13 @@
         }
         return sent;
     }
+
+    /** What an entry knows of the fleet. */
+    public interface Fleet {
+        /** Returns the number of entries that share the rate. */
+        int entries();
+
+        /** Returns how many entries rank higher than this one in the order of a server. */
+        int rank(String server);
+    }
 }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
@@ -11,7 +11,6 @@
 import java.util.SplittableRandom;
 import net.openhft.hashing.LongHashFunction;
 import org.bulrushvale.kernel.time.Clock;
-import org.jspecify.annotations.Nullable;
 
 /**
  * The members that this entry has heard of, from seeds and from other members.
@@ -20,7 +19,7 @@
  * of after the failure; the number used to divide fleet-wide limits never falls within a minute of
  * a larger one. Thread safety: not safe; used by the event loop.
  */
-public final class MemberTable {
+public final class MemberTable implements ColdLimit.Fleet {
     /** A member not heard of for so long is left out. */
     public static final Duration EXPIRY = Duration.ofSeconds(4);
 
@@ -104,7 +103,8 @@
     }
 
     /** Returns the number of entries by which fleet-wide limits are divided. */
-    public int divisor() {
+    @Override
+    public int entries() {
         int seeds = mSeeds.contains(mSelf) ? mSeeds.size() : mSeeds.size() + 1;
         live();
         return Math.max(mLargest, seeds);
@@ -123,6 +123,13 @@
         return best == null ? mSelf : best;
     }
 
+    @Override
+    public int rank(String name) {
+        LongHashFunction hash = LongHashFunction.xx(LongHashFunction.xx().hashChars(name));
+        long own = hash.hashChars(mSelf);
+        return (int) live().stream().filter(member -> hash.hashChars(member) > own).count();
+    }
+
     private boolean isLeaving(String name) {
         Member member = mMembers.get(name);
         return member != null && member.leaving();
@@ -165,14 +172,6 @@
         return told;
     }
 
-    /** Returns the state of a member, for reports; null when it is not known. */
-    public @Nullable Duration age(String member) {
-        Member known = mMembers.get(member);
-        return known == null
-                ? null
-                : Duration.ofNanos(mClock.monotonicNanos() - known.heardNanos());
-    }
-
     /**
      * What is told about a member.
      *
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ServiceSpec.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ServiceSpec.java
@@ -1,5 +1,6 @@
 package org.bulrushvale.decision.forward;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -20,7 +21,20 @@
      *
      * @param slots calls in progress at the same time
      * @param batch most pieces of one call
+     * @param callTime time of a call without its pieces
+     * @param pieceTime approximate time of one piece
      * @param roomBytes memory for results
      */
-    public record PieceLimits(int slots, int batch, long roomBytes) {}
+    public record PieceLimits(
+            int slots, int batch, Duration callTime, Duration pieceTime, long roomBytes) {
+        /** Returns the approximate time of a call with so many pieces. */
+        public Duration callTime(int pieces) {
+            return callTime.plus(pieceTime.multipliedBy(pieces));
+        }
+
+        /** Returns the approximate time of a call with a half full batch. */
+        public Duration typicalCallTime() {
+            return callTime((batch + 1) / 2);
+        }
+    }
 }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -3,19 +3,24 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Function;
+import java.util.Set;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
+import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.kernel.time.Clock;
 
 /**
  * Pieces that wait for one stage service, and the calls that carry them.
  *
  * <p>A call is formed when a server has a free slot: it takes the waiting pieces in the order of
- * their target time, those past their target last, so that batches grow with the load and no piece
- * waits for a timer. Memory for results is reserved until it is released or its lifetime has ended.
+ * the time by which they must start, those that are too late for their target last, so that batches
+ * grow with the load, no piece waits for a timer and an overload does not make all requests late. A
+ * piece goes to the failure domain of its inputs unless it has waited long. Memory for results is
+ * reserved until it is released or its lifetime has ended.
  *
  * <p>Invariant: each piece is in at most one call at a time; a server never has more calls than
  * slots, nor more reserved memory than it has. Thread safety: not safe; used by the event loop.
@@ -23,11 +28,24 @@
  * @param <P> a waiting piece
  */
 public final class StageQueue<P extends StageQueue.Piece> {
+    // Half of the shortest stage call (200 ms): waiting longer costs more than moving inputs.
+    private static final long DOMAIN_WAIT_NANOS = 100_000_000L;
+
+    // Published sizes are approximate.
+    private static final double ROOM_SHARE = 0.9;
+
+    // A server that reports no room gets nothing that needs memory for one call.
+    private static final long FULL_NANOS = 300_000_000L;
+
+    // Below this ratio of actual to expected time a server is not called slow.
+    private static final double SLOW = 2.0;
+
     private final Clock mClock;
     private final long mResultLifetimeNanos;
-    private final List<P> mWaiting = new ArrayList<>();
+    private final List<Waiting<P>> mWaiting = new ArrayList<>();
     private final Map<String, Integer> mCalls = new HashMap<>();
     private final Map<String, List<Reservation>> mReserved = new HashMap<>();
+    private final Map<String, Long> mFullUntil = new HashMap<>();
 
     /**
      * Creates an empty queue.
@@ -41,7 +59,7 @@
 
     /** Adds a piece. */
     public void add(P piece) {
-        mWaiting.add(piece);
+        mWaiting.add(new Waiting<>(piece, mClock.monotonicNanos()));
     }
 
     /** Returns the number of waiting pieces. */
@@ -53,10 +71,10 @@
     public List<P> expired() {
         long now = mClock.monotonicNanos();
         List<P> expired = new ArrayList<>();
-        for (Iterator<P> pieces = mWaiting.iterator(); pieces.hasNext(); ) {
-            P piece = pieces.next();
-            if (piece.isAbandoned() || piece.deadlineNanos() - now <= 0) {
-                pieces.remove();
+        for (Iterator<Waiting<P>> waiting = mWaiting.iterator(); waiting.hasNext(); ) {
+            P piece = waiting.next().piece();
+            if (piece.isAbandoned() || piece.giveUpNanos() - now <= 0) {
+                waiting.remove();
                 expired.add(piece);
             }
         }
@@ -64,63 +82,111 @@
     }
 
     /** Forms the calls that can start now. */
-    public List<Call<P>> nextCalls(List<Server> servers, Function<Server, Capacity> capacity) {
+    public List<Call<P>> nextCalls(List<Server> servers, PieceLimits limits) {
         List<Call<P>> calls = new ArrayList<>();
         if (mWaiting.isEmpty()) {
             return calls;
         }
         long now = mClock.monotonicNanos();
         mWaiting.sort(
-                Comparator.comparing((P piece) -> piece.targetNanos() - now <= 0)
-                        .thenComparingLong(piece -> piece.targetNanos() - now));
-        List<Server> order = new ArrayList<>(servers);
-        order.sort(Comparator.comparing(server -> server.isSuspect(now)));
-        for (Server server : order) {
-            Capacity limits = capacity.apply(server);
-            if (mWaiting.isEmpty()) {
-                break;
-            }
-            if (running(server.entry().id()) >= limits.slots() || server.isSuspect(now)) {
-                continue;
-            }
-            List<P> batch = take(server.entry().id(), limits);
-            if (!batch.isEmpty()) {
-                mCalls.merge(server.entry().id(), 1, Integer::sum);
+                Comparator.comparingInt((Waiting<P> waiting) -> lateRank(waiting.piece(), now))
+                        .thenComparingLong(waiting -> waiting.piece().startByNanos() - now)
+                        .thenComparing(waiting -> waiting.piece().group()));
+        List<Server> usable = usable(servers, now, limits);
+        Set<String> domains = new HashSet<>();
+        usable.forEach(server -> domains.add(server.entry().domain()));
+        for (Server server : usable) {
+            String id = server.entry().id();
+            while (running(id) < limits.slots()) {
+                List<P> batch = take(server, limits, domains, now);
+                if (batch.isEmpty()) {
+                    break;
+                }
+                mCalls.merge(id, 1, Integer::sum);
                 calls.add(new Call<>(server, batch));
             }
         }
         return calls;
     }
 
-    private List<P> take(String server, Capacity limits) {
-        List<P> batch = new ArrayList<>();
-        long room = limits.roomBytes() - reserved(server);
-        for (Iterator<P> pieces = mWaiting.iterator();
-                pieces.hasNext() && batch.size() < limits.batch(); ) {
-            P piece = pieces.next();
-            if (piece.avoids(server) || piece.resultBytes() > room) {
-                continue;
+    /** Pieces in time come first, then late ones by the rank of their request. */
+    private int lateRank(P piece, long now) {
+        return piece.startByNanos() - now > 0 ? -1 : piece.rank();
+    }
+
+    /** Suspects are left out; slow servers are used only when the others cannot take all. */
+    private List<Server> usable(List<Server> servers, long now, PieceLimits limits) {
+        List<Server> sound =
+                new ArrayList<>(servers.stream().filter(s -> !s.isSuspect(now)).toList());
+        sound.sort(Comparator.comparingDouble(server -> server.slowness(now)));
+        long fast = sound.stream().filter(server -> server.slowness(now) < SLOW).count();
+        if (fast > 0 && mWaiting.size() <= fast * limits.batch()) {
+            sound.removeIf(server -> server.slowness(now) >= SLOW);
+        }
+        return sound;
+    }
+
+    /**
+     * Takes whole groups as long as they fit, because the results of a part would only occupy
+     * memory until the rest is made. A group that fits no batch is split.
+     */
+    private List<P> take(Server server, PieceLimits limits, Set<String> domains, long now) {
+        String id = server.entry().id();
+        Map<String, List<Waiting<P>>> groups = new LinkedHashMap<>();
+        for (Waiting<P> waiting : mWaiting) {
+            P piece = waiting.piece();
+            if (!piece.avoids(id)
+                    && !waitsForDomain(waiting, server.entry().domain(), domains, now)) {
+                groups.computeIfAbsent(piece.group(), key -> new ArrayList<>()).add(waiting);
             }
-            room -= piece.resultBytes();
-            pieces.remove();
-            batch.add(piece);
-            mReserved
-                    .computeIfAbsent(server, id -> new ArrayList<>())
-                    .add(
-                            new Reservation(
-                                    piece.name(),
-                                    piece.resultBytes(),
-                                    mClock.monotonicNanos() + mResultLifetimeNanos));
         }
+        boolean full = mFullUntil.getOrDefault(id, now) - now > 0;
+        long room = full ? 0 : (long) (limits.roomBytes() * ROOM_SHARE) - reserved(id, now);
+        List<Waiting<P>> taken = new ArrayList<>();
+        for (List<Waiting<P>> group : groups.values()) {
+            long bytes = group.get(0).piece().resultBytes();
+            long fits =
+                    Math.min(
+                            limits.batch() - taken.size(),
+                            bytes == 0 ? limits.batch() : room / bytes);
+            boolean splits =
+                    taken.isEmpty()
+                            && (group.size() > limits.batch()
+                                    || bytes * group.size() > limits.roomBytes() * ROOM_SHARE);
+            if (fits >= group.size() || (splits && fits > 0)) {
+                List<Waiting<P>> part = group.subList(0, (int) Math.min(fits, group.size()));
+                taken.addAll(part);
+                room -= bytes * part.size();
+            }
+        }
+        mWaiting.removeAll(taken);
+        List<P> batch = taken.stream().map(Waiting::piece).toList();
+        batch.forEach(piece -> reserve(id, piece, now));
         return batch;
     }
 
+    private void reserve(String server, P piece, long now) {
+        mReserved
+                .computeIfAbsent(server, id -> new ArrayList<>())
+                .add(
+                        new Reservation(
+                                piece.name(), piece.resultBytes(), now + mResultLifetimeNanos));
+    }
+
+    private boolean waitsForDomain(
+            Waiting<P> waiting, String domain, Set<String> domains, long now) {
+        String preferred = waiting.piece().preferredDomain();
+        return !preferred.isEmpty()
+                && !preferred.equals(domain)
+                && domains.contains(preferred)
+                && now - waiting.sinceNanos() < DOMAIN_WAIT_NANOS;
+    }
+
     private int running(String server) {
         return mCalls.getOrDefault(server, 0);
     }
 
-    private long reserved(String server) {
-        long now = mClock.monotonicNanos();
+    private long reserved(String server, long now) {
         List<Reservation> held = mReserved.computeIfAbsent(server, id -> new ArrayList<>());
         held.removeIf(reservation -> reservation.endNanos() - now <= 0);
         return held.stream().mapToLong(Reservation::bytes).sum();
@@ -131,6 +197,11 @@
         mCalls.computeIfPresent(server, (id, count) -> count > 1 ? count - 1 : null);
     }
 
+    /** Records that a server had no room for a result; others than this queue fill it too. */
+    public void full(String server) {
+        mFullUntil.put(server, mClock.monotonicNanos() + FULL_NANOS);
+    }
+
     /** Releases the memory of a result, wherever it lies. */
     public void released(String piece) {
         for (List<Reservation> held : mReserved.values()) {
@@ -143,15 +214,24 @@
         /** Returns a name that no other piece has. */
         String name();
 
-        /** Returns the monotonic time by which its request should be answered. */
-        long targetNanos();
+        /** Returns the name of the job that needs it; results are useful only for a whole job. */
+        String group();
+
+        /** Returns the rank of its request; 0 is the most important. */
+        int rank();
 
-        /** Returns the monotonic time at which its request ends. */
-        long deadlineNanos();
+        /** Returns the monotonic time by which it must start to meet its request's target. */
+        long startByNanos();
+
+        /** Returns the monotonic time from which waiting on is useless. */
+        long giveUpNanos();
 
         /** Returns the approximate size of its result. */
         long resultBytes();
 
+        /** Returns the failure domain of its inputs; empty when it has none. */
+        String preferredDomain();
+
         /** Returns true when nobody waits for the result. */
         boolean isAbandoned();
 
@@ -159,13 +239,6 @@
         boolean avoids(String server);
     }
 
-    /**
-     * What a server bears.
-     *
-     * <p>Thread safety: immutable.
-     */
-    public record Capacity(int slots, int batch, long roomBytes) {}
-
     /**
      * One call that can start.
      *
@@ -177,6 +250,13 @@
         }
     }
 
+    /**
+     * A piece and the monotonic time since which it waits.
+     *
+     * <p>Thread safety: immutable.
+     */
+    private record Waiting<P>(P piece, long sinceNanos) {}
+
     /**
      * Memory held at a server.
      *
