--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/FleetLimitsTest.java
@@ -0,0 +1,139 @@
+package org.bulrushvale.decision.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against fleet-wide limits that hold only when all entries agree on the members. */
+public class FleetLimitsTest {
+    private static final double RATIO = 0.2;
+    private static final int SLACK = 56;
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+    private static final double COLD_PER_SECOND = 22;
+
+    // Published reserve over the rate: half of it and five requests.
+    private static final double COLD_BOUND = COLD_PER_SECOND * 1.5 + 5;
+
+    private final ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
+
+    @DataProvider
+    public Object[][] fleets() {
+        // size of the fleet, share of the members that an entry fails to see, seed
+        return new Object[][] {{8, 0.0, 1L}, {9, 0.4, 2L}, {77, 0.0, 3L}, {77, 0.3, 4L}};
+    }
+
+    @Test(dataProvider = "fleets")
+    public void repeats_of_all_entries_stay_within_the_budget(int size, double unseen, long seed) {
+        // given: entries that see too few members, and a service that always fails
+        SplittableRandom random = new SplittableRandom(seed);
+        List<RepeatBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            int seen = Math.max(1, (int) (size * (1 - unseen * random.nextDouble())));
+            budgets.add(new RepeatBudget(mClock, RATIO, SLACK, WINDOW, () -> seen));
+        }
+        Deque<Long> requests = new ArrayDeque<>();
+        Deque<Long> repeats = new ArrayDeque<>();
+        for (int step = 0; step < 4_000; step++) {
+            // when
+            mClock.advance(Duration.ofMillis(10));
+            RepeatBudget budget = budgets.get(random.nextInt(size));
+            budget.requested("service");
+            requests.addLast(mClock.monotonicNanos());
+            for (int attempt = 0; attempt < 3; attempt++) {
+                if (budget.tryRepeat("service")) {
+                    repeats.addLast(mClock.monotonicNanos());
+                }
+            }
+            // then: in every window that ends here
+            long start = mClock.monotonicNanos() - WINDOW.toNanos();
+            while (!requests.isEmpty() && requests.peekFirst() - start < 0) {
+                requests.removeFirst();
+            }
+            while (!repeats.isEmpty() && repeats.peekFirst() - start < 0) {
+                repeats.removeFirst();
+            }
+            assertThat((double) repeats.size())
+                    .as("step %d", step)
+                    .isLessThanOrEqualTo(RATIO * requests.size() + SLACK);
+        }
+        assertThat(repeats).as("the budget is used").isNotEmpty();
+    }
+
+    @Test(dataProvider = "fleets")
+    public void a_cold_server_gets_at_most_its_bound_from_all_entries(
+            int size, double unseen, long seed) {
+        // given
+        SplittableRandom random = new SplittableRandom(seed);
+        BackendDirectory directory = new BackendDirectory(mClock);
+        directory.put(Servers.cold("cold", "pool", Duration.ofHours(1)));
+        BackendDirectory.Server server = directory.eligibleOf("pool").get(0);
+        List<ColdLimit> limits = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            limits.add(new ColdLimit(mClock, partialView(random, size, i, unseen)));
+        }
+        Deque<Long> sent = new ArrayDeque<>();
+        int most = 0;
+        for (int step = 0; step < 3_000; step++) {
+            // when: every entry sends all that it may
+            mClock.advance(Duration.ofMillis(7));
+            ColdLimit limit = limits.get(random.nextInt(size));
+            if (limit.allows(server, COLD_PER_SECOND)) {
+                limit.sent(server);
+                sent.addLast(mClock.monotonicNanos());
+            }
+            while (!sent.isEmpty() && mClock.monotonicNanos() - sent.getFirst() >= 1_000_000_000L) {
+                sent.removeFirst();
+            }
+            most = Math.max(most, sent.size());
+        }
+        // then
+        assertThat((double) most).isLessThanOrEqualTo(COLD_BOUND);
+        assertThat(most).isGreaterThanOrEqualTo(10);
+    }
+
+    private ColdLimit.Fleet partialView(
+            SplittableRandom random, int size, int self, double unseen) {
+        MemberTable table =
+                new MemberTable(mClock, random.split(), name(self), Set.of(name(0), name(1)));
+        Set<Integer> hidden = new HashSet<>();
+        while (hidden.size() < size * unseen * 0.5) {
+            hidden.add(random.nextInt(size));
+        }
+        return new ColdLimit.Fleet() {
+            private void hear() {
+                for (int i = 0; i < size; i++) {
+                    if (!hidden.contains(i)) {
+                        table.heard(name(i), false, Duration.ZERO);
+                    }
+                }
+            }
+
+            @Override
+            public int entries() {
+                hear();
+                return table.entries();
+            }
+
+            @Override
+            public int rank(String server) {
+                hear();
+                return table.rank(server);
+            }
+        };
+    }
+
+    private static String name(int member) {
+        return "10.0.0." + member;
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ForwardConfigTest.java
@@ -0,0 +1,105 @@
+package org.bulrushvale.decision.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bulrushvale.decision.forward.ForwardConfig.Workspace;
+import org.bulrushvale.decision.forward.Route.StageStep;
+import org.bulrushvale.decision.forward.Route.Target;
+import org.testng.annotations.Test;
+
+/** Guards against requests that go to the wrong route, service or workspace. */
+public class ForwardConfigTest {
+    static Route route(String name, String prefix, RequestKind kind, List<StageStep> stages) {
+        return new Route(
+                name,
+                "a.example",
+                prefix,
+                kind,
+                Duration.ofSeconds(6),
+                Duration.ofSeconds(1),
+                0,
+                2,
+                List.of(new Target("pool", 1)),
+                stages,
+                false,
+                true);
+    }
+
+    @Test
+    public void the_longest_prefix_of_the_host_decides() {
+        // given
+        ForwardConfig config =
+                ForwardConfig.of(
+                        7,
+                        List.of(
+                                route("short", "/a/", RequestKind.SAFE, List.of()),
+                                route("long", "/a/b/", RequestKind.SAFE, List.of())),
+                        List.of(),
+                        Map.of("key", new Workspace("city", Optional.empty())));
+        // then
+        assertThat(config.route("a.example", "/a/b/c").map(Route::name)).contains("long");
+        assertThat(config.route("a.example", "/a/c").map(Route::name)).contains("short");
+        assertThat(config.route("a.example", "/ab")).isEmpty();
+        assertThat(config.route("b.example", "/a/b/c")).isEmpty();
+        assertThat(config.workspace("key").map(Workspace::name)).contains("city");
+        assertThat(config.workspace("")).isEmpty();
+    }
+
+    @Test
+    public void a_split_route_keeps_a_request_on_one_service_and_follows_the_weights() {
+        // given
+        Route plain = route("r", "/a/", RequestKind.UNSAFE, List.of());
+        Route split =
+                new Route(
+                        plain.name(),
+                        plain.host(),
+                        plain.prefix(),
+                        plain.kind(),
+                        plain.timeout(),
+                        plain.latencyTarget(),
+                        0,
+                        1,
+                        List.of(new Target("x", 90), new Target("y", 10)),
+                        List.of(),
+                        false,
+                        false);
+        // when
+        long toX = 0;
+        for (long hash = -500; hash < 500; hash++) {
+            assertThat(split.service(hash)).isEqualTo(split.service(hash));
+            toX += split.service(hash).equals("x") ? 1 : 0;
+        }
+        // then
+        assertThat(toX).isEqualTo(900);
+    }
+
+    @Test
+    public void only_stages_that_no_other_follows_feed_the_request() {
+        // given: a chain of three and one stage beside it
+        Route route =
+                route(
+                        "r",
+                        "/a/",
+                        RequestKind.STREAM,
+                        List.of(
+                                new StageStep("s", List.of(), 10),
+                                new StageStep("t", List.of(0), 10),
+                                new StageStep("u", List.of(1), 10),
+                                new StageStep("v", List.of(), 10)));
+        // then
+        assertThat(route.finalStages(List.of(1, 2, 3, 1))).containsExactly(2, 3);
+        assertThat(route.finalStages(List.of(1, 2, 3, 0))).containsExactly(2);
+    }
+
+    @Test
+    public void a_stream_that_cannot_be_resumed_is_never_repeated() {
+        assertThat(RequestKind.STREAM.mayRepeat(false)).isFalse();
+        assertThat(RequestKind.STREAM.mayRepeat(true)).isTrue();
+        assertThat(RequestKind.UNSAFE.mayRepeat(true)).isFalse();
+        assertThat(RequestKind.SAFE.mayRepeat(false)).isTrue();
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/MemberTableTest.java
@@ -0,0 +1,121 @@
+package org.bulrushvale.decision.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.testng.annotations.Test;
+
+/** Guards against a fleet that does not find itself, or that divides its limits by too few. */
+public class MemberTableTest {
+    private static final int SIZE = 40;
+
+    private final ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
+
+    private List<MemberTable> fleet() {
+        SplittableRandom random = new SplittableRandom(3);
+        List<MemberTable> tables = new ArrayList<>();
+        for (int i = 0; i < SIZE; i++) {
+            // Two of the three seeds do not exist any more.
+            Set<String> seeds = Set.of("m0", "gone-1", "gone-2");
+            tables.add(new MemberTable(mClock, random.split(), "m" + i, seeds));
+        }
+        return tables;
+    }
+
+    private void round(List<MemberTable> tables, Set<Integer> down) {
+        mClock.advance(Duration.ofSeconds(1));
+        for (int i = 0; i < SIZE; i++) {
+            if (down.contains(i)) {
+                continue;
+            }
+            for (String greeted : tables.get(i).greeted()) {
+                int other = greeted.startsWith("m") ? Integer.parseInt(greeted.substring(1)) : -1;
+                if (other < 0 || down.contains(other)) {
+                    tables.get(i).failed(greeted);
+                    continue;
+                }
+                tell(tables.get(i), tables.get(other));
+                tell(tables.get(other), tables.get(i));
+            }
+        }
+    }
+
+    private static void tell(MemberTable from, MemberTable to) {
+        from.heard().forEach(heard -> to.heard(heard.name(), heard.leaving(), heard.age()));
+    }
+
+    @Test
+    public void all_find_each_other_through_one_live_seed() {
+        // given
+        List<MemberTable> tables = fleet();
+        // when
+        for (int i = 0; i < 8; i++) {
+            round(tables, Set.of());
+        }
+        // then
+        Set<String> collectors = new HashSet<>();
+        for (MemberTable table : tables) {
+            assertThat(table.live()).hasSize(SIZE);
+            collectors.add(table.collector("rerankers"));
+        }
+        assertThat(collectors).hasSize(1);
+    }
+
+    @Test
+    public void a_lost_member_is_left_out_but_still_counts_for_limits() {
+        // given
+        List<MemberTable> tables = fleet();
+        for (int i = 0; i < 8; i++) {
+            round(tables, Set.of());
+        }
+        // when
+        for (int i = 0; i < 12; i++) {
+            round(tables, Set.of(7, 8, 9));
+        }
+        // then
+        assertThat(tables.get(1).live()).hasSize(SIZE - 3).doesNotContain("m7", "m8", "m9");
+        assertThat(tables.get(1).entries()).isEqualTo(SIZE);
+    }
+
+    @Test
+    public void a_failed_member_comes_back_only_when_heard_of_after_the_failure() {
+        // given
+        MemberTable table = new MemberTable(mClock, new SplittableRandom(1), "me", Set.of());
+        table.heard("other", false, Duration.ZERO);
+        // when
+        mClock.advance(Duration.ofMillis(500));
+        table.failed("other");
+        table.heard("other", false, Duration.ofMillis(200));
+        // then: this news is older than the failure
+        assertThat(table.live()).containsExactly("me");
+        mClock.advance(Duration.ofMillis(100));
+        table.heard("other", false, Duration.ofMillis(50));
+        assertThat(table.live()).containsExactlyInAnyOrder("me", "other");
+    }
+
+    @Test
+    public void a_member_that_leaves_collects_nothing() {
+        // given
+        MemberTable table = new MemberTable(mClock, new SplittableRandom(1), "me", Set.of());
+        for (int i = 0; i < 5; i++) {
+            table.heard("m" + i, false, Duration.ZERO);
+        }
+        String collector = table.collector("service");
+        // when
+        mClock.advance(Duration.ofMillis(10));
+        if (collector.equals("me")) {
+            table.leaving();
+        } else {
+            table.heard(collector, true, Duration.ZERO);
+        }
+        // then
+        assertThat(table.collector("service")).isNotEqualTo(collector);
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ServerChoiceTest.java
@@ -0,0 +1,115 @@
+package org.bulrushvale.decision.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.bulrushvale.decision.forward.BackendDirectory.Server;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against work for servers that must not receive it, and against scattered prefixes. */
+public class ServerChoiceTest {
+    private ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
+    private BackendDirectory mDirectory = new BackendDirectory(mClock);
+    private ColdLimit mCold = new ColdLimit(mClock, new SingleEntry());
+    private ServerChoice mChoice = new ServerChoice(mClock, mCold);
+
+    @BeforeMethod
+    public void startEmpty() {
+        mClock = ManualClock.startingAt(Instant.EPOCH);
+        mDirectory = new BackendDirectory(mClock);
+        mCold = new ColdLimit(mClock, new SingleEntry());
+        mChoice = new ServerChoice(mClock, mCold);
+    }
+
+    private static final class SingleEntry implements ColdLimit.Fleet {
+        @Override
+        public int entries() {
+            return 1;
+        }
+
+        @Override
+        public int rank(String server) {
+            return 0;
+        }
+    }
+
+    private Server choose(Set<String> tried, String affinity, long tieBreak) {
+        List<Server> eligible = mDirectory.eligibleOf("pool");
+        return mChoice.choose(eligible, tried, 2, affinity, tieBreak);
+    }
+
+    @Test
+    public void leaving_removed_and_evacuated_servers_get_nothing() {
+        // given
+        mDirectory.put(Servers.leaving("leaving", "pool"));
+        mDirectory.put(Servers.warm("removed", "pool", "a"));
+        mDirectory.put(Servers.warm("evacuated", "pool", "b"));
+        mDirectory.put(Servers.warm("other", "another", "a"));
+        // when
+        mDirectory.remove("removed");
+        mDirectory.evacuated(Set.of("b"));
+        // then
+        assertThat(choose(Set.of(), "", 1)).isNull();
+        mDirectory.evacuated(Set.of());
+        assertThat(choose(Set.of(), "", 1).entry().id()).isEqualTo("evacuated");
+    }
+
+    @Test
+    public void requests_with_one_prefix_meet_at_one_server() {
+        for (int i = 0; i < 6; i++) {
+            mDirectory.put(Servers.warm("s" + i, "pool", "a"));
+        }
+        Set<String> chosen = new HashSet<>();
+        for (long request = 0; request < 50; request++) {
+            chosen.add(choose(Set.of(), "prefix", request).entry().id());
+        }
+        assertThat(chosen).hasSize(1);
+    }
+
+    @Test
+    public void a_suspect_is_used_only_when_there_is_no_other() {
+        // given
+        mDirectory.put(Servers.warm("s", "pool", "a"));
+        mDirectory.put(Servers.warm("t", "pool", "a"));
+        Server first = choose(Set.of(), "prefix", 1);
+        // when
+        first.failed(mClock.monotonicNanos());
+        // then
+        Server second = choose(Set.of(), "prefix", 1);
+        assertThat(second).isNotSameAs(first);
+        assertThat(choose(Set.of(second.entry().id()), "prefix", 1)).isSameAs(first);
+    }
+
+    @Test
+    public void a_cold_server_gets_no_more_than_its_rate() {
+        // given
+        mDirectory.put(Servers.cold("cold", "pool", Duration.ofSeconds(30)));
+        // when
+        for (int i = 0; i < 2; i++) {
+            mCold.sent(choose(Set.of(), "", i));
+        }
+        // then
+        assertThat(choose(Set.of(), "", 3)).isNull();
+        mClock.advance(Duration.ofSeconds(1));
+        assertThat(choose(Set.of(), "", 3)).isNotNull();
+    }
+
+    @Test
+    public void a_process_that_starts_again_under_its_id_has_no_history() {
+        // given
+        BackendEntry before = Servers.warm("s", "pool", "a");
+        mDirectory.put(before);
+        mDirectory.eligible("s").failed(mClock.monotonicNanos());
+        // when
+        mDirectory.put(
+                new BackendEntry("s", "pool", before.host(), 80, "a", 8, false, 2, Duration.ZERO));
+        // then
+        assertThat(mDirectory.eligible("s").isSuspect(mClock.monotonicNanos())).isFalse();
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/Servers.java
@@ -0,0 +1,25 @@
+package org.bulrushvale.decision.forward;
+
+import java.time.Duration;
+
+/** Backend servers for tests. */
+final class Servers {
+    private Servers() {}
+
+    static BackendEntry warm(String id, String service, String domain) {
+        return entry(id, service, domain, Duration.ZERO, false);
+    }
+
+    static BackendEntry cold(String id, String service, Duration coldLeft) {
+        return entry(id, service, "a", coldLeft, false);
+    }
+
+    static BackendEntry leaving(String id, String service) {
+        return entry(id, service, "a", Duration.ZERO, true);
+    }
+
+    private static BackendEntry entry(
+            String id, String service, String domain, Duration coldLeft, boolean leaving) {
+        return new BackendEntry(id, service, id + ".test", 80, domain, 8, leaving, 1, coldLeft);
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueTest.java
@@ -0,0 +1,217 @@
+package org.bulrushvale.decision.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import org.bulrushvale.decision.forward.BackendDirectory.Server;
+import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against overfilled stage servers, torn jobs and late work before work in time. */
+public class StageQueueTest {
+    private static final String SERVICE = "rerankers";
+    private static final long RESULT_LIFETIME_NANOS = 5_000_000_000L;
+    private static final PieceLimits LIMITS =
+            new PieceLimits(1, 4, Duration.ofMillis(200), Duration.ofMillis(10), 1_000);
+
+    private ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
+    private BackendDirectory mDirectory = new BackendDirectory(mClock);
+    private StageQueue<TestPiece> mQueue = new StageQueue<>(mClock, RESULT_LIFETIME_NANOS);
+
+    @BeforeMethod
+    public void startEmpty() {
+        mClock = ManualClock.startingAt(Instant.EPOCH);
+        mDirectory = new BackendDirectory(mClock);
+        mQueue = new StageQueue<>(mClock, RESULT_LIFETIME_NANOS);
+    }
+
+    private record TestPiece(
+            String group, int index, int rank, long startByNanos, long bytes, String domain)
+            implements StageQueue.Piece {
+        @Override
+        public String name() {
+            return group + "/" + index;
+        }
+
+        @Override
+        public long giveUpNanos() {
+            return startByNanos + Duration.ofSeconds(2).toNanos();
+        }
+
+        @Override
+        public long resultBytes() {
+            return bytes;
+        }
+
+        @Override
+        public String preferredDomain() {
+            return domain;
+        }
+
+        @Override
+        public boolean isAbandoned() {
+            return false;
+        }
+
+        @Override
+        public boolean avoids(String server) {
+            return false;
+        }
+    }
+
+    private void server(String id, String domain) {
+        mDirectory.put(Servers.warm(id, SERVICE, domain));
+    }
+
+    private void job(String group, int pieces, int rank, Duration startBy, String domain) {
+        long at = mClock.monotonicNanos() + startBy.toNanos();
+        for (int i = 0; i < pieces; i++) {
+            mQueue.add(new TestPiece(group, i, rank, at, 100, domain));
+        }
+    }
+
+    private List<StageQueue.Call<TestPiece>> calls() {
+        return mQueue.nextCalls(mDirectory.eligibleOf(SERVICE), LIMITS);
+    }
+
+    private static Set<String> groups(StageQueue.Call<TestPiece> call) {
+        return call.pieces().stream().map(TestPiece::group).collect(Collectors.toSet());
+    }
+
+    @Test
+    public void late_jobs_wait_behind_jobs_in_time_and_by_rank() {
+        // given
+        server("s", "a");
+        job("late-low", 2, 2, Duration.ofMillis(-50), "");
+        job("late-high", 2, 0, Duration.ofMillis(-10), "");
+        job("in-time", 2, 2, Duration.ofMillis(300), "");
+        // when
+        List<StageQueue.Call<TestPiece>> calls = calls();
+        // then
+        assertThat(calls).hasSize(1);
+        assertThat(groups(calls.get(0))).containsExactlyInAnyOrder("in-time", "late-high");
+    }
+
+    @Test
+    public void a_job_is_not_torn_to_fill_a_batch() {
+        // given
+        server("s", "a");
+        job("first", 3, 0, Duration.ofMillis(100), "");
+        job("second", 2, 0, Duration.ofMillis(200), "");
+        job("third", 1, 0, Duration.ofMillis(300), "");
+        // then
+        assertThat(groups(calls().get(0))).containsExactlyInAnyOrder("first", "third");
+    }
+
+    @Test
+    public void a_job_larger_than_a_batch_is_split() {
+        // given
+        server("s", "a");
+        server("t", "a");
+        job("large", 7, 0, Duration.ofMillis(100), "");
+        // then
+        assertThat(calls().stream().mapToInt(call -> call.pieces().size()).sum()).isEqualTo(7);
+    }
+
+    @Test
+    public void pieces_wait_shortly_for_the_domain_of_their_inputs() {
+        // given: the server of the domain is busy
+        server("near", "a");
+        job("other", 1, 0, Duration.ofMillis(100), "a");
+        assertThat(calls()).hasSize(1);
+        server("far", "b");
+        job("mine", 1, 0, Duration.ofMillis(400), "a");
+        // then
+        assertThat(calls()).isEmpty();
+        mClock.advance(Duration.ofMillis(150));
+        assertThat(calls().get(0).server().entry().id()).isEqualTo("far");
+    }
+
+    @Test
+    public void a_server_without_room_rests() {
+        // given
+        server("s", "a");
+        mQueue.full("s");
+        job("job", 1, 0, Duration.ofSeconds(1), "");
+        // then
+        assertThat(calls()).isEmpty();
+        mClock.advance(Duration.ofMillis(400));
+        assertThat(calls()).hasSize(1);
+    }
+
+    @Test
+    public void a_slow_server_is_used_only_when_the_others_cannot_take_all() {
+        // given
+        server("fast", "a");
+        server("slow", "a");
+        for (Server server : mDirectory.eligibleOf(SERVICE)) {
+            if (server.entry().id().equals("slow")) {
+                server.took(8, mClock.monotonicNanos());
+            }
+        }
+        job("small", 2, 0, Duration.ofSeconds(1), "");
+        // then
+        List<StageQueue.Call<TestPiece>> calls = calls();
+        assertThat(calls).hasSize(1);
+        assertThat(calls.get(0).server().entry().id()).isEqualTo("fast");
+        job("a", 4, 0, Duration.ofSeconds(1), "");
+        job("b", 4, 0, Duration.ofSeconds(1), "");
+        assertThat(calls().get(0).server().entry().id()).isEqualTo("slow");
+    }
+
+    @Test
+    public void random_schedules_never_overfill_a_server_or_make_a_piece_twice() {
+        SplittableRandom random = new SplittableRandom(17);
+        server("s", "a");
+        server("t", "b");
+        Map<String, Integer> running = new HashMap<>();
+        Map<String, Long> memory = new HashMap<>();
+        List<StageQueue.Call<TestPiece>> open = new ArrayList<>();
+        Set<String> made = new HashSet<>();
+        for (int step = 0; step < 3_000; step++) {
+            // when
+            mClock.advance(Duration.ofMillis(random.nextInt(40)));
+            if (random.nextInt(3) == 0) {
+                String domain = random.nextBoolean() ? "a" : "";
+                Duration startBy = Duration.ofMillis(random.nextInt(800));
+                job("j" + step, 1 + random.nextInt(6), random.nextInt(3), startBy, domain);
+            }
+            for (StageQueue.Call<TestPiece> call : calls()) {
+                String id = call.server().entry().id();
+                running.merge(id, 1, Integer::sum);
+                open.add(call);
+                for (TestPiece piece : call.pieces()) {
+                    assertThat(made.add(piece.name())).as("made twice").isTrue();
+                    memory.merge(id, piece.resultBytes(), Long::sum);
+                }
+                assertThat(call.pieces().size()).isLessThanOrEqualTo(LIMITS.batch());
+                assertThat(running.get(id)).isLessThanOrEqualTo(LIMITS.slots());
+                assertThat(memory.get(id)).isLessThanOrEqualTo(LIMITS.roomBytes());
+            }
+            mQueue.expired();
+            if (!open.isEmpty() && random.nextInt(3) == 0) {
+                StageQueue.Call<TestPiece> call = open.remove(random.nextInt(open.size()));
+                String id = call.server().entry().id();
+                mQueue.ended(id);
+                running.merge(id, -1, Integer::sum);
+                for (TestPiece piece : call.pieces()) {
+                    mQueue.released(piece.name());
+                    memory.merge(id, -piece.resultBytes(), Long::sum);
+                }
+            }
+        }
+        // then
+        assertThat(made.size()).isGreaterThan(500);
+    }
+}
