Frame streams in chunks always and close given-up calls at once

(1) To a caller that asks to close, Undertow sends a stream without a length, so a stream that breaks off looks complete. (2) Undertow's client close waits for the other side, so a backend server worked on for over half a second after its caller had left. Streams now state chunked framing; a call that is given up closes its socket. Ruled out for (2): the watch of the caller's connection (the log shows the cancel after 45 ms).

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/CallerExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/CallerExchange.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.nio.ByteBuffer;
 import java.util.Locale;
@@ -92,7 +93,14 @@
 
     /** Begins an answer of several parts. */
     public void begin(int status, HeaderMap headers) {
-        onIoThread(() -> head(status, headers));
+        onIoThread(
+                () -> {
+                    head(status, headers);
+                    // Without a length of its own, an answer that breaks off looks complete.
+                    mExchange
+                            .getResponseHeaders()
+                            .put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+                });
     }
 
     /** Writes one part of an answer that has begun. */
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -99,7 +99,23 @@
     void cancel() {
         mEnded = true;
         stopTimer();
-        IoUtils.safeClose(mConnection);
+        breakOff();
+    }
+
+    /**
+     * Closes the socket at once. Undertow's own close waits for the other side, which would go on
+     * with its work.
+     */
+    private void breakOff() {
+        ClientConnection connection = mConnection;
+        if (connection == null || !connection.isOpen()) {
+            return;
+        }
+        try {
+            IoUtils.safeClose(connection.performUpgrade());
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+        }
     }
 
     private void connected(ClientConnection connection) {
@@ -249,7 +265,7 @@
                 long until = System.nanoTime() + mKeepAliveNanos;
                 mCalls.idle().put(mAddress, connection, until);
             } else {
-                IoUtils.safeClose(connection);
+                breakOff();
             }
         }
         mListener.end();
@@ -261,7 +277,7 @@
         }
         mEnded = true;
         stopTimer();
-        IoUtils.safeClose(mConnection);
+        breakOff();
         BackendFailure seen =
                 failure == BackendFailure.RESET && mHeadSeen ? BackendFailure.CUT : failure;
         mListener.failed(mSent, seen, detail);
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingKey.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingKey.java
@@ -97,7 +97,7 @@
 
     static Rule endpointList() {
         return value ->
-                SettingsTable.splitList(value).stream().allMatch(SettingKey::isEndpoint)
+                SettingsTable.splitList(value).stream().allMatch(item -> isEndpoint(item, 1))
                         ? Optional.empty()
                         : Optional.of("must be address:port pairs separated by commas");
     }
@@ -116,7 +116,17 @@
 
     static Rule endpoint() {
         return value ->
-                isEndpoint(value) ? Optional.empty() : Optional.of("must be an address:port pair");
+                isEndpoint(value, 1)
+                        ? Optional.empty()
+                        : Optional.of("must be an address:port pair");
+    }
+
+    /** Port 0 asks the operating system for a free port. */
+    static Rule listenEndpoint() {
+        return value ->
+                isEndpoint(value, 0)
+                        ? Optional.empty()
+                        : Optional.of("must be an address:port pair");
     }
 
     static Rule decimal(double min, double max) {
@@ -142,10 +152,10 @@
         return IPV4.matcher(text).matches() || IPV6.matcher(text).matches();
     }
 
-    private static boolean isEndpoint(String text) {
+    private static boolean isEndpoint(String text, int minPort) {
         int colon = text.lastIndexOf(':');
         return colon > 0
                 && isAddress(text.substring(0, colon))
-                && range(1, MAX_PORT).refuse(text.substring(colon + 1)).isEmpty();
+                && range(minPort, MAX_PORT).refuse(text.substring(colon + 1)).isEmpty();
     }
 }
