Answer every request before a stop ends; count memory that others hold

An entry that stops now refuses streams after a quarter of the grace time and gives every request that has not ended its final answer 0.8 s before the end. Ruled out: closing earlier for all (short requests end in time). What a server cannot take is now counted as held by others for a fifth of the lifetime of results.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.bulrushvale.adapters.forward.CallerExchange;
@@ -9,6 +10,7 @@
 import org.bulrushvale.adapters.forward.RequestFacts;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.ForwardConfig.Workspace;
+import org.bulrushvale.decision.forward.RequestKind;
 import org.bulrushvale.decision.forward.Route;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
@@ -26,6 +28,7 @@
     private final Set<ForwardedRequest> mRunning = new HashSet<>();
     private volatile String mNotReadyReason = "no published configuration yet";
     private boolean mDraining;
+    private boolean mShortOnly;
 
     ForwardCore(ForwardServices services, StageWork stages) {
         mServices = services;
@@ -55,6 +58,16 @@
         mNotReadyReason = "shutting down";
     }
 
+    /** Refuses streams from now on, because they would not end within the grace time. */
+    void refuseStreams() {
+        mShortOnly = true;
+    }
+
+    /** Gives every request in progress its final answer. */
+    void endAll() {
+        List.copyOf(mRunning).forEach(ForwardedRequest::shutDown);
+    }
+
     int running() {
         return mRunning.size();
     }
@@ -83,6 +96,10 @@
             refuse(exchange, facts.id(), ErrorCode.UNAUTHORIZED, "unknown API key");
             return;
         }
+        if (mShortOnly && route.get().kind() == RequestKind.STREAM) {
+            refuse(exchange, facts.id(), ErrorCode.DRAINING, "the entry shuts down");
+            return;
+        }
         if (facts.deadline().compareTo(Duration.ZERO) <= 0) {
             refuse(exchange, facts.id(), ErrorCode.DEADLINE_INVALID, "no time is left");
             return;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -44,6 +44,12 @@
     private static final Duration STAGE_TICK = Duration.ofMillis(50);
     private static final Duration DRAIN_TICK = Duration.ofMillis(50);
 
+    // Requests that have not ended get their answer before the process closes down.
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(800);
+
+    // A stream that begins in the first quarter of the grace time mostly ends within it.
+    private static final int STREAM_SHARE = 4;
+
     // The last part of the grace time is left for closing down.
     private static final Duration DRAIN_MARGIN = Duration.ofMillis(500);
 
@@ -182,6 +188,12 @@
                         && mCore.running() == 0
                         && mFleet.makingForOthers() == 0
                         && mServer.running() == 0;
+        if (elapsed.compareTo(limits.grace().dividedBy(STREAM_SHARE)) >= 0) {
+            mCore.refuseStreams();
+        }
+        if (elapsed.compareTo(limits.grace().minus(ANSWER_MARGIN)) >= 0) {
+            mCore.endAll();
+        }
         if (idle || elapsed.compareTo(limits.grace().minus(DRAIN_MARGIN)) >= 0) {
             mDrained.countDown();
         }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -509,6 +509,15 @@
         giveUp(ErrorCode.DEADLINE_EXCEEDED, "the time of the request is over");
     }
 
+    /** Ends the request because the process stops. */
+    void shutDown() {
+        if (mServer != null) {
+            mVerdict = mVerdict.and(Verdict.MAY_HAVE_RUN);
+        }
+        abortAttempt();
+        giveUp(ErrorCode.DRAINING, "the entry shuts down");
+    }
+
     private void abortAttempt() {
         HttpCalls.Call call = mCall;
         if (mServer != null) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
@@ -5,10 +5,13 @@
 import io.undertow.util.Methods;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.bulrushvale.adapters.backend.BackendAddress;
 import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.adapters.forward.AnswerFacts;
@@ -150,7 +153,7 @@
                 .ifPresent(
                         expected ->
                                 server.took((double) (now - started) / expected.toNanos(), now));
-        log(call, "made", started);
+        log(call, outcomes(results), started);
         ended(call);
         for (int i = 0; i < results.size(); i++) {
             StagePiece piece = call.pieces().get(i);
@@ -159,7 +162,7 @@
                 mQueue.released(piece.name());
             }
             if (result.outcome() == PieceResult.Outcome.NO_ROOM) {
-                mQueue.full(server.entry().id());
+                limits().ifPresent(limits -> mQueue.full(server.entry().id(), limits));
             }
             if (result.outcome().mayTryElsewhere()) {
                 repeat(piece, server.entry().id(), result);
@@ -170,6 +173,24 @@
         dispatch();
     }
 
+    /** Returns what became of the pieces, such as {@code made 5, no_room 1}. */
+    private static String outcomes(List<PieceResult> results) {
+        Map<PieceResult.Outcome, Long> counts =
+                results.stream()
+                        .collect(
+                                Collectors.groupingBy(
+                                        PieceResult::outcome,
+                                        () -> new EnumMap<>(PieceResult.Outcome.class),
+                                        Collectors.counting()));
+        return counts.entrySet().stream()
+                .map(
+                        entry ->
+                                entry.getKey().name().toLowerCase(Locale.ROOT)
+                                        + " "
+                                        + entry.getValue())
+                .collect(Collectors.joining(", "));
+    }
+
     private void lost(StageQueue.Call<StagePiece> call, String detail, long started) {
         call.server().failed(mServices.clock().monotonicNanos());
         log(call, "lost: " + detail, started);
@@ -215,7 +236,7 @@
                 .with("ms", mServices.clock().elapsedSince(started).toMillis())
                 .with("outcome", outcome)
                 .write();
-        mServices.metrics().count("bulrushvale.stage.calls", "outcome", outcome.split(":")[0]);
+        mServices.metrics().count("bulrushvale.stage.calls", "outcome", outcome.split("[ :]")[0]);
     }
 
     /** Gives up results, so that their memory is free at their maker. */
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -31,12 +31,12 @@
     // Half of the shortest stage call (200 ms): waiting longer costs more than moving inputs.
     private static final long DOMAIN_WAIT_NANOS = 250_000_000L;
 
+    // Most results of others are given up well before the end of their lifetime.
+    private static final int FOREIGN_SHARE = 5;
+
     // Published sizes are approximate.
     private static final double ROOM_SHARE = 0.9;
 
-    // A server that reports no room gets nothing that needs memory for one call.
-    private static final long FULL_NANOS = 300_000_000L;
-
     // Below this ratio of actual to expected time a server is not called slow.
     private static final double SLOW = 2.0;
 
@@ -45,7 +45,7 @@
     private final List<Waiting<P>> mWaiting = new ArrayList<>();
     private final Map<String, Integer> mCalls = new HashMap<>();
     private final Map<String, List<Reservation>> mReserved = new HashMap<>();
-    private final Map<String, Long> mFullUntil = new HashMap<>();
+    private final Map<String, Reservation> mForeign = new HashMap<>();
 
     /**
      * Creates an empty queue.
@@ -140,19 +140,16 @@
                 groups.computeIfAbsent(piece.group(), key -> new ArrayList<>()).add(waiting);
             }
         }
-        boolean full = mFullUntil.getOrDefault(id, now) - now > 0;
-        long room = full ? 0 : (long) (limits.roomBytes() * ROOM_SHARE) - reserved(id, now);
+        long room = room(limits) - reserved(id, now) - foreign(id, now);
         List<Waiting<P>> taken = new ArrayList<>();
         for (List<Waiting<P>> group : groups.values()) {
             long bytes = group.get(0).piece().resultBytes();
-            long fits =
-                    Math.min(
-                            limits.batch() - taken.size(),
-                            bytes == 0 ? limits.batch() : room / bytes);
+            int left = limits.batch() - taken.size();
+            long fits = bytes == 0 ? left : Math.min(left, Math.max(0, room) / bytes);
             boolean splits =
                     taken.isEmpty()
                             && (group.size() > limits.batch()
-                                    || bytes * group.size() > limits.roomBytes() * ROOM_SHARE);
+                                    || bytes * group.size() > room(limits));
             if (fits >= group.size() || (splits && fits > 0)) {
                 List<Waiting<P>> part = group.subList(0, (int) Math.min(fits, group.size()));
                 taken.addAll(part);
@@ -197,9 +194,28 @@
         mCalls.computeIfPresent(server, (id, count) -> count > 1 ? count - 1 : null);
     }
 
-    /** Records that a server had no room for a result; others than this queue fill it too. */
-    public void full(String server) {
-        mFullUntil.put(server, mClock.monotonicNanos() + FULL_NANOS);
+    /**
+     * Records that a server had no room for a result. What this queue has not reserved there is
+     * held by others, such as a collector before this one, and ends before the lifetime of results.
+     */
+    public void full(String server, PieceLimits limits) {
+        long now = mClock.monotonicNanos();
+        long bytes = Math.max(0, limits.roomBytes() - reserved(server, now));
+        long end = now + mResultLifetimeNanos / FOREIGN_SHARE;
+        mForeign.put(server, new Reservation(server, bytes, end));
+    }
+
+    private static long room(PieceLimits limits) {
+        return (long) (limits.roomBytes() * ROOM_SHARE);
+    }
+
+    private long foreign(String server, long now) {
+        Reservation foreign = mForeign.get(server);
+        if (foreign == null || foreign.endNanos() - now <= 0) {
+            return 0;
+        }
+        double left = (double) (foreign.endNanos() - now) * FOREIGN_SHARE / mResultLifetimeNanos;
+        return (long) (foreign.bytes() * left);
     }
 
     /** Releases the memory of a result, wherever it lies. */
