Refuse a request early when its first stage cannot start in time

A piece of a first stage is now given up 300 ms after the time by which it had to start; nothing is lost at that point and the caller can still come back in time. Ruled out: the same for later stages (their inputs are made already).

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StagePlan.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StagePlan.java
@@ -21,6 +21,9 @@
     // Moving less than this between domains costs less than waiting for a server.
     private static final long LARGE_BYTES = 100_000;
 
+    // A late piece may still start in this time: about one call of a stage.
+    private static final long FIRST_STAGE_GRACE_MILLIS = 300;
+
     private final StageWork mWork;
     private final Route mRoute;
     private final String mRequestId;
@@ -93,19 +96,25 @@
             String key = inputs.isEmpty() ? mPieceKey : "";
             orders.add(new PieceOrder(mRequestId, stage, piece, left, key, inputs));
         }
+        long startBy = mRequest.targetMillis() - later;
+        long giveUp = mRequest.giveUpMillis() - later;
+        if (step.after().isEmpty()) {
+            // Nothing is lost yet, and a caller that is refused early can still come back in time.
+            giveUp = Math.min(giveUp, Math.max(0, startBy) + FIRST_STAGE_GRACE_MILLIS);
+        }
         StageJob job =
                 new StageJob(
                         step.service(),
                         orders,
-                        mRequest.targetMillis() - later,
-                        mRequest.giveUpMillis() - later,
+                        startBy,
+                        giveUp,
                         mRequest.rank(),
                         step.resultBytes(),
                         preferredDomain(stage, inputs));
         // Reserved first: a result may be there before the call returns.
         mRunning.put(stage, () -> {});
-        Runnable giveUp = mWork.make(job, results -> onResults(stage, results));
-        mRunning.replace(stage, giveUp);
+        Runnable cancel = mWork.make(job, results -> onResults(stage, results));
+        mRunning.replace(stage, cancel);
     }
 
     /** Large inputs are used where they lie; large results are made where they are read. */
