Send requests that may run only once on new connections

A request that may not be repeated now opens a connection: a dead server refuses it before anything is sent, and another one is tried. Ruled out: probing idle connections (priced, and the answer is old when it arrives).

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/HttpCalls.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/HttpCalls.java
@@ -27,6 +27,8 @@
      * @param host IP address
      * @param target raw path with its query
      * @param silence time without a byte after which the call fails
+     * @param reuse true when an idle connection may be used; it may have ended unnoticed, which
+     *     leaves open whether the request ran
      */
     record Request(
             String host,
@@ -35,7 +37,8 @@
             String target,
             HeaderMap headers,
             byte[] body,
-            Duration silence) {}
+            Duration silence,
+            boolean reuse) {}
 
     /**
      * Receives the answer of a call.
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -61,7 +61,8 @@
         if (mEnded) {
             return;
         }
-        ClientConnection idle = mCalls.idle().take(mAddress, System.nanoTime());
+        ClientConnection idle =
+                mRequest.reuse() ? mCalls.idle().take(mAddress, System.nanoTime()) : null;
         if (idle != null) {
             send(idle);
             return;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -295,7 +295,8 @@
                         mCaller.target(),
                         headers,
                         mCaller.body(),
-                        Duration.ofMillis(leftMillis));
+                        Duration.ofMillis(leftMillis),
+                        mRoute.mayRepeat());
         mCall =
                 mServices
                         .calls()
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/SelfTest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/SelfTest.java
@@ -73,7 +73,7 @@
         CompletableFuture<Integer> status = new CompletableFuture<>();
         HttpCalls.Request request =
                 new HttpCalls.Request(
-                        "127.0.0.1", port, Methods.GET, "/", headers, new byte[0], LIMIT);
+                        "127.0.0.1", port, Methods.GET, "/", headers, new byte[0], LIMIT, false);
         daemon.calls()
                 .start(
                         request,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
@@ -284,7 +284,7 @@
         headers.put(Headers.CONTENT_TYPE, JSON);
         headers.put(Headers.CONTENT_LENGTH, message.body().length);
         return new HttpCalls.Request(
-                host, port, Methods.POST, message.path(), headers, message.body(), silence);
+                host, port, Methods.POST, message.path(), headers, message.body(), silence, true);
     }
 
     /**
