--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
@@ -16,12 +16,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
-import org.xnio.ChannelExceptionHandler;
-import org.xnio.ChannelListeners;
 import org.xnio.OptionMap;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
-import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -37,7 +34,7 @@
     private final ConnectionPool mPool;
     private final BackendAddress mAddress;
     private final ClientRequest mRequest;
-    private final ByteBuffer mBody;
+    private final RequestWriter mWriter;
     private final ExchangeHandler mHandler;
     private final Duration mProgressTimeout;
     private final AtomicBoolean mEnded = new AtomicBoolean();
@@ -56,7 +53,11 @@
         mPool = pool;
         mAddress = address;
         mRequest = request;
-        mBody = ByteBuffer.wrap(body);
+        mWriter =
+                new RequestWriter(
+                        body,
+                        () -> {},
+                        () -> fail(BackendFailure.RESET, "request not written completely"));
         mHandler = handler;
         mProgressTimeout = progressTimeout;
         request.getRequestHeaders().put(Headers.HOST, address.uri().getAuthority());
@@ -161,7 +162,7 @@
                             @Override
                             public void completed(ClientExchange exchange) {
                                 exchange.setResponseListener(responseListener());
-                                writeBody(exchange.getRequestChannel());
+                                mWriter.write(exchange.getRequestChannel());
                             }
 
                             @Override
@@ -185,28 +186,6 @@
         };
     }
 
-    private void writeBody(StreamSinkChannel channel) {
-        try {
-            while (mBody.hasRemaining()) {
-                if (channel.write(mBody) == 0) {
-                    channel.getWriteSetter().set(this::writeBody);
-                    channel.resumeWrites();
-                    return;
-                }
-            }
-            channel.shutdownWrites();
-            if (!channel.flush()) {
-                ChannelExceptionHandler<StreamSinkChannel> onError =
-                        (failed, e) -> fail(BackendFailure.RESET, "request not written completely");
-                channel.getWriteSetter()
-                        .set(ChannelListeners.flushingChannelListener(null, onError));
-                channel.resumeWrites();
-            }
-        } catch (IOException e) {
-            fail(BackendFailure.RESET, "request not written completely");
-        }
-    }
-
     private void onHead(ClientExchange exchange) {
         if (mEnded.get()) {
             return;
--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
@@ -8,13 +8,11 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpOpenListener;
-import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.settings.EntrySettings;
@@ -28,7 +26,6 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 
@@ -174,7 +171,7 @@
     }
 
     private void readBody(HttpServerExchange exchange, Receiver.FullBytesCallback next) {
-        if (headerBytes(exchange) > mSettings.maxHeaderBytes()) {
+        if (BodyReceiver.headerBytes(exchange) > mSettings.maxHeaderBytes()) {
             exchange.setPersistent(false);
             refuse(exchange, ErrorCode.MALFORMED_REQUEST, "headers larger than the limit");
             return;
@@ -193,53 +190,20 @@
     }
 
     private void receive(HttpServerExchange exchange, Receiver.FullBytesCallback next) {
-        // Covers the whole body, so that a sender of one byte at a time is cut off as well.
-        XnioExecutor.Key timer =
-                exchange.getIoThread()
-                        .executeAfter(
-                                () -> slowSender(exchange),
-                                mSettings.readTimeout().toMillis(),
-                                TimeUnit.MILLISECONDS);
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (same, body) -> {
-                            timer.remove();
-                            // A body that arrives late is delivered inside a handler call, after
-                            // which Undertow would end the exchange unless it is dispatched.
-                            same.dispatch(
-                                    SameThreadExecutor.INSTANCE, () -> next.handle(same, body));
-                        },
-                        (same, error) -> {
-                            timer.remove();
-                            same.setPersistent(false);
-                            boolean tooLarge =
-                                    error instanceof Receiver.RequestToLargeException
-                                            || error
-                                                    instanceof
-                                                    io.undertow.server.RequestTooBigException;
-                            refuse(
-                                    same,
-                                    tooLarge
-                                            ? ErrorCode.BODY_TOO_LARGE
-                                            : ErrorCode.MALFORMED_REQUEST,
-                                    tooLarge
-                                            ? "body larger than the limit"
-                                            : "body not received completely");
-                        });
-    }
+        BodyReceiver.receive(
+                exchange,
+                mSettings.readTimeout(),
+                new BodyReceiver.Listener() {
+                    @Override
+                    public void received(byte[] body) {
+                        next.handle(exchange, body);
+                    }
 
-    private void slowSender(HttpServerExchange exchange) {
-        if (!exchange.isRequestComplete() && !exchange.isResponseStarted()) {
-            exchange.setPersistent(false);
-            refuse(
-                    exchange,
-                    ErrorCode.REQUEST_TIMEOUT,
-                    "body not received within the read timeout");
-            // Ending the exchange would wait for the rest of the body.
-            exchange.getIoThread()
-                    .executeAfter(
-                            () -> IoUtils.safeClose(exchange.getConnection()), 1, TimeUnit.SECONDS);
-        }
+                    @Override
+                    public void refused(ErrorCode code, String detail) {
+                        refuse(exchange, code, detail);
+                    }
+                });
     }
 
     private void onRequest(HttpServerExchange exchange, byte[] body) {
@@ -291,16 +255,6 @@
         exchange.getResponseSender().send(text);
     }
 
-    private static long headerBytes(HttpServerExchange exchange) {
-        long bytes = 0;
-        for (HeaderValues values : exchange.getRequestHeaders()) {
-            for (String value : values) {
-                bytes += values.getHeaderName().length() + value.length();
-            }
-        }
-        return bytes;
-    }
-
     /**
      * Answers a request for a key.
      *
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/ForwardServer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/ForwardServer.java
@@ -2,13 +2,11 @@
 
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.io.Receiver;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
-import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
@@ -16,9 +14,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
+import org.bulrushvale.adapters.caller.BodyReceiver;
 import org.bulrushvale.adapters.caller.Problem;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.kernel.time.Clock;
@@ -30,7 +28,6 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 
@@ -146,7 +143,7 @@
         if (mDraining) {
             exchange.setPersistent(false);
         }
-        if (headerBytes(exchange) > mSettings.limits().maxHeaderBytes()) {
+        if (BodyReceiver.headerBytes(exchange) > mSettings.limits().maxHeaderBytes()) {
             exchange.setPersistent(false);
             refuse(exchange, ErrorCode.HEADERS_TOO_LARGE, "headers larger than the limit");
             return;
@@ -165,47 +162,20 @@
     }
 
     private void receive(HttpServerExchange exchange, long arrived) {
-        XnioExecutor.Key timer =
-                exchange.getIoThread()
-                        .executeAfter(
-                                () -> slowSender(exchange),
-                                mSettings.limits().readTimeout().toMillis(),
-                                TimeUnit.MILLISECONDS);
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (same, body) -> {
-                            timer.remove();
-                            // Undertow ends an exchange when the handler returns undispatched.
-                            same.dispatch(
-                                    SameThreadExecutor.INSTANCE,
-                                    () -> mPort.request(new CallerExchange(same, body, arrived)));
-                        },
-                        (same, error) -> {
-                            timer.remove();
-                            notReceived(same, error);
-                        });
-    }
-
-    private static void notReceived(HttpServerExchange exchange, IOException error) {
-        exchange.setPersistent(false);
-        boolean tooLarge =
-                error instanceof Receiver.RequestToLargeException
-                        || error instanceof io.undertow.server.RequestTooBigException;
-        refuse(
+        BodyReceiver.receive(
                 exchange,
-                tooLarge ? ErrorCode.BODY_TOO_LARGE : ErrorCode.MALFORMED_REQUEST,
-                tooLarge ? "body larger than the limit" : "body not received completely");
-    }
-
-    private static void slowSender(HttpServerExchange exchange) {
-        if (!exchange.isRequestComplete() && !exchange.isResponseStarted()) {
-            exchange.setPersistent(false);
-            refuse(exchange, ErrorCode.REQUEST_TIMEOUT, "body not received in time");
-            // Ending the exchange would wait for the rest of the body.
-            exchange.getIoThread()
-                    .executeAfter(
-                            () -> IoUtils.safeClose(exchange.getConnection()), 1, TimeUnit.SECONDS);
-        }
+                mSettings.limits().readTimeout(),
+                new BodyReceiver.Listener() {
+                    @Override
+                    public void received(byte[] body) {
+                        mPort.request(new CallerExchange(exchange, body, arrived));
+                    }
+
+                    @Override
+                    public void refused(ErrorCode code, String detail) {
+                        refuse(exchange, code, detail);
+                    }
+                });
     }
 
     private static void refuse(HttpServerExchange exchange, ErrorCode code, String detail) {
@@ -220,15 +190,4 @@
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; charset=utf-8");
         exchange.getResponseSender().send(text);
     }
-
-    private static long headerBytes(HttpServerExchange exchange) {
-        HeaderMap headers = exchange.getRequestHeaders();
-        long bytes = 0;
-        for (var values : headers) {
-            for (String value : values) {
-                bytes += values.getHeaderName().length() + value.length();
-            }
-        }
-        return bytes;
-    }
 }
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -15,12 +15,10 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.bulrushvale.adapters.backend.BackendFailure;
+import org.bulrushvale.adapters.backend.RequestWriter;
 import org.jspecify.annotations.Nullable;
-import org.xnio.ChannelExceptionHandler;
-import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
-import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -39,7 +37,7 @@
     private final HttpCalls.Request mRequest;
     private final HttpCalls.Listener mListener;
     private final String mAddress;
-    private final ByteBuffer mBody;
+    private final RequestWriter mWriter;
     private @Nullable ClientConnection mConnection;
     private XnioExecutor.@Nullable Key mTimer;
     private long mLastProgress;
@@ -54,7 +52,11 @@
         mRequest = request;
         mListener = listener;
         mAddress = request.host() + ":" + request.port();
-        mBody = ByteBuffer.wrap(request.body());
+        mWriter =
+                new RequestWriter(
+                        request.body(),
+                        () -> mWritten = true,
+                        () -> fail(BackendFailure.RESET, "request not written completely"));
     }
 
     void start() {
@@ -144,7 +146,7 @@
                     @Override
                     public void completed(ClientExchange exchange) {
                         exchange.setResponseListener(responseListener());
-                        writeBody(exchange.getRequestChannel());
+                        mWriter.write(exchange.getRequestChannel());
                     }
 
                     @Override
@@ -168,32 +170,6 @@
         };
     }
 
-    private void writeBody(StreamSinkChannel channel) {
-        try {
-            while (mBody.hasRemaining()) {
-                if (channel.write(mBody) == 0) {
-                    channel.getWriteSetter().set(this::writeBody);
-                    channel.resumeWrites();
-                    return;
-                }
-            }
-            channel.shutdownWrites();
-            if (channel.flush()) {
-                mWritten = true;
-                return;
-            }
-            ChannelExceptionHandler<StreamSinkChannel> onError =
-                    (failed, e) -> fail(BackendFailure.RESET, "request not written completely");
-            channel.getWriteSetter()
-                    .set(
-                            ChannelListeners.flushingChannelListener(
-                                    flushed -> mWritten = true, onError));
-            channel.resumeWrites();
-        } catch (IOException e) {
-            fail(BackendFailure.RESET, "request not written completely");
-        }
-    }
-
     private void onHead(ClientExchange exchange) {
         if (mEnded) {
             return;
