--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -28,7 +28,7 @@
  * @param <P> a waiting piece
  */
 public final class StageQueue<P extends StageQueue.Piece> {
-    // Half of the shortest stage call (200 ms): waiting longer costs more than moving inputs.
+    // About one stage call (200 ms and its pieces), after which the server of the domain is free.
     private static final long DOMAIN_WAIT_NANOS = 250_000_000L;
 
     // Most results of others are given up well before the end of their lifetime.
