Keep most repeats for failed requests; mend the known failure

Cause: hedges of slow requests used up the repeats of a stage down to one, also hedges that could not start because requests were waiting. Ruled out: the limit of attempts (3, two crashes need 3), a stale connection to the restarted server. Change: four fifths of the largest stock of repeats are kept for retries, and a hedge is not started while requests wait. The old test is back in the verdict with the same assertions; its set-up is shared.

--- a/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
@@ -304,7 +304,10 @@
 
     private void hedge(AttemptLink link, RunDecision.StartAttempt start) {
         Duration elapsed = mCore.clock().elapsedSince(link.startNanos());
-        if (!link.trace().hasEnded()
+        // A hedge that cannot start would still use up a repeat.
+        boolean idle = mCore.waiting().isEmpty(start.stage().pool());
+        if (idle
+                && !link.trace().hasEnded()
                 && mCore.hedges().shouldHedge(mClass.name(), start.stage(), elapsed)) {
             apply(mRun.hedge());
         }
--- a/decision/src/main/java/org/bulrushvale/decision/retry/HedgePolicy.java
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/HedgePolicy.java
@@ -12,8 +12,11 @@
  * repeats stay available for retries. Thread safety: not safe; owned by the event loop.
  */
 public final class HedgePolicy {
-    /** Repeats left for retries: a failed attempt needs them more than a slow one. */
-    public static final int RESERVED = 1;
+    /**
+     * Repeats left for retries: a poison request may crash two servers, and every request that runs
+     * beside it needs one.
+     */
+    public static final int RESERVED = RetryBudget.MAX_TOKENS * 4 / 5;
 
     private static final double QUANTILE = 0.95;
 
--- a/decision/src/test/java/org/bulrushvale/decision/retry/RetryBudgetTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/retry/RetryBudgetTest.java
@@ -87,6 +87,9 @@
         HedgePolicy policy = new HedgePolicy(latency, budget);
         Stage once = new Stage("rerank", "rerankers", false, false);
         Duration slow = Duration.ofMillis(200);
+        for (int i = 0; i < REQUESTS; i++) {
+            budget.onFirstAttempt(STAGE);
+        }
         assertThat(policy.shouldHedge("c", STAGE, slow)).as("no observations").isFalse();
         for (int i = 1; i <= 100; i++) {
             latency.record("c", "rerank", Duration.ofMillis(i));
@@ -95,7 +98,7 @@
         assertThat(policy.shouldHedge("c", STAGE, Duration.ofMillis(90))).isFalse();
         assertThat(policy.shouldHedge("c", STAGE, Duration.ofMillis(97))).isTrue();
         assertThat(policy.shouldHedge("c", once, slow)).isFalse();
-        // when only the reserved repeat is left
+        // when only the reserved repeats are left
         while (budget.available(STAGE) > HedgePolicy.RESERVED) {
             budget.tryTake(STAGE);
         }
--- a/system-tests/src/test/java/org/bulrushvale/system/BackendUseTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/BackendUseTest.java
@@ -123,42 +123,75 @@
         }
     }
 
-    @Test(groups = "known-red")
+    @Test
     public void a_poison_request_crashes_two_servers_and_harms_no_other_request() throws Exception {
-        Cluster cluster = new Cluster();
-        for (int i = 1; i <= 4; i++) {
-            cluster.server("s-" + i, "a", 4, 4, 0);
+        try (Cluster cluster = fourServers()) {
+            // given: earned retries, and other requests in flight on every server
+            List<CompletableFuture<HttpResponse<String>>> others = earnRetries(cluster);
+            // when, then
+            assertPoisonHarmsNoOther(cluster, others);
         }
-        try (cluster) {
-            cluster.start(1, 10_000, "");
-            // given: earned retries, and other requests in flight on every server. They are of a
-            // class without observed latencies, so that no hedge spends the retries.
-            List<CompletableFuture<HttpResponse<String>>> others = new ArrayList<>();
-            for (int i = 0; i < 300; i++) {
-                others.add(cluster.send(0, "ask", "before " + i));
-            }
-            others.forEach(CompletableFuture::join);
+    }
+
+    // Retries that hedges of slow requests have used up are missing when servers crash.
+    @Test
+    public void hedges_leave_the_retries_that_crashes_need() throws Exception {
+        try (Cluster cluster = fourServers()) {
+            // given: slow requests of a class with fast ones before, half of all slots
+            List<CompletableFuture<HttpResponse<String>>> others = earnRetries(cluster);
             long before = sum(cluster, "started");
-            cluster.control("{\"poison\":\"fatal\",\"restart_ms\":100,\"delay_ms\":400}");
+            cluster.control("{\"delay_ms\":400}");
             for (int i = 0; i < 8; i++) {
-                others.add(cluster.send(0, "other", "beside " + i));
+                others.add(cluster.send(0, "ask", "slow " + i));
             }
-            Cluster.await("others are in flight", () -> sum(cluster, "started") >= before + 8);
-            // when
-            JsonNode first = JSON.readTree(cluster.send(0, "other", "fatal").get().body());
-            JsonNode again = JSON.readTree(cluster.send(0, "other", "fatal").get().body());
-            JsonNode keyed = JSON.readTree(cluster.send(0, "other", "fatal", "a key").get().body());
-            // then
-            assertThat(first.path("verdict").asText()).as("%s", first).isEqualTo("MAY_HAVE_RUN");
-            for (JsonNode refusal : List.of(again, keyed)) {
-                assertThat(refusal.path("code").asText()).as("%s", refusal).isEqualTo("POISON");
-                assertThat(refusal.path("verdict").asText()).isEqualTo("NOT_RUN");
-            }
-            for (CompletableFuture<HttpResponse<String>> other : others) {
-                assertThat(other.get().statusCode()).as(other.get().body()).isEqualTo(200);
-            }
-            assertThat(sum(cluster, "falls")).isEqualTo(2);
+            Cluster.await("slow ones run", () -> sum(cluster, "started") >= before + 8);
+            others.forEach(CompletableFuture::join);
+            // when, then
+            assertPoisonHarmsNoOther(cluster, others);
+        }
+    }
+
+    private static Cluster fourServers() throws Exception {
+        Cluster cluster = new Cluster();
+        for (int i = 1; i <= 4; i++) {
+            cluster.server("s-" + i, "a", 4, 4, 0);
+        }
+        return cluster.start(1, 10_000, "");
+    }
+
+    private static List<CompletableFuture<HttpResponse<String>>> earnRetries(Cluster cluster) {
+        List<CompletableFuture<HttpResponse<String>>> others = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            others.add(cluster.send(0, "ask", "before " + i));
+        }
+        others.forEach(CompletableFuture::join);
+        return others;
+    }
+
+    private static void assertPoisonHarmsNoOther(
+            Cluster cluster, List<CompletableFuture<HttpResponse<String>>> others)
+            throws Exception {
+        // given: requests of a class without observed latencies, so that none of them is hedged
+        long before = sum(cluster, "started");
+        cluster.control("{\"poison\":\"fatal\",\"restart_ms\":100,\"delay_ms\":400}");
+        for (int i = 0; i < 8; i++) {
+            others.add(cluster.send(0, "other", "beside " + i));
+        }
+        Cluster.await("others are in flight", () -> sum(cluster, "started") >= before + 8);
+        // when
+        JsonNode first = JSON.readTree(cluster.send(0, "other", "fatal").get().body());
+        JsonNode again = JSON.readTree(cluster.send(0, "other", "fatal").get().body());
+        JsonNode keyed = JSON.readTree(cluster.send(0, "other", "fatal", "a key").get().body());
+        // then
+        assertThat(first.path("verdict").asText()).as("%s", first).isEqualTo("MAY_HAVE_RUN");
+        for (JsonNode refusal : List.of(again, keyed)) {
+            assertThat(refusal.path("code").asText()).as("%s", refusal).isEqualTo("POISON");
+            assertThat(refusal.path("verdict").asText()).isEqualTo("NOT_RUN");
+        }
+        for (CompletableFuture<HttpResponse<String>> other : others) {
+            assertThat(other.get().statusCode()).as(other.get().body()).isEqualTo(200);
         }
+        assertThat(sum(cluster, "falls")).isEqualTo(2);
     }
 
     private static long sum(Cluster cluster, String counter) {
