Give up results that nobody waits for

Cause: pieces in progress whose request had ended were marked as abandoned, and their results were dropped without a release: they held the memory of their makers, and the collector's reservation of it, for 4 to 5 s. The same held for the finished part of a job that was given up, and for results that crossed the give-up on the way to the entry. Ruled out: late jobs (all pieces of one end together), failed jobs (released already).

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/MadePiece.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/MadePiece.java
@@ -5,4 +5,9 @@
  *
  * <p>Thread safety: immutable.
  */
-public record MadePiece(String requestId, int stage, int piece, String handle) {}
+public record MadePiece(String requestId, int stage, int piece, String handle) {
+    /** Returns the result of an order. */
+    public static MadePiece of(PieceOrder order, PieceResult result) {
+        return new MadePiece(order.requestId(), order.stage(), order.piece(), result.handle());
+    }
+}
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/StageJob.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/StageJob.java
@@ -1,6 +1,8 @@
 package org.bulrushvale.adapters.forward;
 
+import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The pieces of one stage of one request.
@@ -25,4 +27,16 @@
     public StageJob {
         pieces = List.copyOf(pieces);
     }
+
+    /** Returns what was made of the pieces; results that are not there yet are null. */
+    public List<MadePiece> made(List<@Nullable PieceResult> results) {
+        List<MadePiece> made = new ArrayList<>();
+        for (int i = 0; i < Math.min(pieces.size(), results.size()); i++) {
+            PieceResult result = results.get(i);
+            if (result != null && result.outcome() == PieceResult.Outcome.MADE) {
+                made.add(MadePiece.of(pieces.get(i), result));
+            }
+        }
+        return made;
+    }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetLink.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetLink.java
@@ -232,6 +232,9 @@
 
     @Override
     public void release(String service, List<MadePiece> pieces) {
+        if (pieces.isEmpty()) {
+            return;
+        }
         String collector = mMembers.collector(service);
         if (collector.equals(self(mSettings))
                 || !mTransport.send(collector, new PeerMessage.StageRelease(service, pieces))) {
@@ -304,6 +307,9 @@
         private void answered(
                 String collector, @Nullable PeerMessage answer, @Nullable Throwable error) {
             if (mEnded) {
+                if (answer instanceof PeerMessage.StageResults results) {
+                    release(mJob.service(), mJob.made(results.results()));
+                }
                 return;
             }
             if (answer instanceof PeerMessage.StageResults results
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
@@ -166,8 +166,8 @@
             }
             if (result.outcome().mayTryElsewhere()) {
                 repeat(piece, server.entry().id(), result);
-            } else {
-                piece.deliver(result);
+            } else if (!piece.deliver(result) && result.outcome() == PieceResult.Outcome.MADE) {
+                release(List.of(MadePiece.of(piece.order(), result)));
             }
         }
         dispatch();
@@ -241,7 +241,7 @@
 
     /** Gives up results, so that their memory is free at their maker. */
     void release(List<MadePiece> pieces) {
-        if (mReleases.isEmpty()) {
+        if (mReleases.isEmpty() && !pieces.isEmpty()) {
             mServices.loop().schedule(RELEASE_DELAY, this::sendReleases);
         }
         mReleases.addAll(pieces);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesks.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesks.java
@@ -10,6 +10,7 @@
 import org.bulrushvale.adapters.forward.PieceOrder;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The desks of this process, one for each stage service.
@@ -36,7 +37,10 @@
             pieces.add(new StagePiece(job, order, now, result -> collected.add(index, result)));
         }
         desk.add(pieces);
-        return () -> pieces.forEach(StagePiece::abandon);
+        return () -> {
+            pieces.forEach(StagePiece::abandon);
+            desk.release(collected.incomplete(job));
+        };
     }
 
     @Override
@@ -59,7 +63,7 @@
      * <p>Thread safety: used on the event loop.
      */
     private static final class Collected {
-        private final PieceResult[] mResults;
+        private final @Nullable PieceResult[] mResults;
         private final Consumer<List<PieceResult>> mOnDone;
         private int mMissing;
 
@@ -69,6 +73,11 @@
             mOnDone = onDone;
         }
 
+        /** Returns what was made of a job that is not complete. */
+        List<MadePiece> incomplete(StageJob job) {
+            return mMissing > 0 ? job.made(Arrays.asList(mResults)) : List.of();
+        }
+
         void add(int index, PieceResult result) {
             mResults[index] = result;
             mMissing--;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StagePiece.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StagePiece.java
@@ -44,11 +44,14 @@
         mAvoided.add(server);
     }
 
-    void deliver(PieceResult result) {
-        if (!mDelivered) {
-            mDelivered = true;
-            mOnResult.accept(result);
+    /** Returns false when nobody waits for the result. */
+    boolean deliver(PieceResult result) {
+        if (mDelivered) {
+            return false;
         }
+        mDelivered = true;
+        mOnResult.accept(result);
+        return true;
     }
 
     @Override
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StagePlan.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StagePlan.java
@@ -113,7 +113,7 @@
                         preferredDomain(stage, inputs));
         // Reserved first: a result may be there before the call returns.
         mRunning.put(stage, () -> {});
-        Runnable cancel = mWork.make(job, results -> onResults(stage, results));
+        Runnable cancel = mWork.make(job, results -> onResults(stage, job, results));
         mRunning.replace(stage, cancel);
     }
 
@@ -141,15 +141,12 @@
         return longest;
     }
 
-    private void onResults(int stage, List<PieceResult> results) {
+    private void onResults(int stage, StageJob job, List<PieceResult> results) {
         mRunning.remove(stage);
-        List<MadePiece> made = new ArrayList<>();
+        List<MadePiece> made = job.made(results);
         PieceResult.Outcome failure = null;
-        for (int piece = 0; piece < results.size(); piece++) {
-            PieceResult result = results.get(piece);
-            if (result.outcome() == PieceResult.Outcome.MADE) {
-                made.add(new MadePiece(mRequestId, stage, piece, result.handle()));
-            } else {
+        for (PieceResult result : results) {
+            if (result.outcome() != PieceResult.Outcome.MADE) {
                 failure = result.outcome();
             }
         }
@@ -210,9 +207,7 @@
     }
 
     private void release(int stage, List<MadePiece> made) {
-        if (!made.isEmpty()) {
-            mWork.release(mRoute.stages().get(stage).service(), made);
-        }
+        mWork.release(mRoute.stages().get(stage).service(), made);
     }
 
     /** What a plan needs to know of its request. */
