--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
@@ -42,7 +42,7 @@
     private static final Duration BUSY_PAUSE = Duration.ofMillis(60);
 
     // Results given up within this time share a call.
-    private static final Duration RELEASE_DELAY = Duration.ofMillis(40);
+    private static final Duration RELEASE_DELAY = Duration.ofMillis(5);
     private static final Duration RELEASE_SILENCE = Duration.ofMillis(1_000);
     private static final int MAX_FAILURES = 2;
     private static final int MAX_ANSWER_BYTES = 1 << 20;
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -34,9 +34,6 @@
     // Most results of others are given up well before the end of their lifetime.
     private static final int FOREIGN_SHARE = 5;
 
-    // Published sizes are approximate.
-    private static final double ROOM_SHARE = 0.9;
-
     // Below this ratio of actual to expected time a server is not called slow.
     private static final double SLOW = 2.0;
 
@@ -140,7 +137,7 @@
                 groups.computeIfAbsent(piece.group(), key -> new ArrayList<>()).add(waiting);
             }
         }
-        long room = room(limits) - reserved(id, now) - foreign(id, now);
+        long room = limits.roomBytes() - reserved(id, now) - foreign(id, now);
         List<Waiting<P>> taken = new ArrayList<>();
         for (List<Waiting<P>> group : groups.values()) {
             long bytes = group.get(0).piece().resultBytes();
@@ -149,7 +146,7 @@
             boolean splits =
                     taken.isEmpty()
                             && (group.size() > limits.batch()
-                                    || bytes * group.size() > room(limits));
+                                    || bytes * group.size() > limits.roomBytes());
             if (fits >= group.size() || (splits && fits > 0)) {
                 List<Waiting<P>> part = group.subList(0, (int) Math.min(fits, group.size()));
                 taken.addAll(part);
@@ -205,10 +202,6 @@
         mForeign.put(server, new Reservation(server, bytes, end));
     }
 
-    private static long room(PieceLimits limits) {
-        return (long) (limits.roomBytes() * ROOM_SHARE);
-    }
-
     private long foreign(String server, long now) {
         Reservation foreign = mForeign.get(server);
         if (foreign == null || foreign.endNanos() - now <= 0) {
