--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -218,6 +218,11 @@
         mLog.line("reload").with("outcome", outcome).writeAlways();
     }
 
+    /** Notes settings that could not be read; the ones in force stay. */
+    void reloadFailed(String detail) {
+        mLog.line("reload").with("outcome", detail).writeAlways();
+    }
+
     @Override
     public void close() {
         mServer.close();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
@@ -4,69 +4,47 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.Callable;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.daemon.LogSetup;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
-import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Model.CommandSpec;
-import picocli.CommandLine.Option;
-import picocli.CommandLine.Spec;
 import sun.misc.Signal;
 
 /**
- * Entry point of the forwarding entry.
+ * Starts the forwarding entry and stops it on SIGTERM.
  *
  * <p>Exit codes: 0 after a graceful shutdown, 2 for bad arguments or settings, 1 when the daemon
- * cannot start. Thread safety: used by the main thread.
+ * cannot start. Thread safety: used by the main thread; signals only hand over.
  */
-@Command(
-        name = "bulrushvale-forward",
-        description = "Forwarding entry: serves callers by the published routes.",
-        mixinStandardHelpOptions = true)
-public final class ForwardMain implements Callable<Integer> {
-    private static final Logger LOG = Logger.getLogger(ForwardMain.class);
-    private static final int BAD_SETTINGS = 2;
-
-    @Option(
-            names = "--settings",
-            defaultValue = "${env:BULRUSHVALE_CONFIG}",
-            description = "Settings file (INI); the default is the value of BULRUSHVALE_CONFIG.")
-    private @Nullable Path mSettings;
-
-    @Option(names = "--check", description = "Checks the settings and exits.")
-    private boolean mCheck;
-
-    @Option(
-            names = "--self-test",
-            description = "Starts the entry on loopback, sends it one request and exits.")
-    private boolean mSelfTest;
-
-    @Spec private @Nullable CommandSpec mSpec;
+public final class ForwardMain {
+    static final int BAD_SETTINGS = 2;
+    private static final String SETTINGS_VARIABLE = "BULRUSHVALE_CONFIG";
 
     private ForwardMain() {}
 
     /** Runs the entry until it is drained. */
-    public static void main(String[] args) {
+    public static void main(String[] args) throws InterruptedException {
         LogSetup.selectManager();
-        System.exit(new CommandLine(new ForwardMain()).execute(args));
+        // Loading the command line takes a sixth of a start; without options nothing needs it.
+        int code =
+                args.length == 0
+                        ? runFromEnvironment()
+                        : new CommandLine(new ForwardCommand()).execute(args);
+        System.exit(code);
     }
 
-    @Override
-    public Integer call() throws InterruptedException {
-        if (mSpec == null) {
-            return BAD_SETTINGS;
-        }
-        PrintWriter err = mSpec.commandLine().getErr();
-        if (mSelfTest) {
-            return SelfTest.run(err);
-        }
-        Path path = mSettings;
+    private static int runFromEnvironment() throws InterruptedException {
+        String path = System.getenv(SETTINGS_VARIABLE);
+        PrintWriter err = new PrintWriter(System.err, true);
+        return run(path == null ? null : Path.of(path), false, err);
+    }
+
+    /** Checks the settings and, unless only that is wanted, runs the entry until it is drained. */
+    static int run(@Nullable Path path, boolean checkOnly, PrintWriter err)
+            throws InterruptedException {
         if (path == null) {
-            err.println("no settings file: use --settings or set BULRUSHVALE_CONFIG");
+            err.println("no settings file: use --settings or set " + SETTINGS_VARIABLE);
             return BAD_SETTINGS;
         }
         ForwardSettings.Result result;
@@ -80,10 +58,10 @@
         if (result.settings().isEmpty()) {
             return BAD_SETTINGS;
         }
-        return mCheck ? 0 : run(path, result.settings().get(), err);
+        return checkOnly ? 0 : runEntry(path, result.settings().get(), err);
     }
 
-    private static int run(Path path, ForwardSettings settings, PrintWriter err)
+    private static int runEntry(Path path, ForwardSettings settings, PrintWriter err)
             throws InterruptedException {
         LogSetup.configure(true, settings.log().level());
         try (ForwardDaemon daemon = ForwardDaemon.start(settings)) {
@@ -102,7 +80,7 @@
         try {
             daemon.reload(ForwardSettings.check(Files.readString(path)));
         } catch (IOException e) {
-            LOG.errorf("settings file cannot be read: %s", e.getMessage());
+            daemon.reloadFailed("settings file cannot be read: " + e.getMessage());
         }
     }
 
