Let refused pieces wait; let a fresh entry wait for the others

"No room" counted as a failure of the server: it was avoided for the piece, and three such answers ended the request. Change: a piece that was refused, found no room or has no repeat in the budget waits until its request gives up; a fresh entry with other seeds sends no stage work until it heard of a member, at most 500 ms. Ruled out: probing the memory of a server (priced; not tried).

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetLink.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetLink.java
@@ -40,6 +40,7 @@
     // After a start the fleet is found fast, because entries that are alone overload the stages.
     private static final Duration START_PERIOD = Duration.ofMillis(150);
     private static final int START_GREETINGS = 16;
+    private static final Duration JOIN_RECHECK = Duration.ofMillis(20);
     private static final Duration HEARTBEAT = Duration.ofMillis(300);
     private static final Duration SILENCE = Duration.ofMillis(1_000);
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
@@ -287,6 +288,10 @@
             if (mEnded) {
                 return;
             }
+            if (mMembers.isJoining()) {
+                mLoop.schedule(JOIN_RECHECK, this::start);
+                return;
+            }
             String collector = mMembers.collector(mJob.service());
             if (mCollectors >= MAX_COLLECTORS || collector.equals(self(mSettings))) {
                 mGiveUp = mDesks.make(mJob, this::done);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDesk.java
@@ -161,11 +161,12 @@
             if (result.outcome() != PieceResult.Outcome.MADE) {
                 mQueue.released(piece.name());
             }
-            if (result.outcome() == PieceResult.Outcome.NO_ROOM) {
+            boolean noRoom = result.outcome() == PieceResult.Outcome.NO_ROOM;
+            if (noRoom) {
                 limits().ifPresent(limits -> mQueue.full(server.entry().id(), limits));
             }
             if (result.outcome().mayTryElsewhere()) {
-                repeat(piece, server.entry().id(), result);
+                repeat(piece, noRoom ? "" : server.entry().id(), result);
             } else if (!piece.deliver(result) && result.outcome() == PieceResult.Outcome.MADE) {
                 release(List.of(MadePiece.of(piece.order(), result)));
             }
@@ -218,11 +219,14 @@
         if (piece.isAbandoned()) {
             return;
         }
-        if (piece.failures() > MAX_FAILURES || !mServices.budget().tryRepeat(mService)) {
+        if (piece.failures() > MAX_FAILURES
+                || piece.giveUpNanos() - mServices.clock().monotonicNanos() <= 0) {
             piece.deliver(result);
-            return;
+        } else if (mServices.budget().tryRepeat(mService)) {
+            mQueue.add(piece);
+        } else {
+            mServices.loop().schedule(BUSY_PAUSE, () -> repeat(piece, "", result));
         }
-        mQueue.add(piece);
     }
 
     private void log(StageQueue.Call<StagePiece> call, String outcome, long started) {
--- a/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
@@ -23,6 +23,9 @@
     /** A member not heard of for so long is left out. */
     public static final Duration EXPIRY = Duration.ofSeconds(4);
 
+    /** An entry that has found no other one after this time takes itself for the only one. */
+    public static final Duration JOIN_TIME = Duration.ofMillis(500);
+
     private static final Duration COUNT_MEMORY = Duration.ofMinutes(1);
 
     // A constant, so that the cost per entry does not grow with the fleet.
@@ -34,6 +37,7 @@
     private final String mSelf;
     private final Map<String, Member> mMembers = new HashMap<>();
     private Set<String> mSeeds;
+    private final long mStartNanos;
     private boolean mLeaving;
     private int mLargest = 1;
     private long mLargestAtNanos;
@@ -44,7 +48,8 @@
         mRandom = random;
         mSelf = self;
         mSeeds = Set.copyOf(seeds);
-        mLargestAtNanos = clock.monotonicNanos();
+        mStartNanos = clock.monotonicNanos();
+        mLargestAtNanos = mStartNanos;
     }
 
     /** Replaces the seeds. */
@@ -110,6 +115,12 @@
         return Math.max(mLargest, seeds);
     }
 
+    /** Returns true shortly after the start, until another member was heard of. */
+    public boolean isJoining() {
+        boolean alone = mMembers.isEmpty() && !Set.of(mSelf).containsAll(mSeeds);
+        return alone && mClock.elapsedSince(mStartNanos).compareTo(JOIN_TIME) < 0;
+    }
+
     /** Returns the member that collects the pieces of a stage service; this entry if alone. */
     public String collector(String service) {
         LongHashFunction hash = LongHashFunction.xx(LongHashFunction.xx().hashChars(service));
--- a/decision/src/test/java/org/bulrushvale/decision/forward/MemberTableTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/MemberTableTest.java
@@ -51,6 +51,24 @@
         from.heard().forEach(heard -> to.heard(heard.name(), heard.leaving(), heard.age()));
     }
 
+    // Entries that start together and each take themselves for the only one overload the stages.
+    @Test
+    public void an_entry_waits_shortly_for_others_after_its_start() {
+        // given
+        MemberTable found = fleet().get(1);
+        MemberTable lonely = fleet().get(1);
+        MemberTable only = new MemberTable(mClock, new SplittableRandom(3), "m1", Set.of("m1"));
+        assertThat(List.of(found.isJoining(), lonely.isJoining())).containsOnly(true);
+        assertThat(only.isJoining()).as("no other seed").isFalse();
+        // when
+        found.heard("m7", false, Duration.ZERO);
+        // then
+        assertThat(found.isJoining()).isFalse();
+        assertThat(lonely.isJoining()).isTrue();
+        mClock.advance(MemberTable.JOIN_TIME);
+        assertThat(lonely.isJoining()).isFalse();
+    }
+
     @Test
     public void all_find_each_other_through_one_live_seed() {
         // given
