Add explain: the story of one request from the logs of several entries

Cause: on-call engineers have only logs; docs/OPERATIONS.md led from an id to its lines with grep, which shows neither what the entry believed nor what other entries saw of the same backend server. Change: bulrushvalectl explain ID FILE... joins the lines by time, says how the request ended and adds what happened around it; unreadable lines are counted. The output option of four commands is one class now. Ruled out: a server that collects logs (nothing of the system may be set aside for control). Tests: ExplainCommandTest.

--- a/cli/src/main/java/org/bulrushvale/cli/BulrushvalectlMain.java
+++ b/cli/src/main/java/org/bulrushvale/cli/BulrushvalectlMain.java
@@ -59,6 +59,7 @@
         config.addSubcommand("show", report(out, "/v1/config", "Show the configuration in force."));
         root.addSubcommand("config", config);
         root.addSubcommand(new RequestCommand(out, err));
+        root.addSubcommand(new ExplainCommand(out));
         CommandLine reports = new CommandLine(new Group());
         reports.getCommandSpec().usageMessage().description("Reports over all entries.");
         reports.addSubcommand(new BurnCommand(out));
--- a/cli/src/main/java/org/bulrushvale/cli/BurnCommand.java
+++ b/cli/src/main/java/org/bulrushvale/cli/BurnCommand.java
@@ -57,7 +57,7 @@
                 throw CliException.refused("cannot write " + mHtml);
             }
         }
-        boolean json = mOptions.output() == OutputFormat.JSON;
+        boolean json = mOptions.isJson();
         mOut.print(json ? BurnView.json(report).toPrettyString() + "\n" : BurnView.table(report));
         mOut.flush();
         return CliException.OK;
--- a/cli/src/main/java/org/bulrushvale/cli/ConfigCheckCommand.java
+++ b/cli/src/main/java/org/bulrushvale/cli/ConfigCheckCommand.java
@@ -18,7 +18,7 @@
 import org.bulrushvale.decision.config.ConfigFault;
 import org.bulrushvale.decision.config.ConfigParser;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
 
 /**
@@ -40,12 +40,7 @@
     @Parameters(index = "0", paramLabel = "FILE|DIR")
     private Path mPath = Path.of("");
 
-    @Option(
-            names = "--output",
-            paramLabel = "FORMAT",
-            defaultValue = "table",
-            description = "${COMPLETION-CANDIDATES} (default: table)")
-    private OutputFormat mOutput = OutputFormat.TABLE;
+    @Mixin private OutputOption mOutput = new OutputOption();
 
     private final PrintWriter mOut;
 
@@ -94,7 +89,7 @@
     }
 
     private void print(List<ConfigFault> faults) {
-        if (mOutput == OutputFormat.JSON) {
+        if (mOutput.isJson()) {
             ObjectNode json = JsonNodeFactory.instance.objectNode();
             json.put("valid", faults.isEmpty());
             ArrayNode list = json.putArray("faults");
--- a/cli/src/main/java/org/bulrushvale/cli/EntryOptions.java
+++ b/cli/src/main/java/org/bulrushvale/cli/EntryOptions.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /**
@@ -24,12 +25,7 @@
             })
     private String mEntry = "";
 
-    @Option(
-            names = "--output",
-            paramLabel = "FORMAT",
-            defaultValue = "table",
-            description = "${COMPLETION-CANDIDATES} (default: table)")
-    private OutputFormat mOutput = OutputFormat.TABLE;
+    @Mixin private OutputOption mOutput = new OutputOption();
 
     @Option(
             names = "--timeout-ms",
@@ -57,12 +53,12 @@
         return new EntryClient(Duration.ofMillis(mTimeoutMs));
     }
 
-    OutputFormat output() {
-        return mOutput;
+    boolean isJson() {
+        return mOutput.isJson();
     }
 
     void print(PrintWriter out, JsonNode json) {
-        out.print(mOutput == OutputFormat.JSON ? json.toPrettyString() + "\n" : Tables.of(json));
+        out.print(mOutput.isJson() ? json.toPrettyString() + "\n" : Tables.of(json));
         out.flush();
     }
 }
--- /dev/null
+++ b/cli/src/main/java/org/bulrushvale/cli/LogLine.java
@@ -0,0 +1,66 @@
+package org.bulrushvale.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.Optional;
+
+/**
+ * One line of an entry's decision log.
+ *
+ * <p>Invariant: time, VM and event are present. Thread safety: immutable as long as the fields are
+ * not changed.
+ *
+ * @param fields everything that the line says, time, VM and event included
+ */
+record LogLine(Instant time, String vm, String event, JsonNode fields) {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    /** Reads a line, whatever a log collector has put before it; empty when it is none. */
+    static Optional<LogLine> parse(String text) {
+        int start = text.indexOf('{');
+        if (start < 0) {
+            return Optional.empty();
+        }
+        try {
+            JsonNode json = MAPPER.readTree(text.substring(start));
+            if (!json.path("vm").isTextual() || !json.path("event").isTextual()) {
+                return Optional.empty();
+            }
+            Instant time = Instant.parse(json.path("time").asText());
+            return Optional.of(
+                    new LogLine(time, json.path("vm").asText(), json.path("event").asText(), json));
+        } catch (JsonProcessingException | DateTimeParseException e) {
+            return Optional.empty();
+        }
+    }
+
+    String text(String field) {
+        return fields.path(field).asText("");
+    }
+
+    long number(String field) {
+        return fields.path(field).asLong();
+    }
+
+    /** Returns the fields that are not columns of their own. */
+    String details() {
+        StringBuilder details = new StringBuilder();
+        ObjectNode rest = fields.deepCopy();
+        rest.remove("time");
+        rest.remove("vm");
+        rest.remove("event");
+        rest.remove("request");
+        rest.fields()
+                .forEachRemaining(
+                        field ->
+                                details.append(field.getKey())
+                                        .append('=')
+                                        .append(field.getValue().asText())
+                                        .append(' '));
+        return details.toString().strip();
+    }
+}
--- a/cli/src/main/java/org/bulrushvale/cli/RequestCommand.java
+++ b/cli/src/main/java/org/bulrushvale/cli/RequestCommand.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Callable;
 import org.jspecify.annotations.Nullable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /**
@@ -62,12 +63,7 @@
             description = "default: $" + TOKEN_VARIABLE)
     private @Nullable Path mTokenFile;
 
-    @Option(
-            names = "--output",
-            paramLabel = "FORMAT",
-            defaultValue = "table",
-            description = "${COMPLETION-CANDIDATES} (default: table)")
-    private OutputFormat mOutput = OutputFormat.TABLE;
+    @Mixin private OutputOption mOutput = new OutputOption();
 
     private final PrintWriter mOut;
     private final PrintWriter mErr;
@@ -102,7 +98,7 @@
                 body.put("max_tokens", mMaxTokens);
             }
             JsonNode answer = client.post(caller, "/v1/requests", headers, body);
-            boolean json = mOutput == OutputFormat.JSON;
+            boolean json = mOutput.isJson();
             mOut.print(json ? answer.toPrettyString() + "\n" : Tables.of(answer));
             mOut.flush();
         }
--- a/cli/src/main/java/org/bulrushvale/cli/Tables.java
+++ b/cli/src/main/java/org/bulrushvale/cli/Tables.java
@@ -77,7 +77,7 @@
         return clean(value.isValueNode() ? value.asText() : value.toString());
     }
 
-    private static String clean(String text) {
+    static String clean(String text) {
         return text.replaceAll("\\p{Cntrl}", "?");
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/Published.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/Published.java
@@ -104,7 +104,9 @@
     public void evacuated(Set<String> domains) {
         mLoop.execute(
                 () -> {
-                    mDirectory.evacuated(domains);
+                    if (!mDirectory.evacuated(domains)) {
+                        return;
+                    }
                     mLog.line("evacuated")
                             .with("failure_domains", String.join(",", domains))
                             .writeAlways();
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -48,9 +48,13 @@
         }
     }
 
-    /** Replaces the set of failure domains that receive no work. */
-    public void evacuated(Collection<String> domains) {
+    /**
+     * Replaces the set of failure domains that receive no work; returns false if it is the same.
+     */
+    public boolean evacuated(Collection<String> domains) {
+        boolean changed = !mEvacuated.equals(Set.copyOf(domains));
         mEvacuated = new HashSet<>(domains);
+        return changed;
     }
 
     /** Returns the ids of all known servers. */
