Read changed settings without a signal

Cause: the platform may change the settings file without a signal, and the entry read it on SIGHUP only (open point of docs/platform.md). Change: the main thread compares the content once a second; a bad change names its faults in a reload line and changes nothing, a file that is away for a moment is no change. Ruled out: a watch by the system's notification (not available on the platform).

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -199,15 +199,14 @@
         }
     }
 
-    /** Waits until a graceful shutdown has ended. */
-    public void awaitDrained() throws InterruptedException {
-        mDrained.await();
+    /** Waits for the end of a graceful shutdown; returns false when the time is over. */
+    public boolean awaitDrained(Duration limit) throws InterruptedException {
+        return mDrained.await(limit.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Waits until a graceful shutdown has ended, at most for the grace time. */
     void awaitDrainedWithinGrace() throws InterruptedException {
-        boolean drained =
-                mDrained.await(mSettings.drain().grace().toMillis(), TimeUnit.MILLISECONDS);
+        boolean drained = awaitDrained(mSettings.drain().grace());
         mLog.line("stopped").with("drained", String.valueOf(drained)).writeAlways();
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
@@ -2,8 +2,8 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.daemon.LogSetup;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
@@ -19,6 +19,8 @@
  */
 public final class ForwardMain {
     static final int BAD_SETTINGS = 2;
+    // The platform changes the file with or without a signal.
+    private static final Duration SETTINGS_POLL = Duration.ofSeconds(1);
     private static final String SETTINGS_VARIABLE = "BULRUSHVALE_CONFIG";
 
     private ForwardMain() {}
@@ -47,9 +49,10 @@
             err.println("no settings file: use --settings or set " + SETTINGS_VARIABLE);
             return BAD_SETTINGS;
         }
+        SettingsFile file = new SettingsFile(path);
         ForwardSettings.Result result;
         try {
-            result = ForwardSettings.check(Files.readString(path));
+            result = file.read();
         } catch (IOException e) {
             err.println("settings file cannot be read: " + path);
             return BAD_SETTINGS;
@@ -58,17 +61,19 @@
         if (result.settings().isEmpty()) {
             return BAD_SETTINGS;
         }
-        return checkOnly ? 0 : runEntry(path, result.settings().get(), err);
+        return checkOnly ? 0 : runEntry(file, result.settings().get(), err);
     }
 
-    private static int runEntry(Path path, ForwardSettings settings, PrintWriter err)
+    private static int runEntry(SettingsFile file, ForwardSettings settings, PrintWriter err)
             throws InterruptedException {
         LogSetup.configure(true, settings.log().level());
         try (ForwardDaemon daemon = ForwardDaemon.start(settings)) {
-            Signal.handle(new Signal("HUP"), signal -> reload(daemon, path));
+            Signal.handle(new Signal("HUP"), signal -> reload(daemon, file));
             Thread onSignal = new Thread(() -> drainOnSignal(daemon), "drain-on-signal");
             Runtime.getRuntime().addShutdownHook(onSignal);
-            daemon.awaitDrained();
+            while (!daemon.awaitDrained(SETTINGS_POLL)) {
+                file.readChanged().ifPresent(daemon::reload);
+            }
             return 0;
         } catch (BulrushvaleException e) {
             err.println("cannot start: " + e.detail());
@@ -76,9 +81,9 @@
         }
     }
 
-    private static void reload(ForwardDaemon daemon, Path path) {
+    private static void reload(ForwardDaemon daemon, SettingsFile file) {
         try {
-            daemon.reload(ForwardSettings.check(Files.readString(path)));
+            daemon.reload(file.read());
         } catch (IOException e) {
             daemon.reloadFailed("settings file cannot be read: " + e.getMessage());
         }
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/SettingsFile.java
@@ -0,0 +1,39 @@
+package org.bulrushvale.daemon.forward;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.bulrushvale.adapters.settings.ForwardSettings;
+
+/**
+ * The settings file of a running process, which may change with or without a signal.
+ *
+ * <p>Invariant: each content is checked once, unless a reload is asked for. Thread safety: safe for
+ * use by any thread.
+ */
+final class SettingsFile {
+    private final Path mPath;
+    private String mText = "";
+
+    SettingsFile(Path path) {
+        mPath = path;
+    }
+
+    /** Reads and checks the file. */
+    synchronized ForwardSettings.Result read() throws IOException {
+        mText = Files.readString(mPath);
+        return ForwardSettings.check(mText);
+    }
+
+    /** Reads the file if its content has changed; a file that is away has not. */
+    synchronized Optional<ForwardSettings.Result> readChanged() {
+        try {
+            String text = Files.readString(mPath);
+            return text.equals(mText) ? Optional.empty() : Optional.of(read());
+        } catch (IOException e) {
+            // Replacing a file may remove it for a moment.
+            return Optional.empty();
+        }
+    }
+}
