--- a/daemon/src/test/java/org/bulrushvale/daemon/forward/SettingsFileTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/SettingsFileTest.java
@@ -50,8 +50,7 @@
         Files.writeString(mPath, SETTINGS + "seeds = 127.0.0.1:9\n");
         // then
         ForwardSettings changed = mFile.readChanged().orElseThrow().settings().orElseThrow();
-        assertThat(changed.fleet().seeds())
-                .containsExactly(new InetSocketAddress("127.0.0.1", 9));
+        assertThat(changed.fleet().seeds()).containsExactly(new InetSocketAddress("127.0.0.1", 9));
         assertThat(mFile.readChanged()).isEmpty();
     }
 
