--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
@@ -0,0 +1,68 @@
+package org.bulrushvale.daemon.forward;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.time.Duration;
+import java.util.List;
+import org.bulrushvale.adapters.forward.CallerExchange;
+import org.bulrushvale.adapters.forward.HopHeaders;
+import org.bulrushvale.adapters.forward.HttpCalls;
+import org.bulrushvale.adapters.forward.RequestFacts;
+import org.bulrushvale.adapters.forward.SendFacts;
+import org.bulrushvale.decision.forward.BackendEntry;
+import org.bulrushvale.decision.forward.Route;
+
+/**
+ * Passes one request on to backend servers, as its caller sent it.
+ *
+ * <p>Invariant: method, target and body are not changed; headers that concern the caller's
+ * connection or that only this system may set are left out. Thread safety: used on the event loop.
+ */
+final class AttemptStarter {
+    private final ForwardServices mServices;
+    private final CallerExchange mCaller;
+    private final RequestFacts mFacts;
+    private final Route mRoute;
+    private final String mWorkspace;
+
+    AttemptStarter(
+            ForwardServices services,
+            CallerExchange caller,
+            RequestFacts facts,
+            Route route,
+            String workspace) {
+        mServices = services;
+        mCaller = caller;
+        mFacts = facts;
+        mRoute = route;
+        mWorkspace = workspace;
+    }
+
+    /** Sends the request to a server; events go to the handler. */
+    HttpCalls.Call start(
+            BackendEntry server,
+            Duration left,
+            List<String> inputs,
+            long resumeAfter,
+            Attempt.Handler handler) {
+        HeaderMap headers = HopHeaders.passOn(mCaller.headers(), mServices.protocol()::isReserved);
+        if (mCaller.headers().contains(Headers.CONTENT_LENGTH)
+                || mCaller.headers().contains(Headers.TRANSFER_ENCODING)) {
+            headers.put(Headers.CONTENT_LENGTH, mCaller.body().length);
+        }
+        SendFacts facts = new SendFacts(left, mWorkspace, server.id(), inputs, resumeAfter);
+        mServices.protocol().send(facts, headers);
+        HttpCalls.Request request =
+                new HttpCalls.Request(
+                        server.host(),
+                        server.port(),
+                        mCaller.method(),
+                        mCaller.target(),
+                        headers,
+                        mCaller.body(),
+                        left,
+                        mRoute.mayRepeat());
+        Attempt attempt = new Attempt(mServices.loop(), mServices.protocol(), mFacts.id(), handler);
+        return mServices.calls().start(request, attempt);
+    }
+}
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -1,7 +1,5 @@
 package org.bulrushvale.daemon.forward;
 
-import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,7 +15,6 @@
 import org.bulrushvale.adapters.forward.HttpCalls;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.RequestFacts;
-import org.bulrushvale.adapters.forward.SendFacts;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.EventSplitter;
 import org.bulrushvale.decision.forward.ForwardConfig;
@@ -44,20 +41,11 @@
     // Refused attempts are cheap, but each one counts against the budget of repeats.
     private static final int MAX_REFUSALS = 3;
 
-    // Reading the prompt and making the first event takes some hundred ms.
-    private static final Duration FIRST_EVENT_ALLOWANCE = Duration.ofMillis(200);
-
     // A piece waits about a third of a call for a server at half load.
     private static final double WAIT_FACTOR = 1.3;
 
-    // An answer sent at the very end would reach the caller after it has gone.
-    private static final Duration ANSWER_MARGIN = Duration.ofMillis(30);
-
     private static final Duration NO_SERVER_RECHECK = Duration.ofMillis(20);
 
-    // An eighth of the latency target may pass before a refusal costs anything.
-    private static final int HOLD_SHARE = 8;
-
     private final ForwardServices mServices;
     private final StageWork mStages;
     private final CallerExchange mCaller;
@@ -69,7 +57,8 @@
     private final double mColdPerSecond;
     private final ForwardConfig mConfig;
     private final Consumption mOnEnd;
-    private final long mEndNanos;
+    private final RequestTimes mTimes;
+    private final AttemptStarter mStarter;
     private final Set<String> mTried = new HashSet<>();
     private StagePlan mPlan;
     private List<String> mInputs = List.of();
@@ -108,11 +97,8 @@
         mColdPerSecond = config.service(mService).map(ServiceSpec::coldPerSecond).orElse(0.0);
         mConfig = config;
         mOnEnd = onEnd;
-        Duration wait =
-                facts.deadline().compareTo(route.timeout()) < 0
-                        ? facts.deadline()
-                        : route.timeout();
-        mEndNanos = caller.arrivedNanos() + wait.minus(ANSWER_MARGIN).toNanos();
+        mTimes = new RequestTimes(services.clock(), caller.arrivedNanos(), facts, route);
+        mStarter = new AttemptStarter(services, caller, facts, route, mWorkspace);
         mLastEvent = facts.resumeAfter();
         mPlan = newPlan();
     }
@@ -137,9 +123,7 @@
 
     @Override
     public long targetMillis() {
-        Duration target = mRoute.latencyTarget().minus(FIRST_EVENT_ALLOWANCE);
-        long at = mCaller.arrivedNanos() + target.toNanos();
-        return TimeUnit.NANOSECONDS.toMillis(at - mServices.clock().monotonicNanos());
+        return mTimes.targetMillis();
     }
 
     @Override
@@ -165,15 +149,12 @@
 
     @Override
     public long deadlineMillis() {
-        long left = mEndNanos - mServices.clock().monotonicNanos();
-        return Math.max(0, TimeUnit.NANOSECONDS.toMillis(left));
+        return mTimes.deadlineMillis();
     }
 
     @Override
     public long giveUpMillis() {
-        Duration wait = Duration.ofNanos(mEndNanos - mCaller.arrivedNanos());
-        long giveUp = mCaller.arrivedNanos() + wait.dividedBy(2).toNanos();
-        return TimeUnit.NANOSECONDS.toMillis(giveUp - mServices.clock().monotonicNanos());
+        return mTimes.giveUpMillis();
     }
 
     @Override
@@ -244,11 +225,7 @@
     }
 
     private void awaitServer() {
-        Duration waited = mServices.clock().elapsedSince(mCaller.arrivedNanos());
-        boolean mayWait =
-                mTried.isEmpty()
-                        && waited.compareTo(mRoute.latencyTarget().dividedBy(HOLD_SHARE)) < 0;
-        if (mayWait) {
+        if (mTried.isEmpty() && mTimes.mayHold()) {
             mServices.loop().schedule(NO_SERVER_RECHECK, this::send);
         } else {
             giveUp(ErrorCode.NO_BACKEND, "no backend server may receive the request");
@@ -264,17 +241,6 @@
         if (server.isCold(mServices.clock().monotonicNanos())) {
             mServices.cold().sent(server);
         }
-        HeaderMap headers = HopHeaders.passOn(mCaller.headers(), mServices.protocol()::isReserved);
-        if (mCaller.headers().contains(Headers.CONTENT_LENGTH)
-                || mCaller.headers().contains(Headers.TRANSFER_ENCODING)) {
-            headers.put(Headers.CONTENT_LENGTH, mCaller.body().length);
-        }
-        mServices
-                .protocol()
-                .send(
-                        new SendFacts(
-                                Duration.ofMillis(leftMillis), mWorkspace, id, mInputs, mLastEvent),
-                        headers);
         mServices
                 .log()
                 .line("send")
@@ -287,70 +253,19 @@
                 .write();
         mSplitter = new EventSplitter();
         mStreamHead = null;
-        HttpCalls.Request request =
-                new HttpCalls.Request(
-                        server.entry().host(),
-                        server.entry().port(),
-                        mCaller.method(),
-                        mCaller.target(),
-                        headers,
-                        mCaller.body(),
-                        Duration.ofMillis(leftMillis),
-                        mRoute.mayRepeat());
+        int attempt = mArrivals;
         mCall =
-                mServices
-                        .calls()
-                        .start(
-                                request,
-                                new Attempt(
-                                        mServices.loop(),
-                                        mServices.protocol(),
-                                        mFacts.id(),
-                                        current(mArrivals)));
+                mStarter.start(
+                        server.entry(),
+                        Duration.ofMillis(leftMillis),
+                        mInputs,
+                        mLastEvent,
+                        new GuardedHandler(this, () -> isCurrent(attempt)));
     }
 
     /** Events of an attempt that was given up are dropped. */
-    private Attempt.Handler current(int attempt) {
-        return new Attempt.Handler() {
-            private boolean isCurrent() {
-                return attempt == mArrivals && !mAnswered && mServer != null;
-            }
-
-            @Override
-            public void answered(Attempt.Head head, byte[] body) {
-                if (isCurrent()) {
-                    ForwardedRequest.this.answered(head, body);
-                }
-            }
-
-            @Override
-            public void streamBegins(Attempt.Head head) {
-                if (isCurrent()) {
-                    ForwardedRequest.this.streamBegins(head);
-                }
-            }
-
-            @Override
-            public void streamBytes(byte[] bytes) {
-                if (isCurrent()) {
-                    ForwardedRequest.this.streamBytes(bytes);
-                }
-            }
-
-            @Override
-            public void streamEnds() {
-                if (isCurrent()) {
-                    ForwardedRequest.this.streamEnds();
-                }
-            }
-
-            @Override
-            public void lost(boolean sent, BackendFailure failure, String detail) {
-                if (isCurrent()) {
-                    ForwardedRequest.this.lost(sent, failure, detail);
-                }
-            }
-        };
+    private boolean isCurrent(int attempt) {
+        return attempt == mArrivals && !mAnswered && mServer != null;
     }
 
     @Override
@@ -563,7 +478,7 @@
             timer.cancel();
         }
         mPlan.release();
-        Duration elapsed = mServices.clock().elapsedSince(mCaller.arrivedNanos());
+        Duration elapsed = mTimes.elapsed();
         mServices
                 .log()
                 .line("request")
