--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/HttpCalls.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/HttpCalls.java
@@ -2,7 +2,6 @@
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.bulrushvale.adapters.backend.BackendFailure;
 
@@ -110,9 +109,4 @@
         /** Called with the whole answer. */
         protected abstract void complete(int status, HeaderMap headers, byte[] body);
     }
-
-    /** Returns the text of a body. */
-    static String text(byte[] body) {
-        return new String(body, StandardCharsets.UTF_8);
-    }
 }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.bulrushvale.kernel.time.Clock;
-import org.jspecify.annotations.Nullable;
 
 /**
  * The published backend servers and what this entry has outstanding at each.
@@ -62,12 +61,6 @@
         return Set.copyOf(mServers.keySet());
     }
 
-    /** Returns a server that may receive work, or null. */
-    public @Nullable Server eligible(String id) {
-        Server server = mServers.get(id);
-        return server != null && isEligible(server) ? server : null;
-    }
-
     /** Returns the servers of a service that may receive work. */
     public List<Server> eligibleOf(String service) {
         List<Server> servers = new ArrayList<>();
--- a/decision/src/test/java/org/bulrushvale/decision/forward/ServerChoiceTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ServerChoiceTest.java
@@ -100,16 +100,20 @@
         assertThat(choose(Set.of(), "", 3)).isNotNull();
     }
 
+    private Server server() {
+        return mDirectory.eligibleOf("pool").get(0);
+    }
+
     @Test
     public void a_process_that_starts_again_under_its_id_has_no_history() {
         // given
         BackendEntry before = Servers.warm("s", "pool", "a");
         mDirectory.put(before);
-        mDirectory.eligible("s").failed(mClock.monotonicNanos());
+        server().failed(mClock.monotonicNanos());
         // when
         mDirectory.put(
                 new BackendEntry("s", "pool", before.host(), 80, "a", 8, false, 2, Duration.ZERO));
         // then
-        assertThat(mDirectory.eligible("s").isSuspect(mClock.monotonicNanos())).isFalse();
+        assertThat(server().isSuspect(mClock.monotonicNanos())).isFalse();
     }
 }
