Read changed settings once; drop a name that is never looked up

Cause: read through once more, SettingsFile read a changed file twice, so that a second change between the two reads was compared with the wrong content; RequestTimeline listed server_gone among the events that a second rule handles before the list is asked. Behaviour stays otherwise.

--- a/cli/src/main/java/org/bulrushvale/cli/RequestTimeline.java
+++ b/cli/src/main/java/org/bulrushvale/cli/RequestTimeline.java
@@ -34,8 +34,7 @@
                     "store_regained",
                     "config",
                     "evacuated",
-                    "members",
-                    "server_gone");
+                    "members");
 
     private final String mRequest;
     private final List<LogLine> mLines = new ArrayList<>();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/SettingsFile.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/SettingsFile.java
@@ -22,15 +22,19 @@
 
     /** Reads and checks the file. */
     synchronized ForwardSettings.Result read() throws IOException {
-        mText = Files.readString(mPath);
-        return ForwardSettings.check(mText);
+        return check(Files.readString(mPath));
+    }
+
+    private ForwardSettings.Result check(String text) {
+        mText = text;
+        return ForwardSettings.check(text);
     }
 
     /** Reads the file if its content has changed; a file that is away has not. */
     synchronized Optional<ForwardSettings.Result> readChanged() {
         try {
             String text = Files.readString(mPath);
-            return text.equals(mText) ? Optional.empty() : Optional.of(read());
+            return text.equals(mText) ? Optional.empty() : Optional.of(check(text));
         } catch (IOException e) {
             // Replacing a file may remove it for a moment.
             return Optional.empty();
