--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
@@ -21,6 +21,7 @@
 public record ForwardSettings(
         Entry entry, Listeners listeners, Fleet fleet, Limits limits, Drain drain, Log log) {
     private static final SettingKey.Rule MILLIS = SettingKey.range(1, 600_000);
+    private static final SettingKey.Rule SECONDS = SettingKey.decimal(0.001, 86_400);
     private static final List<SettingKey> KEYS =
             List.of(
                     required("entry", "vm", SettingKey.identifier()),
@@ -41,11 +42,11 @@
                     optional("limits", "idle_timeout_ms", "60000", MILLIS),
                     optional("limits", "connect_timeout_ms", "400", MILLIS),
                     optional("limits", "max_concurrent", "1500", SettingKey.range(1, 65_536)),
-                    optional("limits", "repeat_ratio", "0.2", SettingKey.decimal(0, 1)),
-                    optional("limits", "repeat_slack", "50", SettingKey.range(0, 100_000)),
-                    optional("limits", "repeat_window_s", "10", SettingKey.range(1, 600)),
+                    optional("limits", "repeat_ratio", "0.2", SettingKey.decimal(0, 100)),
+                    optional("limits", "repeat_slack", "50", SettingKey.decimal(0, 1e9)),
+                    optional("limits", "repeat_window_s", "10", SECONDS),
                     optional("drain", "unready_ms", "2600", MILLIS),
-                    optional("drain", "grace_ms", "8000", MILLIS),
+                    optional("drain", "grace_s", "8", SECONDS),
                     optional(
                             "log",
                             "level",
@@ -86,9 +87,9 @@
                         table.millis("limits", "connect_timeout_ms"),
                         table.number("limits", "max_concurrent"),
                         table.decimal("limits", "repeat_ratio"),
-                        table.number("limits", "repeat_slack"),
-                        Duration.ofSeconds(table.number("limits", "repeat_window_s"))),
-                new Drain(table.millis("drain", "unready_ms"), table.millis("drain", "grace_ms")),
+                        table.decimal("limits", "repeat_slack"),
+                        table.seconds("limits", "repeat_window_s")),
+                new Drain(table.millis("drain", "unready_ms"), table.seconds("drain", "grace_s")),
                 new Log(table.text("log", "level"), table.number("log", "lines_per_second")));
     }
 
@@ -139,6 +140,12 @@
         public Fleet {
             seeds = List.copyOf(seeds);
         }
+
+        /** Leaves the secret out. */
+        @Override
+        public String toString() {
+            return "Fleet[name=" + name + ", seeds=" + seeds + ", store=" + store + "]";
+        }
     }
 
     /**
@@ -158,7 +165,7 @@
             Duration connectTimeout,
             int maxConcurrent,
             double repeatRatio,
-            int repeatSlack,
+            double repeatSlack,
             Duration repeatWindow) {}
 
     /**
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsTable.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsTable.java
@@ -22,6 +22,8 @@
  * variable substitution. Thread safety: immutable after {@link #read}.
  */
 final class SettingsTable {
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private final List<SettingKey> mKeys;
     private final Map<SettingKey, String> mValues = new HashMap<>();
     private final List<SettingsFault> mFaults = new ArrayList<>();
@@ -129,6 +131,10 @@
         return Duration.ofMillis(Long.parseLong(text(section, name)));
     }
 
+    Duration seconds(String section, String name) {
+        return Duration.ofNanos(Math.round(decimal(section, name) * NANOS_PER_SECOND));
+    }
+
     InetSocketAddress endpoint(String section, String name) {
         return endpoint(text(section, name));
     }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/RepeatBudget.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/RepeatBudget.java
@@ -23,7 +23,7 @@
 public final class RepeatBudget {
     private final Clock mClock;
     private final double mRatio;
-    private final int mSlack;
+    private final double mSlack;
     private final long mWindowNanos;
     private final IntSupplier mEntryCount;
     private final Map<String, Window> mWindows = new HashMap<>();
@@ -34,7 +34,7 @@
      * @param entryCount number of entries that share the slack
      */
     public RepeatBudget(
-            Clock clock, double ratio, int slack, Duration window, IntSupplier entryCount) {
+            Clock clock, double ratio, double slack, Duration window, IntSupplier entryCount) {
         mClock = clock;
         mRatio = ratio;
         mSlack = slack;
@@ -50,7 +50,7 @@
     /** Takes one repeat from the budget; returns false when none is left. */
     public boolean tryRepeat(String service) {
         Window window = window(service);
-        double share = mSlack / 2.0 / Math.max(1, mEntryCount.getAsInt());
+        double share = mSlack / 2 / Math.max(1, mEntryCount.getAsInt());
         if (window.mRepeatNanos.size() + 1 > mRatio * window.mRequestNanos.size() + share) {
             return false;
         }
