Let one entry of a failure domain read the store for the others

Cause: every entry read and watched the whole published state. An entry that the store refused never learned the state.

Change: the entry that ranks first in its domain reads (StoreReadingPlan) and answers the others, which ask with the revisions that they know (PublishedItems, PublishedStateRelay). An entry whose state was not confirmed within 0.7 of the time in which a change must take effect reads the store itself; one that the store refuses asks entries of any domain. Domains of fewer than four entries read as before. The time comes from the platform's bounds for configuration and drain. Members tell their domain.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/PublishedStateWatcher.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/PublishedStateWatcher.java
@@ -1,24 +1,72 @@
 package org.bulrushvale.adapters.forward;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.PublishedBackend;
+import org.bulrushvale.decision.forward.PublishedItem;
+import org.bulrushvale.decision.forward.PublishedItems;
+import org.bulrushvale.decision.forward.StoreReading;
 
 /**
- * Watches the state that operators and backend servers publish in the store; each platform adapter
- * implements it.
+ * Reads the items that operators and backend servers publish in the store, and decodes them; each
+ * platform adapter implements it.
  *
  * <p>Thread safety: safe for use by any thread.
  */
 public interface PublishedStateWatcher extends AutoCloseable {
-    /** Starts watching the store; the listener may be called from any thread. */
-    void start(InetSocketAddress store, UpstreamClient client, Listener listener);
+    /** Returns the names of the collections of items that make up the published state. */
+    List<String> collections();
+
+    /**
+     * Prepares reading; nothing is read before {@link #read} is called.
+     *
+     * @param freshness time within which a published change must take effect
+     */
+    void start(
+            InetSocketAddress store,
+            UpstreamClient client,
+            Duration freshness,
+            ItemListener listener);
+
+    /**
+     * Sets how the store is read from now on. A call to the store that is in progress ends as
+     * before.
+     *
+     * @param knownRevisions revision of each collection up to which all changes are known, in the
+     *     order of {@link #collections}; -1 when none is known
+     */
+    void read(StoreReading reading, List<Long> knownRevisions);
+
+    /**
+     * Decodes items of a collection and passes them to the listener. An item that cannot be decoded
+     * adds no server and changes no configuration.
+     *
+     * @param complete true when these are all items of the collection
+     */
+    void decode(String collection, List<PublishedItem> items, boolean complete, Listener listener);
 
     @Override
     void close();
 
+    /**
+     * Receives what was read from the store.
+     *
+     * <p>Thread safety: implementations may be called from any thread.
+     */
+    interface ItemListener {
+        /**
+         * Called after each successful call to the store for a collection; without items the call
+         * confirms that nothing has changed.
+         */
+        void read(String collection, PublishedItems.Update update);
+
+        /** Called after each call to the store. */
+        void reachable(boolean reachable, String detail);
+    }
+
     /**
      * Receives the published state.
      *
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
@@ -105,6 +105,8 @@
             writeBytes(hello.nonce(), out);
         } else if (message instanceof PeerMessage.Proof proof) {
             writeBytes(proof.mac(), out);
+        } else if (PublishedCodec.isHandled(message)) {
+            PublishedCodec.write(message, out);
         } else {
             StageCodec.write(message, out);
         }
@@ -150,7 +152,7 @@
         }
     }
 
-    private static void writeBytes(byte[] bytes, MessageBufferPacker out) throws IOException {
+    static void writeBytes(byte[] bytes, MessageBufferPacker out) throws IOException {
         out.packBinaryHeader(bytes.length).writePayload(bytes);
     }
 
@@ -199,6 +201,7 @@
                             in.list(
                                     () ->
                                             new PeerMessage.Member(
+                                                    in.text(),
                                                     in.text(),
                                                     unpacker.unpackBoolean(),
                                                     unpacker.unpackLong())));
@@ -206,6 +209,8 @@
             case STAGE_RESULTS -> StageCodec.readResults(in);
             case STAGE_GIVE_UP -> new PeerMessage.StageCancel(in.text());
             case STAGE_RELEASE -> StageCodec.readRelease(in);
+            case PUBLISHED_FETCH -> PublishedCodec.readFetch(in);
+            case PUBLISHED_CHANGES -> PublishedCodec.readChanges(in);
         };
     }
 
@@ -248,7 +253,9 @@
         STAGE_ORDER(PeerMessage.StageOrder.class),
         STAGE_RESULTS(PeerMessage.StageResults.class),
         STAGE_GIVE_UP(PeerMessage.StageCancel.class),
-        STAGE_RELEASE(PeerMessage.StageRelease.class);
+        STAGE_RELEASE(PeerMessage.StageRelease.class),
+        PUBLISHED_FETCH(PeerMessage.PublishedFetch.class),
+        PUBLISHED_CHANGES(PeerMessage.PublishedChanges.class);
 
         private final Class<? extends PeerMessage> mMessageClass;
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import org.bulrushvale.adapters.forward.CompletedPiece;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
+import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.kernel.verdict.Verdict;
 
 /**
@@ -188,8 +189,52 @@
      * One member and the time since it was last heard of, in milliseconds.
      *
      * <p>Thread safety: immutable.
+     *
+     * @param failureDomain failure domain of the member; empty when the sender does not know it
+     */
+    record Member(String vm, String failureDomain, boolean leaving, long ageMillis) {}
+
+    /**
+     * Request for the changes of the published state that the sender does not know yet. The answer
+     * is held back for a short time while there are none.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record PublishedFetch(List<KnownRevision> known) implements PeerMessage {
+        public PublishedFetch {
+            known = List.copyOf(known);
+        }
+    }
+
+    /**
+     * Revision up to which an entry knows all changes of a collection; -1 when it knows none.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record KnownRevision(String collection, long revision) {}
+
+    /**
+     * Answer to a {@link PublishedFetch}.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param confirmationAgeMillis time since the store last confirmed the state of the sender
+     * @param storeReachable false when the sender knows that the store cannot be reached
+     */
+    record PublishedChanges(
+            long confirmationAgeMillis, boolean storeReachable, List<CollectionChanges> changes)
+            implements PeerMessage {
+        public PublishedChanges {
+            changes = List.copyOf(changes);
+        }
+    }
+
+    /**
+     * Changes of one collection of published items.
+     *
+     * <p>Thread safety: immutable.
      */
-    record Member(String vm, boolean leaving, long ageMillis) {}
+    record CollectionChanges(String collection, PublishedItems.Update update) {}
 
     /**
      * Request to the collector of a stage service to have the pieces of a job computed.
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/StageCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/StageCodec.java
@@ -21,7 +21,8 @@
         if (message instanceof PeerMessage.MemberList members) {
             out.packArrayHeader(members.members().size());
             for (PeerMessage.Member m : members.members()) {
-                out.packString(m.vm()).packBoolean(m.leaving()).packLong(m.ageMillis());
+                out.packString(m.vm()).packString(m.failureDomain());
+                out.packBoolean(m.leaving()).packLong(m.ageMillis());
             }
         } else if (message instanceof PeerMessage.StageOrder order) {
             writeJob(order.job(), out);
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
@@ -22,6 +22,7 @@
         Entry entry, Listeners listeners, Fleet fleet, Limits limits, Drain drain, Log log) {
     private static final SettingKey.Rule MILLIS = SettingKey.range(1, 600_000);
     private static final SettingKey.Rule SECONDS = SettingKey.decimal(0.001, 86_400);
+    private static final SettingKey.Rule DEADLINE_MILLIS = SettingKey.decimal(100, 600_000);
     private static final List<SettingKey> KEYS =
             List.of(
                     required("entry", "vm", SettingKey.identifier()),
@@ -36,6 +37,8 @@
                     optional("fleet", "seeds", "", SettingKey.endpointList()),
                     required("store", "address", SettingKey.endpoint()),
                     optional("store", "lapse_ms", "1800", MILLIS),
+                    optional("store", "config_deadline_ms", "2000", DEADLINE_MILLIS),
+                    optional("store", "drain_deadline_ms", "2000", DEADLINE_MILLIS),
                     optional("limits", "max_header_bytes", "16384", SettingKey.range(512, 65_536)),
                     optional("limits", "max_body_bytes", "4194304", SettingKey.range(1, 64 << 20)),
                     optional("limits", "read_timeout_ms", "10000", MILLIS),
@@ -78,7 +81,10 @@
                         table.text("fleet", "secret"),
                         table.endpoints("fleet", "seeds"),
                         table.endpoint("store", "address"),
-                        table.millis("store", "lapse_ms")),
+                        table.millis("store", "lapse_ms"),
+                        shorter(
+                                table.decimalMillis("store", "config_deadline_ms"),
+                                table.decimalMillis("store", "drain_deadline_ms"))),
                 new Limits(
                         table.number("limits", "max_header_bytes"),
                         table.number("limits", "max_body_bytes"),
@@ -93,6 +99,10 @@
                 new Log(table.text("log", "level"), table.number("log", "lines_per_second")));
     }
 
+    private static Duration shorter(Duration first, Duration second) {
+        return first.compareTo(second) < 0 ? first : second;
+    }
+
     /**
      * Result of a validation.
      *
@@ -130,13 +140,15 @@
      * @param seeds addresses of members to contact first; a seed may be stale or down
      * @param vanishedServerRetention time for which servers that vanished during an outage of the
      *     store are retained
+     * @param freshness time within which a published change must take effect
      */
     public record Fleet(
             String name,
             String secret,
             List<InetSocketAddress> seeds,
             InetSocketAddress store,
-            Duration vanishedServerRetention) {
+            Duration vanishedServerRetention,
+            Duration freshness) {
         public Fleet {
             seeds = List.copyOf(seeds);
         }
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsTable.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsTable.java
@@ -23,6 +23,7 @@
  */
 final class SettingsTable {
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double NANOS_PER_MILLI = 1e6;
 
     private final List<SettingKey> mKeys;
     private final Map<SettingKey, String> mValues = new HashMap<>();
@@ -135,6 +136,11 @@
         return Duration.ofNanos(Math.round(decimal(section, name) * NANOS_PER_SECOND));
     }
 
+    /** Reads milliseconds that may have a fraction. */
+    Duration decimalMillis(String section, String name) {
+        return Duration.ofNanos(Math.round(decimal(section, name) * NANOS_PER_MILLI));
+    }
+
     InetSocketAddress endpoint(String section, String name) {
         return endpoint(text(section, name));
     }
--- a/adapters/src/test/java/org/bulrushvale/adapters/settings/ForwardSettingsTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/settings/ForwardSettingsTest.java
@@ -34,7 +34,9 @@
                     Map.entry("bounds.retryBudgetRatio", "0.2"),
                     Map.entry("bounds.retryBudgetSlack", "56"),
                     Map.entry("bounds.budgetWindowS", "10"),
-                    Map.entry("bounds.graceS", "8"));
+                    Map.entry("bounds.graceS", "8"),
+                    Map.entry("bounds.configDeadlineMs", "4000"),
+                    Map.entry("bounds.drainMs", "3000"));
 
     @DataProvider
     public Object[][] renderings() {
@@ -57,6 +59,10 @@
             {"bounds.graceS", "30"},
             {"bounds.graceS", "8.0"},
             {"bounds.graceS", ""},
+            {"bounds.configDeadlineMs", "2500.5"},
+            {"bounds.configDeadlineMs", ""},
+            {"bounds.drainMs", "3e3"},
+            {"bounds.drainMs", ""},
             {"seeds", ""},
             {"seeds", "10.1.0.4:8628"},
         };
@@ -74,6 +80,8 @@
         assertThat(settings.limits().repeatWindow()).isEqualTo(Duration.ofMillis(2_500));
         assertThat(settings("bounds.graceS", "2.5").drain().grace())
                 .isEqualTo(Duration.ofMillis(2_500));
+        assertThat(settings("bounds.drainMs", "2500.5").fleet().freshness())
+                .isEqualTo(Duration.ofNanos(2_500_500_000L));
         assertThat(settings("bounds.retryBudgetSlack", "37.25").limits().repeatSlack())
                 .isEqualTo(37.25);
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.UUID;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.bulrushvale.adapters.forward.CompletedPiece;
@@ -39,7 +40,8 @@
  * entry; results are delivered once. Thread safety: used on the event loop; messages of peers are
  * passed to it.
  */
-final class FleetStageExecutor implements StageExecutor, AutoCloseable {
+final class FleetStageExecutor
+        implements StageExecutor, PublishedStateRelay.PeerRequester, AutoCloseable {
     private static final Duration EXCHANGE_PERIOD = Duration.ofSeconds(1);
 
     // A starting entry exchanges member lists more often, because an entry that does not know the
@@ -65,6 +67,8 @@
     private final PeerTransport mTransport;
     private final Map<String, Set<Runnable>> mPeerJobs = new HashMap<>();
     private Set<String> mLiveMembers = Set.of();
+    private BiConsumer<PeerMessage.PublishedFetch, PeerListener.Responder> mPublishedFetchHandler =
+            (fetch, reply) -> {};
 
     private FleetStageExecutor(
             ForwardSettings settings,
@@ -97,7 +101,11 @@
     /** Creates the table of members for these settings. */
     static MemberTable createMemberTable(ForwardSettings settings, Clock clock) {
         return new MemberTable(
-                clock, new SplittableRandom(), ownName(settings), seedNames(settings));
+                clock,
+                new SplittableRandom(),
+                ownName(settings),
+                settings.entry().failureDomain(),
+                seedNames(settings));
     }
 
     static FleetStageExecutor start(
@@ -166,6 +174,7 @@
                                 heard ->
                                         new PeerMessage.Member(
                                                 heard.name(),
+                                                heard.domain(),
                                                 heard.leaving(),
                                                 heard.age().toMillis()))
                         .toList());
@@ -174,7 +183,7 @@
     private void recordMembers(PeerMessage.MemberList members) {
         for (PeerMessage.Member member : members.members()) {
             Duration age = Duration.ofMillis(Math.max(0, member.ageMillis()));
-            mMembers.recordHeard(member.vm(), member.leaving(), age);
+            mMembers.recordHeard(member.vm(), member.failureDomain(), member.leaving(), age);
         }
     }
 
@@ -207,9 +216,27 @@
             }
         } else if (message instanceof PeerMessage.StageRelease release) {
             mLocalExecutor.release(release.service(), release.pieces());
+        } else if (message instanceof PeerMessage.PublishedFetch fetch) {
+            mPublishedFetchHandler.accept(fetch, reply);
         }
     }
 
+    /** Sets what answers entries that ask for the published state. */
+    void onPublishedFetch(BiConsumer<PeerMessage.PublishedFetch, PeerListener.Responder> handler) {
+        mLoop.execute(() -> mPublishedFetchHandler = handler);
+    }
+
+    @Override
+    public void request(
+            String member,
+            PeerMessage message,
+            Duration timeout,
+            Consumer<@Nullable PeerMessage> onAnswer) {
+        mTransport
+                .request(member, message, timeout)
+                .whenComplete((answer, error) -> mLoop.execute(() -> onAnswer.accept(answer)));
+    }
+
     private void executeForPeer(StageJob job, PeerListener.Responder reply) {
         if (job.pieces().isEmpty()) {
             reply.send(new PeerMessage.StageResults(List.of()));
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -111,7 +111,18 @@
         mCore = new ForwardCore(services, mFleet);
         mServer = ForwardServer.start(settings, mWorker, mCore, metrics::scrape, mClock);
         mLoop.scheduleWithFixedDelay(DISPATCH_PERIOD, mLocalExecutor::dispatch);
-        mPublishedStateWatcher.start(settings.fleet().store(), mUpstreamClient, mPublishedState);
+        PublishedStateRelay relay =
+                new PublishedStateRelay(
+                        settings,
+                        mLoop,
+                        mClock,
+                        mLog,
+                        members,
+                        mFleet,
+                        mPublishedStateWatcher,
+                        mPublishedState);
+        mFleet.onPublishedFetch(relay::answer);
+        relay.start(settings, mUpstreamClient);
     }
 
     /** Starts a daemon, which reports ready once it has read the published state. */
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
@@ -0,0 +1,276 @@
+package org.bulrushvale.daemon.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.bulrushvale.adapters.forward.PublishedStateWatcher;
+import org.bulrushvale.adapters.forward.UpstreamClient;
+import org.bulrushvale.adapters.peer.PeerListener;
+import org.bulrushvale.adapters.peer.PeerMessage;
+import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.decision.forward.MemberTable;
+import org.bulrushvale.decision.forward.PublishedItem;
+import org.bulrushvale.decision.forward.PublishedItems;
+import org.bulrushvale.decision.forward.StoreReading;
+import org.bulrushvale.decision.forward.StoreReadingPlan;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.time.Clock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps the published state of this entry current from the store or from another entry, and passes
+ * it on to entries that ask for it.
+ *
+ * <p>Invariant: the state is applied in the order of the store's revisions, wherever it comes from.
+ * Thread safety: used on the event loop; the listener methods may be called from any thread.
+ */
+final class PublishedStateRelay implements PublishedStateWatcher.ItemListener {
+    private static final Duration CHECK_PERIOD = Duration.ofMillis(100);
+
+    // A frame of the peer transport holds this much and 64 KiB for the other fields.
+    private static final int MAX_ANSWER_BYTES = 1 << 20;
+    private static final int ITEM_OVERHEAD_BYTES = 32;
+
+    private final EventLoop mLoop;
+    private final Clock mClock;
+    private final DecisionLog mLog;
+    private final MemberTable mMembers;
+    private final PeerRequester mPeers;
+    private final PublishedStateWatcher mWatcher;
+    private final PublishedState mState;
+    private final StoreReadingPlan mPlan;
+    private final Map<String, PublishedItems> mCollections = new LinkedHashMap<>();
+    private final Map<String, Long> mReadNanos = new LinkedHashMap<>();
+    private final List<WaitingFetch> mWaitingFetches = new ArrayList<>();
+    private StoreReading mReading = StoreReading.OFF;
+    private String mSource = "";
+    private @Nullable String mAskedEntry;
+    private boolean mStoreReachable = true;
+    private boolean mSourceReachable;
+
+    PublishedStateRelay(
+            ForwardSettings settings,
+            EventLoop loop,
+            Clock clock,
+            DecisionLog log,
+            MemberTable members,
+            PeerRequester peers,
+            PublishedStateWatcher watcher,
+            PublishedState state) {
+        mLoop = loop;
+        mClock = clock;
+        mLog = log;
+        mMembers = members;
+        mPeers = peers;
+        mWatcher = watcher;
+        mState = state;
+        mPlan = new StoreReadingPlan(clock, members.self(), settings.fleet().freshness());
+        watcher.collections().forEach(name -> mCollections.put(name, new PublishedItems()));
+    }
+
+    /** Sends requests to other entries. */
+    @FunctionalInterface
+    interface PeerRequester {
+        /**
+         * Sends a request and calls {@code onAnswer} on the event loop with the answer, or with
+         * null when there is none within the timeout.
+         */
+        void request(
+                String member,
+                PeerMessage message,
+                Duration timeout,
+                Consumer<@Nullable PeerMessage> onAnswer);
+    }
+
+    /** Starts reading; the state is read from the store until another entry passes it on. */
+    void start(ForwardSettings settings, UpstreamClient client) {
+        mWatcher.start(settings.fleet().store(), client, settings.fleet().freshness(), this);
+        mLoop.execute(this::update);
+        mLoop.scheduleWithFixedDelay(CHECK_PERIOD, this::update);
+    }
+
+    private void update() {
+        StoreReadingPlan.Step step =
+                mPlan.decide(
+                        mMembers.domainReaders(),
+                        mStoreReachable ? List.of() : mMembers.otherDomainReaders(),
+                        mStoreReachable);
+        String source = step.source().orElse("");
+        if (step.reading() != mReading || !source.equals(mSource)) {
+            mLog.line("published_state_source")
+                    .with("reading", step.reading().name())
+                    .with("entry", source)
+                    .with("age_ms", Math.min(mPlan.age().toMillis(), Integer.MAX_VALUE))
+                    .write();
+        }
+        mSource = source;
+        if (step.reading() != mReading) {
+            mReading = step.reading();
+            mReadNanos.clear();
+            mWatcher.read(mReading, revisions());
+        }
+        if (mAskedEntry == null && !source.isEmpty()) {
+            ask(source);
+        }
+        answerWaitingFetches();
+    }
+
+    private List<Long> revisions() {
+        return mCollections.values().stream().map(PublishedItems::revision).toList();
+    }
+
+    private void ask(String entry) {
+        mAskedEntry = entry;
+        List<PeerMessage.KnownRevision> known = new ArrayList<>();
+        mCollections.forEach(
+                (name, items) -> known.add(new PeerMessage.KnownRevision(name, items.revision())));
+        Duration timeout = mPlan.holdTime().multipliedBy(2);
+        mPeers.request(
+                entry,
+                new PeerMessage.PublishedFetch(known),
+                timeout,
+                answer -> onAnswer(entry, answer));
+    }
+
+    private void onAnswer(String entry, @Nullable PeerMessage answer) {
+        mAskedEntry = null;
+        boolean fresh = false;
+        if (answer instanceof PeerMessage.PublishedChanges changes) {
+            Duration age = Duration.ofMillis(Math.max(0, changes.confirmationAgeMillis()));
+            fresh = age.compareTo(mPlan.maxAge()) < 0;
+            mSourceReachable = changes.storeReachable();
+            reportReachable("entry " + entry);
+            changes.changes().forEach(this::applyFromPeer);
+            if (fresh && isComplete()) {
+                mPlan.recordConfirmed(age);
+            }
+        }
+        if (!fresh) {
+            mSourceReachable = false;
+            mPlan.recordPassedOver(entry);
+        }
+        update();
+    }
+
+    private void applyFromPeer(PeerMessage.CollectionChanges changes) {
+        PublishedItems items = mCollections.get(changes.collection());
+        if (items != null) {
+            apply(changes.collection(), items, changes.update());
+        }
+    }
+
+    private boolean isComplete() {
+        return mCollections.values().stream().allMatch(PublishedItems::isComplete);
+    }
+
+    @Override
+    public void read(String collection, PublishedItems.Update update) {
+        mLoop.execute(
+                () -> {
+                    PublishedItems items = mCollections.get(collection);
+                    if (items == null) {
+                        return;
+                    }
+                    apply(collection, items, update);
+                    recordRead(collection);
+                });
+    }
+
+    /** The state is as old as the collection whose last read is the oldest. */
+    private void recordRead(String collection) {
+        mReadNanos.put(collection, mClock.monotonicNanos());
+        if (isComplete() && mReadNanos.size() == mCollections.size()) {
+            Duration age = Duration.ZERO;
+            for (long nanos : mReadNanos.values()) {
+                Duration readAge = mClock.elapsedSince(nanos);
+                age = readAge.compareTo(age) > 0 ? readAge : age;
+            }
+            mPlan.recordConfirmed(age);
+            answerWaitingFetches();
+        }
+    }
+
+    private void apply(String collection, PublishedItems items, PublishedItems.Update update) {
+        boolean first = !items.isComplete() && update.complete();
+        List<PublishedItem> changed = items.apply(update);
+        if (first) {
+            mWatcher.decode(collection, items.present(), true, mState);
+        } else if (!changed.isEmpty()) {
+            mWatcher.decode(collection, changed, false, mState);
+        }
+    }
+
+    @Override
+    public void reachable(boolean reachable, String detail) {
+        mLoop.execute(
+                () -> {
+                    mStoreReachable = reachable;
+                    reportReachable(detail);
+                });
+    }
+
+    private void reportReachable(String detail) {
+        boolean readsStore = mReading.isActive() && mStoreReachable;
+        mState.reachable(readsStore || mSourceReachable, detail);
+    }
+
+    /** Answers an entry that asks for the published state, or lets it wait for news. */
+    void answer(PeerMessage.PublishedFetch fetch, PeerListener.Responder reply) {
+        mWaitingFetches.add(new WaitingFetch(fetch, reply, mClock.monotonicNanos()));
+        answerWaitingFetches();
+    }
+
+    private void answerWaitingFetches() {
+        for (Iterator<WaitingFetch> i = mWaitingFetches.iterator(); i.hasNext(); ) {
+            WaitingFetch waiting = i.next();
+            Duration waited = mClock.elapsedSince(waiting.sinceNanos());
+            List<PeerMessage.CollectionChanges> changes = changesFor(waiting.fetch());
+            boolean hasNews =
+                    changes.stream().anyMatch(change -> !change.update().items().isEmpty());
+            if (hasNews || waited.compareTo(mPlan.holdTime()) >= 0) {
+                i.remove();
+                waiting.reply().send(publishedChanges(changes));
+            }
+        }
+    }
+
+    /** Returns what the asking entry lacks, as far as it fits into one answer. */
+    private List<PeerMessage.CollectionChanges> changesFor(PeerMessage.PublishedFetch fetch) {
+        List<PeerMessage.CollectionChanges> changes = new ArrayList<>();
+        long bytes = 0;
+        for (PeerMessage.KnownRevision known : fetch.known()) {
+            PublishedItems items = mCollections.get(known.collection());
+            if (items == null || !items.isComplete()) {
+                continue;
+            }
+            PublishedItems.Update update = items.changesSince(known.revision());
+            for (PublishedItem item : update.items()) {
+                bytes += item.key().length() + item.value().length + ITEM_OVERHEAD_BYTES;
+            }
+            if (bytes <= MAX_ANSWER_BYTES) {
+                changes.add(new PeerMessage.CollectionChanges(known.collection(), update));
+            }
+        }
+        return changes;
+    }
+
+    private PeerMessage publishedChanges(List<PeerMessage.CollectionChanges> changes) {
+        boolean reachable = mReading.isActive() ? mStoreReachable : mSourceReachable;
+        long ageMillis = Math.min(mPlan.age().toMillis(), Integer.MAX_VALUE);
+        return new PeerMessage.PublishedChanges(ageMillis, reachable, changes);
+    }
+
+    /**
+     * A request that waits for news.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param sinceNanos monotonic time at which it arrived
+     */
+    private record WaitingFetch(
+            PeerMessage.PublishedFetch fetch, PeerListener.Responder reply, long sinceNanos) {}
+}
--- a/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
@@ -38,6 +38,7 @@
     private final Clock mClock;
     private final SplittableRandom mRandom;
     private final String mSelf;
+    private final String mSelfDomain;
     private final Map<String, MemberState> mMembers = new HashMap<>();
     private Set<String> mSeeds;
     private final long mStartNanos;
@@ -45,16 +46,36 @@
     private int mLargestCount = 1;
     private long mLargestCountAtNanos;
 
-    /** Creates the table of the entry {@code self}, which knows only the seeds. */
+    /** Creates the table of an entry of a fleet without failure domains. */
     public MemberTable(Clock clock, SplittableRandom random, String self, Set<String> seeds) {
+        this(clock, random, self, "", seeds);
+    }
+
+    /**
+     * Creates the table of the entry {@code self}, which knows only the seeds.
+     *
+     * @param selfDomain failure domain of this entry
+     */
+    public MemberTable(
+            Clock clock,
+            SplittableRandom random,
+            String self,
+            String selfDomain,
+            Set<String> seeds) {
         mClock = clock;
         mRandom = random;
         mSelf = self;
+        mSelfDomain = selfDomain;
         mSeeds = Set.copyOf(seeds);
         mStartNanos = clock.monotonicNanos();
         mLargestCountAtNanos = mStartNanos;
     }
 
+    /** Returns the name of this entry. */
+    public String self() {
+        return mSelf;
+    }
+
     /** Replaces the seeds. */
     public void setSeeds(Set<String> seeds) {
         mSeeds = Set.copyOf(seeds);
@@ -70,6 +91,12 @@
      * last time recorded, or before the last failed call to the member.
      */
     public void recordHeard(String member, boolean leaving, Duration age) {
+        MemberState known = mMembers.get(member);
+        recordHeard(member, known == null ? "" : known.domain(), leaving, age);
+    }
+
+    /** As {@link #recordHeard(String, boolean, Duration)}, with the member's failure domain. */
+    public void recordHeard(String member, String domain, boolean leaving, Duration age) {
         if (member.equals(mSelf)) {
             return;
         }
@@ -78,7 +105,7 @@
         if (known != null && heardNanos - Math.max(known.heardNanos(), known.failedNanos()) <= 0) {
             return;
         }
-        mMembers.put(member, new MemberState(heardNanos, heardNanos, leaving));
+        mMembers.put(member, new MemberState(domain, heardNanos, heardNanos, leaving));
     }
 
     /** Records that a call to a member failed. */
@@ -86,7 +113,9 @@
         MemberState known = mMembers.get(member);
         if (known != null) {
             long now = mClock.monotonicNanos();
-            mMembers.put(member, new MemberState(known.heardNanos(), now, known.leaving()));
+            mMembers.put(
+                    member,
+                    new MemberState(known.domain(), known.heardNanos(), now, known.leaving()));
         }
     }
 
@@ -152,6 +181,47 @@
         return best == null ? mSelf : best;
     }
 
+    /**
+     * Returns the live members of this entry's failure domain that are not leaving, in the order in
+     * which they should read the store for the others; this entry is always included.
+     */
+    public List<String> domainReaders() {
+        return readers(true);
+    }
+
+    /** Returns the live members of other failure domains that are not leaving, in random order. */
+    public List<String> otherDomainReaders() {
+        List<String> readers = readers(false);
+        List<String> shuffled = new ArrayList<>();
+        while (!readers.isEmpty()) {
+            shuffled.add(readers.remove(mRandom.nextInt(readers.size())));
+        }
+        return shuffled;
+    }
+
+    private List<String> readers(boolean ownDomain) {
+        LongHashFunction hash =
+                LongHashFunction.xx(LongHashFunction.xx().hashChars("readers " + mSelfDomain));
+        List<String> readers = new ArrayList<>();
+        for (String member : live()) {
+            boolean isSelf = member.equals(mSelf);
+            boolean inDomain = isSelf || domain(member).equals(mSelfDomain);
+            if (inDomain == ownDomain && (isSelf ? !mLeaving : !isLeaving(member))) {
+                readers.add(member);
+            }
+        }
+        readers.sort(Comparator.comparingLong(hash::hashChars));
+        if (ownDomain && mLeaving) {
+            readers.add(mSelf);
+        }
+        return readers;
+    }
+
+    private String domain(String name) {
+        MemberState member = mMembers.get(name);
+        return member == null ? "" : member.domain();
+    }
+
     @Override
     public int rank(String server) {
         LongHashFunction hash = LongHashFunction.xx(LongHashFunction.xx().hashChars(server));
@@ -197,12 +267,12 @@
                 (name, member) -> {
                     if (member.failedNanos() - member.heardNanos() <= 0) {
                         Duration age = Duration.ofNanos(now - member.heardNanos());
-                        others.add(new MemberReport(name, member.leaving(), age));
+                        others.add(new MemberReport(name, member.domain(), member.leaving(), age));
                     }
                 });
         others.sort(Comparator.comparing(MemberReport::age));
         List<MemberReport> reported = new ArrayList<>();
-        reported.add(new MemberReport(mSelf, mLeaving, Duration.ZERO));
+        reported.add(new MemberReport(mSelf, mSelfDomain, mLeaving, Duration.ZERO));
         reported.addAll(others.subList(0, Math.min(MAX_REPORTED_MEMBERS, others.size())));
         return reported;
     }
@@ -212,20 +282,22 @@
      *
      * <p>Thread safety: immutable.
      *
+     * @param domain failure domain of the member; empty when it is not known
      * @param leaving true when the member takes no new work
      * @param age time since the member was last heard of
      */
-    public record MemberReport(String name, boolean leaving, Duration age) {}
+    public record MemberReport(String name, String domain, boolean leaving, Duration age) {}
 
     /**
      * What this entry knows about another member.
      *
      * <p>Thread safety: immutable.
      *
+     * @param domain failure domain of the member; empty when it is not known
      * @param heardNanos monotonic time at which it was last heard of
      * @param failedNanos monotonic time of the last failed call; {@code heardNanos} or earlier when
      *     no call has failed since
      * @param leaving true when the member takes no new work
      */
-    private record MemberState(long heardNanos, long failedNanos, boolean leaving) {}
+    private record MemberState(String domain, long heardNanos, long failedNanos, boolean leaving) {}
 }
