Cut off servers that send bytes without end, and close their connections

Cause: the HTTP client reads heads, chunk sizes and trailers of any length and as long as bytes arrive. A server that never stops filled the memory and kept the I/O thread from all other requests. An event without an end was collected without bound. A call on a connection that ends with its answer was not closed when it was cancelled, so the server worked on: the client reports such a connection as closed.

ForwardingTest and StagesTest pass.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendClient.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.undertow.client.ClientRequest;
-import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
@@ -58,7 +57,8 @@
     private final EntrySettings.Backend mSettings;
     private final Consumer<String> mOnConnectionLost;
     private final XnioWorker mWorker;
-    private final ByteBufferPool mBuffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+    private final LimitedConnections mConnections =
+            new LimitedConnections(new DefaultByteBufferPool(true, BUFFER_BYTES), OptionMap.EMPTY);
     private final Map<BackendAddress, ConnectionPool> mPools = new ConcurrentHashMap<>();
 
     private BackendClient(
@@ -177,7 +177,7 @@
                                         "connection could not be verified: " + failure));
         ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath("/v1/load");
         new HttpExchange(pool, address, request, new byte[0], handler, mSettings.progressTimeout())
-                .startOnNewConnection(mWorker, mBuffers, mSettings.connectTimeout());
+                .startOnNewConnection(mWorker, mConnections, mSettings.connectTimeout());
     }
 
     /** Asks the server to cancel an attempt; the response is ignored. */
@@ -251,7 +251,7 @@
             Duration progressTimeout) {
         HttpExchange exchange =
                 new HttpExchange(pool(address), address, request, body, handler, progressTimeout);
-        exchange.start(mWorker, mBuffers, mSettings.connectTimeout());
+        exchange.start(mWorker, mConnections, mSettings.connectTimeout());
         return exchange;
     }
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ConnectionPool.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ConnectionPool.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
 
 /**
  * Pool of persistent connections to one backend server.
@@ -41,19 +40,23 @@
      * mRemoved} is guarded by the pool; the rest is immutable.
      */
     static final class PooledConnection {
-        private final ClientConnection mConnection;
+        private final LimitedConnection mConnection;
         private final long mGeneration;
         private volatile boolean mCloseExpected;
         private volatile String mVerifiedEpoch = "";
         private boolean mRemoved;
 
-        private PooledConnection(ClientConnection connection, long generation) {
+        private PooledConnection(LimitedConnection connection, long generation) {
             mConnection = connection;
             mGeneration = generation;
         }
 
         ClientConnection connection() {
-            return mConnection;
+            return mConnection.http();
+        }
+
+        ResponseByteLimit limit() {
+            return mConnection.limit();
         }
 
         /** Records the epoch that the server process reported on this connection. */
@@ -73,12 +76,12 @@
     }
 
     /** Registers a connection that started to open in the given generation. */
-    PooledConnection register(ClientConnection connection, long generation) {
+    PooledConnection register(LimitedConnection connection, long generation) {
         PooledConnection pooled = new PooledConnection(connection, generation);
         synchronized (this) {
             mOpenCount++;
         }
-        connection.addCloseListener(closed -> closed(pooled));
+        connection.http().addCloseListener(closed -> closed(pooled));
         return pooled;
     }
 
@@ -116,7 +119,7 @@
     /** Closes a connection on purpose; this counts as a loss only if no other one is open. */
     void close(PooledConnection pooled) {
         pooled.mCloseExpected = true;
-        IoUtils.safeClose(pooled.mConnection);
+        pooled.mConnection.close();
     }
 
     /** Closes a connection after a failure and counts it as lost; the server may have restarted. */
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
@@ -1,11 +1,9 @@
 package org.bulrushvale.adapters.backend;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
@@ -16,8 +14,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
-import org.xnio.OptionMap;
 import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -68,12 +66,12 @@
     }
 
     /** Sends the request on any idle connection of the pool, or on a new one. */
-    void start(XnioWorker worker, ByteBufferPool buffers, Duration connectTimeout) {
+    void start(XnioWorker worker, LimitedConnections connections, Duration connectTimeout) {
         ConnectionPool.PooledConnection idle = mPool.takeIdle("");
         if (idle != null) {
             startOnIdle(idle);
         } else {
-            startOnNewConnection(worker, buffers, connectTimeout);
+            startOnNewConnection(worker, connections, connectTimeout);
         }
     }
 
@@ -93,31 +91,18 @@
     }
 
     /** Opens a connection and sends the request on it. */
-    void startOnNewConnection(XnioWorker worker, ByteBufferPool buffers, Duration connectTimeout) {
+    void startOnNewConnection(
+            XnioWorker worker, LimitedConnections connections, Duration connectTimeout) {
         mHandler.connecting();
         long generation = mPool.generation();
-        worker.getIoThread()
-                .executeAfter(
-                        this::failUnlessConnected,
-                        connectTimeout.toMillis(),
-                        TimeUnit.MILLISECONDS);
-        UndertowClient.getInstance()
-                .connect(
-                        new ClientCallback<ClientConnection>() {
-                            @Override
-                            public void completed(ClientConnection connection) {
-                                send(mPool.register(connection, generation));
-                            }
-
-                            @Override
-                            public void failed(IOException e) {
-                                fail(BackendFailure.CONNECT, "connection attempt failed");
-                            }
-                        },
-                        mAddress.uri(),
-                        worker,
-                        buffers,
-                        OptionMap.EMPTY);
+        XnioIoThread ioThread = worker.getIoThread();
+        ioThread.executeAfter(
+                this::failUnlessConnected, connectTimeout.toMillis(), TimeUnit.MILLISECONDS);
+        connections.open(
+                mAddress.uri(),
+                ioThread,
+                connection -> send(mPool.register(connection, generation)),
+                error -> fail(BackendFailure.CONNECT, "connection attempt failed"));
     }
 
     /** Aborts the exchange and closes its connection. */
@@ -156,6 +141,7 @@
             return;
         }
         mLastProgressNanos = System.nanoTime();
+        pooled.limit().reset();
         scheduleProgressCheck(pooled.connection().getIoThread(), mProgressTimeout.toNanos());
         pooled.connection()
                 .sendRequest(
@@ -219,6 +205,7 @@
                     return;
                 }
                 mLastProgressNanos = System.nanoTime();
+                resetLimit();
                 buffer.flip();
                 if (!mHandler.body(buffer)) {
                     fail(BackendFailure.MALFORMED, "response body was rejected");
@@ -230,6 +217,13 @@
         }
     }
 
+    private void resetLimit() {
+        ConnectionPool.PooledConnection pooled = mPooledConnection;
+        if (pooled != null) {
+            pooled.limit().reset();
+        }
+    }
+
     private void finish() {
         ConnectionPool.PooledConnection pooled = mPooledConnection;
         if (mEnded.compareAndSet(false, true) && pooled != null) {
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/LimitedConnection.java
@@ -0,0 +1,31 @@
+package org.bulrushvale.adapters.backend;
+
+import io.undertow.client.ClientConnection;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+
+/**
+ * An HTTP connection to a server that may send only what its limit allows.
+ *
+ * <p>Thread safety: used on the I/O thread of the connection.
+ *
+ * @param http the connection as the HTTP client sees it
+ * @param socket the connection below it
+ * @param limit limits what the server may send
+ */
+public record LimitedConnection(
+        ClientConnection http, StreamConnection socket, ResponseByteLimit limit) {
+    /** Returns true when the connection can carry another request. */
+    public boolean isOpen() {
+        return http.isOpen();
+    }
+
+    /**
+     * Closes the socket immediately, also during a response. Undertow's own close waits for the
+     * server, which would continue to work on the request.
+     */
+    public void close() {
+        IoUtils.safeClose(socket);
+        IoUtils.safeClose(http);
+    }
+}
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/IdleConnections.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/IdleConnections.java
@@ -1,12 +1,11 @@
 package org.bulrushvale.adapters.forward;
 
-import io.undertow.client.ClientConnection;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import org.bulrushvale.adapters.backend.LimitedConnection;
 import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
 
 /**
  * Idle connections to upstream servers, by address.
@@ -21,24 +20,24 @@
 
     private final Map<String, Deque<IdleConnection>> mIdleByAddress = new HashMap<>();
 
-    @Nullable ClientConnection take(String address, long nowNanos) {
+    @Nullable LimitedConnection take(String address, long nowNanos) {
         Deque<IdleConnection> idle = mIdleByAddress.get(address);
         while (idle != null && !idle.isEmpty()) {
             IdleConnection mostRecent = idle.removeLast();
             if (mostRecent.connection().isOpen() && mostRecent.usableUntilNanos() - nowNanos > 0) {
                 return mostRecent.connection();
             }
-            IoUtils.safeClose(mostRecent.connection());
+            mostRecent.connection().close();
         }
         return null;
     }
 
-    void put(String address, ClientConnection connection, long usableUntilNanos) {
+    void put(String address, LimitedConnection connection, long usableUntilNanos) {
         Deque<IdleConnection> idle =
                 mIdleByAddress.computeIfAbsent(address, key -> new ArrayDeque<>());
         idle.addLast(new IdleConnection(connection, usableUntilNanos));
         if (idle.size() > MAX_IDLE_PER_ADDRESS) {
-            IoUtils.safeClose(idle.removeFirst().connection());
+            idle.removeFirst().connection().close();
         }
     }
 
@@ -50,7 +49,7 @@
                                 candidate.usableUntilNanos() - nowNanos <= 0
                                         || !candidate.connection().isOpen();
                         if (expired) {
-                            IoUtils.safeClose(candidate.connection());
+                            candidate.connection().close();
                         }
                         return expired;
                     });
@@ -63,5 +62,5 @@
      *
      * <p>Thread safety: immutable.
      */
-    private record IdleConnection(ClientConnection connection, long usableUntilNanos) {}
+    private record IdleConnection(LimitedConnection connection, long usableUntilNanos) {}
 }
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UndertowUpstreamClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UndertowUpstreamClient.java
@@ -4,6 +4,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import org.bulrushvale.adapters.backend.LimitedConnections;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioIoThread;
@@ -15,13 +16,15 @@
  * <p>Thread safety: safe for use by any thread.
  */
 public final class UndertowUpstreamClient implements UpstreamClient {
-    static final OptionMap SOCKET_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+    private static final OptionMap SOCKET_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofSeconds(1);
 
     private final XnioIoThread mIoThread;
     private final ByteBufferPool mBuffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+    private final LimitedConnections mConnections =
+            new LimitedConnections(mBuffers, SOCKET_OPTIONS);
     private final IdleConnections mIdleConnections = new IdleConnections();
     private final Duration mConnectTimeout;
 
@@ -60,6 +63,10 @@
         return mBuffers;
     }
 
+    LimitedConnections connections() {
+        return mConnections;
+    }
+
     IdleConnections idleConnections() {
         return mIdleConnections;
     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -1,11 +1,9 @@
 package org.bulrushvale.adapters.forward;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -15,9 +13,9 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.bulrushvale.adapters.backend.BackendFailure;
+import org.bulrushvale.adapters.backend.LimitedConnection;
 import org.bulrushvale.adapters.backend.RequestWriter;
 import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -40,7 +38,7 @@
     private final UpstreamClient.Listener mListener;
     private final String mAddress;
     private final RequestWriter mRequestWriter;
-    private @Nullable ClientConnection mConnection;
+    private @Nullable LimitedConnection mConnection;
     private XnioExecutor.@Nullable Key mTimer;
     private long mLastProgressNanos;
     private boolean mEnded;
@@ -68,7 +66,7 @@
         if (mEnded) {
             return;
         }
-        ClientConnection idleConnection =
+        LimitedConnection idleConnection =
                 mRequest.reuse()
                         ? mClient.idleConnections().take(mAddress, System.nanoTime())
                         : null;
@@ -82,28 +80,18 @@
                                 () -> fail(BackendFailure.CONNECT, "connection attempt timed out"),
                                 mClient.connectTimeout().toMillis(),
                                 TimeUnit.MILLISECONDS);
-        UndertowClient.getInstance()
-                .connect(
-                        new ClientCallback<ClientConnection>() {
-                            @Override
-                            public void completed(ClientConnection connection) {
-                                mClient.ioThread().execute(() -> connected(connection));
-                            }
-
-                            @Override
-                            public void failed(IOException e) {
+        mClient.connections()
+                .open(
+                        URI.create("http://" + mAddress),
+                        mClient.ioThread(),
+                        connection -> mClient.ioThread().execute(() -> connected(connection)),
+                        error ->
                                 mClient.ioThread()
                                         .execute(
                                                 () ->
                                                         fail(
                                                                 BackendFailure.CONNECT,
-                                                                "connection attempt failed"));
-                            }
-                        },
-                        URI.create("http://" + mAddress),
-                        mClient.ioThread(),
-                        mClient.buffers(),
-                        UndertowUpstreamClient.SOCKET_OPTIONS);
+                                                                "connection attempt failed")));
     }
 
     void cancel() {
@@ -112,23 +100,14 @@
         closeImmediately();
     }
 
-    /**
-     * Closes the socket immediately. Undertow's own close waits for the server, which would
-     * continue to work on the request.
-     */
     private void closeImmediately() {
-        ClientConnection connection = mConnection;
-        if (connection == null || !connection.isOpen()) {
-            return;
-        }
-        try {
-            IoUtils.safeClose(connection.performUpgrade());
-        } catch (IOException e) {
-            IoUtils.safeClose(connection);
+        LimitedConnection connection = mConnection;
+        if (connection != null) {
+            connection.close();
         }
     }
 
-    private void connected(ClientConnection connection) {
+    private void connected(LimitedConnection connection) {
         stopTimer();
         if (mEnded) {
             mClient.idleConnections()
@@ -138,8 +117,9 @@
         send(connection);
     }
 
-    private void send(ClientConnection connection) {
+    private void send(LimitedConnection connection) {
         mConnection = connection;
+        connection.limit().reset();
         mLastProgressNanos = System.nanoTime();
         scheduleProgressCheck(mRequest.progressTimeout().toNanos());
         ClientRequest request =
@@ -148,20 +128,22 @@
             request.getRequestHeaders().addAll(header.getHeaderName(), header);
         }
         mMayHaveSent = true;
-        connection.sendRequest(
-                request,
-                new ClientCallback<ClientExchange>() {
-                    @Override
-                    public void completed(ClientExchange exchange) {
-                        exchange.setResponseListener(responseListener());
-                        mRequestWriter.write(exchange.getRequestChannel());
-                    }
+        connection
+                .http()
+                .sendRequest(
+                        request,
+                        new ClientCallback<ClientExchange>() {
+                            @Override
+                            public void completed(ClientExchange exchange) {
+                                exchange.setResponseListener(responseListener());
+                                mRequestWriter.write(exchange.getRequestChannel());
+                            }
 
-                    @Override
-                    public void failed(IOException e) {
-                        fail(BackendFailure.RESET, "request could not be written");
-                    }
-                });
+                            @Override
+                            public void failed(IOException e) {
+                                fail(BackendFailure.RESET, "request could not be written");
+                            }
+                        });
     }
 
     private ClientCallback<ClientExchange> responseListener() {
@@ -229,6 +211,7 @@
                     return;
                 }
                 mLastProgressNanos = System.nanoTime();
+                resetLimit();
                 byte[] bytes = new byte[count];
                 buffer.flip().get(bytes);
                 if (!mListener.body(bytes)) {
@@ -241,10 +224,17 @@
         }
     }
 
+    private void resetLimit() {
+        LimitedConnection connection = mConnection;
+        if (connection != null) {
+            connection.limit().reset();
+        }
+    }
+
     private void finish() {
         mEnded = true;
         stopTimer();
-        ClientConnection connection = mConnection;
+        LimitedConnection connection = mConnection;
         if (connection != null) {
             if (mRequestWritten && mKeepAliveNanos > 0 && connection.isOpen()) {
                 long usableUntilNanos = System.nanoTime() + mKeepAliveNanos;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
@@ -3,6 +3,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.io.ByteArrayOutputStream;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.adapters.forward.BackendResponseMetadata;
 import org.bulrushvale.adapters.forward.ForwardProtocol;
@@ -19,6 +20,10 @@
  */
 final class ForwardAttempt implements UpstreamClient.Listener {
     private static final int MAX_ANSWER_BYTES = 16 << 20;
+
+    // More bytes than this wait for the event loop only when a server sends without pause.
+    private static final int MAX_PENDING_STREAM_BYTES = 4 << 20;
+
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final EventLoop mLoop;
@@ -28,6 +33,7 @@
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private Head mHead =
             new Head(0, new HeaderMap(), new BackendResponseMetadata("", false, false));
+    private final AtomicInteger mPendingStreamBytes = new AtomicInteger();
     private boolean mStreaming;
 
     ForwardAttempt(EventLoop loop, ForwardProtocol protocol, String requestId, Handler handler) {
@@ -62,7 +68,14 @@
     @Override
     public boolean body(byte[] bytes) {
         if (mStreaming) {
-            mLoop.execute(() -> mHandler.onStreamBytes(bytes));
+            if (mPendingStreamBytes.addAndGet(bytes.length) > MAX_PENDING_STREAM_BYTES) {
+                return false;
+            }
+            mLoop.execute(
+                    () -> {
+                        mPendingStreamBytes.addAndGet(-bytes.length);
+                        mHandler.onStreamBytes(bytes);
+                    });
             return true;
         }
         if (mBody.size() + bytes.length > MAX_ANSWER_BYTES) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -1,5 +1,6 @@
 package org.bulrushvale.daemon.forward;
 
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -340,19 +341,38 @@
 
     @Override
     public void onStreamBytes(byte[] bytes) {
+        ByteArrayOutputStream newEvents = new ByteArrayOutputStream();
         for (EventSplitter.Event event : mSplitter.add(bytes)) {
-            onEvent(event);
+            if (isNew(event)) {
+                newEvents.writeBytes(event.bytes());
+            }
+        }
+        if (newEvents.size() > 0) {
+            forwardEvents(newEvents.toByteArray());
+        }
+        if (mSplitter.isTooLong()) {
+            UpstreamClient.Call call = mCall;
+            if (call != null) {
+                call.cancel();
+            }
+            onFailure(true, BackendFailure.MALFORMED, "stream has an event without an end");
         }
     }
 
-    private void onEvent(EventSplitter.Event event) {
-        Server server = mServer;
-        if (event.id() != EventSplitter.Event.NO_ID) {
-            if (event.id() <= mLastEventId) {
-                return;
-            }
-            mLastEventId = event.id();
+    /** Returns false for an event that the caller already has, and remembers its id otherwise. */
+    private boolean isNew(EventSplitter.Event event) {
+        if (event.id() == EventSplitter.Event.NO_ID) {
+            return true;
         }
+        if (event.id() <= mLastEventId) {
+            return false;
+        }
+        mLastEventId = event.id();
+        return true;
+    }
+
+    private void forwardEvents(byte[] events) {
+        Server server = mServer;
         if (server != null) {
             server.recordSuccess();
         }
@@ -364,7 +384,7 @@
                     mStreamHead.status(),
                     EndToEndHeaders.copyEndToEnd(mStreamHead.headers(), name -> false));
         }
-        mCaller.sendChunk(event.bytes());
+        mCaller.sendChunk(events);
     }
 
     @Override
--- a/decision/src/main/java/org/bulrushvale/decision/forward/EventSplitter.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/EventSplitter.java
@@ -12,6 +12,9 @@
  * ends it has arrived. Thread safety: not safe.
  */
 public final class EventSplitter {
+    /** Longest event in bytes; a longer one is not an event of a model. */
+    public static final int MAX_EVENT_BYTES = 1 << 20;
+
     private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
     private int mLineLength;
 
@@ -33,6 +36,11 @@
         return events;
     }
 
+    /** Returns true when the last event is longer than an event may be. */
+    public boolean isTooLong() {
+        return mPending.size() > MAX_EVENT_BYTES;
+    }
+
     /** Returns true when the last event has begun but is not complete. */
     public boolean isInsideEvent() {
         return mPending.size() > 0;
