Keep the event loop running after errors and fuzz the decoders

Cause: the event loop caught runtime exceptions only. An assertion error, a stack overflow or a class that cannot be loaded ended its thread and left a process that accepted requests and answered none.

Change: such errors end the task alone and are logged.

--- a/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
@@ -6,6 +6,8 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.bulrushvale.decision.forward.PublishedItem;
+import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.kernel.verdict.Verdict;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -17,6 +19,21 @@
     private static final PeerMessage.PoisonState POISON =
             new PeerMessage.PoisonState("ff01", List.of("s/e", "t/e"), List.of("s/e"), true, 900);
 
+    private static final PeerMessage.PublishedChanges PUBLISHED_CHANGES =
+            new PeerMessage.PublishedChanges(
+                    120,
+                    true,
+                    List.of(
+                            new PeerMessage.CollectionChanges(
+                                    "op/",
+                                    new PublishedItems.Update(
+                                            List.of(
+                                                    new PublishedItem(
+                                                            "op/a", new byte[] {1, 2}, 7, false),
+                                                    PublishedItem.removed("op/b", 8)),
+                                            9,
+                                            true))));
+
     @DataProvider
     public Object[][] messages() {
         return new Object[][] {
@@ -46,6 +63,9 @@
             {new PeerMessage.Heartbeat()},
             {new PeerMessage.Hello(1, "granite", SENDER, new byte[32])},
             {new PeerMessage.Proof(new byte[32])},
+            {new PeerMessage.MemberList(List.of(new PeerMessage.Member("m", "como", true, 5)))},
+            {new PeerMessage.PublishedFetch(List.of(new PeerMessage.KnownRevision("op/", -1)))},
+            {PUBLISHED_CHANGES},
         };
     }
 
@@ -76,10 +96,11 @@
     public void damaged_frames_decode_to_a_message_or_fail_as_malformed() throws PeerException {
         System.out.println("seed " + SEED);
         SplittableRandom random = new SplittableRandom(SEED);
-        byte[] valid = payload((PeerMessage) messages()[0][0]);
+        List<byte[]> valid =
+                List.of(payload((PeerMessage) messages()[0][0]), payload(PUBLISHED_CHANGES));
         int rejected = 0;
         for (int i = 0; i < 50_000; i++) {
-            byte[] damaged = valid.clone();
+            byte[] damaged = valid.get(i % valid.size()).clone();
             for (int n = random.nextInt(1, 4); n > 0; n--) {
                 damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
             }
--- a/kernel/src/main/java/org/bulrushvale/kernel/event/EventLoop.java
+++ b/kernel/src/main/java/org/bulrushvale/kernel/event/EventLoop.java
@@ -131,7 +131,8 @@
     private static void runSafely(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | AssertionError | LinkageError | StackOverflowError e) {
+            // One task must not end the loop, which would leave a process that serves nobody.
             LOG.error("task failed on the event loop", e);
         }
     }
--- a/kernel/src/test/java/org/bulrushvale/kernel/event/EventLoopTest.java
+++ b/kernel/src/test/java/org/bulrushvale/kernel/event/EventLoopTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -37,6 +38,30 @@
         assertThat(seen).hasSize(TASKS).isSorted();
     }
 
+    @DataProvider
+    public Object[][] errors() {
+        return new Object[][] {
+            {new AssertionError("expected by the test")},
+            {new StackOverflowError()},
+            {new NoClassDefFoundError("expected by the test")},
+        };
+    }
+
+    @Test(dataProvider = "errors")
+    public void the_loop_goes_on_after_an_error(Error error) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        try (EventLoop loop = EventLoop.start("test", 64)) {
+            // when
+            loop.execute(
+                    () -> {
+                        throw error;
+                    });
+            loop.execute(done::countDown);
+            // then
+            assertThat(done.await(10, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
     @Test
     public void offer_returns_false_without_blocking_when_the_ring_buffer_is_full()
             throws InterruptedException {
