Close peer links that carry nothing but heartbeats

Cause: gossip goes to other members in each round, and a link that was opened once stayed open. At 95 entries each entry kept a link to all others and sent 3.3 heartbeats a second on each, so the control traffic of the fleet grew with the square of its size.

Change: a dialled link without a request or message for 3 s is closed without a backoff.

Measured: PeerTransportTest#an_idle_link_... fails with the rule disabled and passes with it.

--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/DialledPeer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/DialledPeer.java
@@ -28,6 +28,7 @@
     private @Nullable PeerLink mLink;
     private long mBackoffNanos;
     private long mNextDialNanos;
+    private long mLastUseNanos;
 
     DialledPeer(String vm, SendBudget budget, long minBackoffNanos, long maxBackoffNanos) {
         mVm = vm;
@@ -52,6 +53,25 @@
         mLink = link;
     }
 
+    /** Records that a frame is sent to the peer. */
+    void recordUse(long nowNanos) {
+        mLastUseNanos = nowNanos;
+    }
+
+    /** Returns true when the link carried nothing but heartbeats for longer than the limit. */
+    boolean isIdle(long nowNanos, long limitNanos) {
+        return mLink != null
+                && mLink.isOpen()
+                && mLink.isFlushed()
+                && mPendingRequests.isEmpty()
+                && nowNanos - mLastUseNanos > limitNanos;
+    }
+
+    /** Forgets the link; the peer may be dialled again at once. */
+    void onIdleLinkClosed() {
+        mLink = null;
+    }
+
     boolean mayDial(long nowNanos) {
         return mLink == null && (mBackoffNanos == 0 || nowNanos - mNextDialNanos >= 0);
     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerLink.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerLink.java
@@ -110,6 +110,11 @@
         return due && mWriteQueue.isEmpty();
     }
 
+    /** Returns true when every frame has been written. */
+    boolean isFlushed() {
+        return mWriteQueue.isEmpty();
+    }
+
     InetAddress address() throws IOException {
         return ((InetSocketAddress) mChannel.getRemoteAddress()).getAddress();
     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerReactor.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerReactor.java
@@ -262,6 +262,7 @@
                                         budget(name),
                                         mSettings.mMinBackoff.toNanos(),
                                         mSettings.mMaxBackoff.toNanos()));
+        peer.recordUse(nowNanos());
         if (mClosed || (peer.link() == null && !dial(peer))) {
             mDroppedSends.increment();
             frame.fail("no connection to the peer");
@@ -460,6 +461,7 @@
         }
         for (DialledPeer peer : mPeers.values()) {
             peer.failOverdue(nowNanos);
+            closeIfIdle(peer, nowNanos);
             if (peer.isRemovable(nowNanos)) {
                 mPeers.remove(peer.vm());
                 mBudgets.remove(peer.vm());
@@ -467,6 +469,14 @@
         }
     }
 
+    private void closeIfIdle(DialledPeer peer, long nowNanos) {
+        PeerLink link = peer.link();
+        if (link != null && peer.isIdle(nowNanos, mSettings.mIdleLimit.toNanos())) {
+            peer.onIdleLinkClosed();
+            close(link, "link was idle");
+        }
+    }
+
     private void send(PeerLink link, long correlation, PeerMessage message) {
         try {
             ByteBuffer bytes = PeerCodec.encode(correlation, message);
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerTransport.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerTransport.java
@@ -103,6 +103,7 @@
         Clock mClock = Clock.system();
         Duration mHeartbeatPeriod = Duration.ofSeconds(1);
         Duration mSilenceLimit = Duration.ofSeconds(3);
+        Duration mIdleLimit = Duration.ofDays(1);
         Duration mMinBackoff = Duration.ofMillis(100);
         Duration mMaxBackoff = Duration.ofSeconds(2);
         int mMaxQueuedBytes = 4 << 20;
@@ -164,6 +165,15 @@
             return this;
         }
 
+        /**
+         * Sets the time after which a link is closed that carried nothing but heartbeats. Without
+         * it, a process that sends to all others in turn keeps a link to each of them.
+         */
+        public Builder idleLimit(Duration limit) {
+            mIdleLimit = limit;
+            return this;
+        }
+
         /** Sets the first and the longest delay between connection attempts. */
         public Builder backoff(Duration first, Duration longest) {
             mMinBackoff = first;
--- a/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerTransportTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerTransportTest.java
@@ -206,6 +206,24 @@
         awaitAnswer(a);
     }
 
+    @Test
+    public void an_idle_link_is_closed_and_opened_again_without_delay() throws Exception {
+        // given a link on which heartbeats are sent
+        PeerTransport a =
+                start(
+                        node("a")
+                                .heartbeat(Duration.ofMillis(20), Duration.ofSeconds(5))
+                                .idleLimit(Duration.ofMillis(300))
+                                .backoff(Duration.ofMinutes(1), Duration.ofMinutes(1)));
+        awaitAnswer(a);
+        // when it was idle for longer than the limit
+        TimeUnit.SECONDS.sleep(1);
+        mServer.injectFault("a", LinkFault.CLOSED);
+        mServer.injectFault("a", LinkFault.NONE);
+        // then the fault found no link to close, and the next request dials without a backoff
+        assertThat(a.request("b", FETCH, TIMEOUT).get(20, TimeUnit.SECONDS)).isEqualTo(ACK);
+    }
+
     @Test
     public void a_silent_link_is_detected_and_replaced() throws Exception {
         PeerTransport a = start(nodeWithShortSilenceLimit("a"));
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -51,6 +51,10 @@
     private static final Duration JOIN_RECHECK_PERIOD = Duration.ofMillis(20);
     private static final Duration HEARTBEAT_PERIOD = Duration.ofMillis(300);
     private static final Duration SILENCE_LIMIT = Duration.ofMillis(1_000);
+
+    // Gossip goes to other members in each round. Heartbeats on a link to every one of them would
+    // grow with the square of the fleet.
+    private static final Duration IDLE_LIMIT = Duration.ofSeconds(3);
     private static final Duration MIN_BACKOFF = Duration.ofMillis(100);
     private static final Duration MAX_BACKOFF = Duration.ofMillis(1_000);
 
@@ -93,6 +97,7 @@
                         .resolver(this::resolve)
                         .listener(this::onMessage)
                         .heartbeat(HEARTBEAT_PERIOD, SILENCE_LIMIT)
+                        .idleLimit(IDLE_LIMIT)
                         .backoff(MIN_BACKOFF, MAX_BACKOFF)
                         .clock(clock)
                         .start();
