Name the known revisions by their collection

Cause: the reader of the store got revisions as a list in the order of another list, and the listener of decoded state had a method that no decoder calls.

Change: a map by collection; the method belongs to PublishedState alone. No change of behaviour.

Measured: DecoderFuzzTest, StoreReadsTest and ForwardingTest pass.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/PublishedStateWatcher.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/PublishedStateWatcher.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.PublishedBackend;
@@ -35,10 +36,10 @@
      * Sets how the store is read from now on. A call to the store that is in progress ends as
      * before.
      *
-     * @param knownRevisions revision of each collection up to which all changes are known, in the
-     *     order of {@link #collections}; -1 when none is known
+     * @param knownRevisions revision of each collection up to which all changes are known; -1 when
+     *     none is known
      */
-    void read(StoreReading reading, List<Long> knownRevisions);
+    void read(StoreReading reading, Map<String, Long> knownRevisions);
 
     /**
      * Decodes items of a collection and passes them to the listener. An item that cannot be decoded
@@ -87,8 +88,5 @@
 
         /** Called with the failure domains that must receive no work. */
         void evacuated(Set<String> domains);
-
-        /** Called when the store becomes reachable or unreachable. */
-        void reachable(boolean reachable, String detail);
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
@@ -13,7 +13,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The configuration and the servers that this entry has read from the store.
+ * The configuration and the servers as this entry knows them from the store.
  *
  * <p>Servers that vanish while the store is unreachable, or within the retention time after that,
  * are kept for the retention time: their entries in the store may have expired during the outage
@@ -119,8 +119,8 @@
                 });
     }
 
-    @Override
-    public void reachable(boolean reachable, String detail) {
+    /** Records whether the store can be reached, by this entry or by one that passes it on. */
+    void reachable(boolean reachable, String detail) {
         mLoop.execute(
                 () -> {
                     if (reachable == mReachable) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -119,15 +120,19 @@
         answerWaitingFetches();
     }
 
-    private List<Long> revisions() {
-        return mCollections.values().stream().map(PublishedItems::revision).toList();
+    private Map<String, Long> revisions() {
+        Map<String, Long> revisions = new HashMap<>();
+        mCollections.forEach((name, items) -> revisions.put(name, items.revision()));
+        return revisions;
     }
 
     private void ask(String entry) {
         mAskedEntry = entry;
         List<PeerMessage.KnownRevision> known = new ArrayList<>();
-        mCollections.forEach(
-                (name, items) -> known.add(new PeerMessage.KnownRevision(name, items.revision())));
+        revisions()
+                .forEach(
+                        (name, revision) ->
+                                known.add(new PeerMessage.KnownRevision(name, revision)));
         Duration timeout = mPlan.holdTime().multipliedBy(2);
         mPeers.request(
                 entry,
