Read changes that are too large to pass on

Cause: an answer between entries leaves out a collection whose changes exceed a frame. The asking entry still counted its state as confirmed, so it never read the store and never learned the change.

Change: an answer without every collection does not confirm the state; a value of the store's full size fits into one. A reader no longer goes through all its items for each entry that waits, which grew with the servers times the entries of its domain.

Measured: StoreReadsTest#a_change_too_large_... fails before (unknown after 4 s) and passes after; StoreReadsTest, PublishedItemsTest and StoreReadingPlanTest pass.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
@@ -32,8 +32,8 @@
 final class PublishedStateRelay implements PublishedStateWatcher.ItemListener {
     private static final Duration CHECK_PERIOD = Duration.ofMillis(100);
 
-    // A frame of the peer transport holds this much and 64 KiB for the other fields.
-    private static final int MAX_ANSWER_BYTES = 1 << 20;
+    // Leaves room for the other fields in a frame of the peer transport.
+    private static final int MAX_ANSWER_BYTES = (1 << 20) + (32 << 10);
     private static final int ITEM_OVERHEAD_BYTES = 32;
 
     private final EventLoop mLoop;
@@ -146,7 +146,9 @@
         boolean fresh = false;
         if (answer instanceof PeerMessage.PublishedChanges changes) {
             Duration age = Duration.ofMillis(Math.max(0, changes.confirmationAgeMillis()));
-            fresh = age.compareTo(mPlan.maxAge()) < 0;
+            // A collection whose changes are too large for one answer is missing from it.
+            boolean isWhole = changes.changes().size() == mCollections.size();
+            fresh = isWhole && age.compareTo(mPlan.maxAge()) < 0;
             mSourceReachable = changes.storeReachable();
             reportReachable("entry " + entry);
             changes.changes().forEach(this::applyFromPeer);
--- a/decision/src/main/java/org/bulrushvale/decision/forward/PublishedItems.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/PublishedItems.java
@@ -22,6 +22,7 @@
 
     private final Map<String, PublishedItem> mItems = new HashMap<>();
     private long mRevision = -1;
+    private long mLastChangeRevision = -1;
 
     // Removals up to this revision may be missing, so an earlier change is never applied.
     private long mForgottenRevision = -1;
@@ -60,6 +61,7 @@
             boolean isNewer = item.revision() > Math.max(knownRevision, mForgottenRevision);
             if (isNewer) {
                 mItems.put(item.key(), item);
+                mLastChangeRevision = Math.max(mLastChangeRevision, item.revision());
                 changed.add(item);
             }
         }
@@ -68,7 +70,9 @@
             mForgottenRevision = Math.max(mForgottenRevision, update.revision());
         }
         mRevision = Math.max(mRevision, update.revision());
-        forgetOldRemovals();
+        if (!changed.isEmpty()) {
+            forgetOldRemovals();
+        }
         changed.sort((a, b) -> Long.compare(a.revision(), b.revision()));
         return changed;
     }
@@ -98,6 +102,9 @@
 
     /** Returns what an entry lacks that knows all changes up to {@code revision}. */
     public Update changesSince(long revision) {
+        if (revision >= Math.max(0, Math.max(mLastChangeRevision, mForgottenRevision))) {
+            return new Update(List.of(), mRevision, false);
+        }
         boolean complete = revision < 0 || revision < mForgottenRevision;
         List<PublishedItem> items =
                 complete
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StoreReadingPlan.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StoreReadingPlan.java
@@ -92,22 +92,19 @@
      */
     public Step decide(List<String> domainOrder, List<String> others, boolean storeReachable) {
         removeExpired();
-        if (domainOrder.size() < MIN_DOMAIN_SIZE) {
-            Optional<String> source =
-                    storeReachable ? Optional.empty() : firstUsable(domainOrder, others);
-            return new Step(StoreReading.OWN_USE, source);
-        }
+        boolean isSmallDomain = domainOrder.size() < MIN_DOMAIN_SIZE;
         String first =
                 domainOrder.stream()
                         .filter(entry -> entry.equals(mSelf) || isUsable(entry))
                         .findFirst()
                         .orElse(mSelf);
-        if (first.equals(mSelf)) {
-            Optional<String> source =
-                    storeReachable ? Optional.empty() : firstUsable(domainOrder, others);
-            return new Step(StoreReading.FOR_OTHERS, source);
+        if (!isSmallDomain && !first.equals(mSelf)) {
+            StoreReading reading = isFresh() ? StoreReading.OFF : StoreReading.OWN_USE;
+            return new Step(reading, Optional.of(first));
         }
-        return new Step(isFresh() ? StoreReading.OFF : StoreReading.OWN_USE, Optional.of(first));
+        Optional<String> source =
+                storeReachable ? Optional.empty() : firstUsable(domainOrder, others);
+        return new Step(isSmallDomain ? StoreReading.OWN_USE : StoreReading.FOR_OTHERS, source);
     }
 
     private Optional<String> firstUsable(List<String> domainOrder, List<String> others) {
