Log the prompt parts of sent requests and whether a server outlives a lost connection

Cause: the logs could not tell which part the requests beside a crash had in common, nor a crashed server from one that only lost a connection. Change: 'send' lines name the parts, 'attempt_lost' lines say whether a head and events had arrived, and a lost connection is followed by one connection attempt per process, logged as 'connection_lost_check' and counted. No decision uses it yet.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendFailure.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendFailure.java
@@ -25,5 +25,10 @@
     /** The response belongs to another attempt. */
     FOREIGN,
     /** The entry aborted the attempt. */
-    ABORTED
+    ABORTED;
+
+    /** Returns true when the connection was lost, as it is when the process of the server ends. */
+    public boolean isConnectionLoss() {
+        return this == RESET || this == CUT;
+    }
 }
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UndertowUpstreamClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UndertowUpstreamClient.java
@@ -2,11 +2,19 @@
 
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.bulrushvale.adapters.backend.LimitedConnections;
+import org.jspecify.annotations.Nullable;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
@@ -50,6 +58,36 @@
         return () -> mIoThread.execute(call::cancel);
     }
 
+    @Override
+    public void checkAccepting(
+            String host, int port, Duration timeout, Consumer<Boolean> onResult) {
+        IoFuture<StreamConnection> connection =
+                mIoThread.openStreamConnection(
+                        new InetSocketAddress(host, port), opened -> {}, SOCKET_OPTIONS);
+        XnioExecutor.Key timer =
+                mIoThread.executeAfter(
+                        connection::cancel, timeout.toMillis(), TimeUnit.MILLISECONDS);
+        connection.addNotifier(
+                (ended, ignored) -> {
+                    timer.remove();
+                    boolean accepted = ended.getStatus() == IoFuture.Status.DONE;
+                    if (accepted) {
+                        IoUtils.safeClose(connectionOf(ended));
+                    }
+                    mIoThread.execute(() -> onResult.accept(accepted));
+                },
+                null);
+    }
+
+    private static @Nullable StreamConnection connectionOf(
+            IoFuture<? extends StreamConnection> ended) {
+        try {
+            return ended.get();
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
     @Override
     public void schedule(Duration delay, Runnable task) {
         mIoThread.executeAfter(task, delay.toMillis(), TimeUnit.MILLISECONDS);
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
@@ -3,6 +3,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.time.Duration;
+import java.util.function.Consumer;
 import org.bulrushvale.adapters.backend.BackendFailure;
 
 /**
@@ -16,6 +17,12 @@
     /** Starts a call. */
     Call start(Request request, Listener listener);
 
+    /**
+     * Opens a connection to an address, closes it, and calls {@code onResult} once on the I/O
+     * thread: with true when the connection was accepted within the timeout, else with false.
+     */
+    void checkAccepting(String host, int port, Duration timeout, Consumer<Boolean> onResult);
+
     /** Runs a task on the I/O thread after a delay. */
     void schedule(Duration delay, Runnable task);
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -105,6 +105,7 @@
                                 settings.limits().repeatSlack(),
                                 settings.limits().repeatWindow(),
                                 members::entryCount),
+                        new ServerLivenessCheck(mLoop, mUpstreamClient, mLog, metrics),
                         new ForwardTelemetry(mLog, metrics));
         mLocalExecutor = new LocalStageExecutor(services);
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -81,6 +81,7 @@
     private boolean mAnswered;
     private boolean mCallerDisconnected;
     private long mLastEventId;
+    private int mEventsReceived;
 
     ForwardedRequest(
             ForwardServices services,
@@ -265,9 +266,11 @@
                 .with("attempt", mSentAttempts)
                 .with("left_ms", remainingMillis)
                 .with("outstanding", server.outstanding())
+                .with("parts", String.join(",", mRequestMetadata.promptParts()))
                 .write();
         mSplitter = new EventSplitter();
         mStreamHead = null;
+        mEventsReceived = 0;
         int attempt = mSentAttempts;
         mCall =
                 mStarter.start(
@@ -343,6 +346,7 @@
     public void onStreamBytes(byte[] bytes) {
         ByteArrayOutputStream newEvents = new ByteArrayOutputStream();
         for (EventSplitter.Event event : mSplitter.add(bytes)) {
+            mEventsReceived++;
             if (isNew(event)) {
                 newEvents.writeBytes(event.bytes());
             }
@@ -409,12 +413,17 @@
                 .with("request", mRequestMetadata.id())
                 .with("server", server.published().id())
                 .with("sent", String.valueOf(sent))
+                .with("head_received", String.valueOf(mStreamHead != null))
+                .with("events_received", mEventsReceived)
                 .with("failure", failure.name())
                 .with("detail", detail)
                 .write();
         if (sent) {
             mPossibleRuns++;
             mVerdict = mVerdict.combinedWith(Verdict.MAY_HAVE_RUN);
+            if (failure.isConnectionLoss()) {
+                mServices.livenessCheck().check(server.published(), accepting -> {});
+            }
         } else {
             mSentAttempts--;
         }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/PublishedBackend.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/PublishedBackend.java
@@ -23,6 +23,11 @@
         boolean leaving,
         long startedMillis,
         Duration coldLeft) {
+    /** Returns the name of this process, which differs from that of a restarted one. */
+    public String processName() {
+        return id + "/" + startedMillis;
+    }
+
     /** Returns the address as {@code host:port}. */
     public String address() {
         return host + ":" + port;
