Hold back prompt parts that crash servers, as all forwarding entries together see them

Callers saw: streams cut and 502 while one class crashed server after server. Cause: the entry judged each lost request by itself, so requests that differ in all but one part crashed servers without end, at every entry anew. It is the class of faults in which the cause is shared by requests that are not equal, and in which the evidence lies at several entries. Change: CrashSuspects blames all contents of a request that a crash lost (each part and the whole request), clears what is answered, and quarantines content after a chain of crashes that each followed the one before; what never occurs alone is tried once alone. A lost connection counts only if the server accepts no other one. Held-back requests get 503, NOT_RUN.

--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
@@ -105,6 +105,8 @@
             writeBytes(hello.nonce(), out);
         } else if (message instanceof PeerMessage.Proof proof) {
             writeBytes(proof.mac(), out);
+        } else if (message instanceof PeerMessage.CrashNotice notice) {
+            CrashCodec.write(notice, out);
         } else if (PublishedCodec.isHandled(message)) {
             PublishedCodec.write(message, out);
         } else {
@@ -211,6 +213,7 @@
             case STAGE_RELEASE -> StageCodec.readRelease(in);
             case PUBLISHED_FETCH -> PublishedCodec.readFetch(in);
             case PUBLISHED_CHANGES -> PublishedCodec.readChanges(in);
+            case CRASH_NOTICE -> CrashCodec.read(in);
         };
     }
 
@@ -255,7 +258,8 @@
         STAGE_GIVE_UP(PeerMessage.StageCancel.class),
         STAGE_RELEASE(PeerMessage.StageRelease.class),
         PUBLISHED_FETCH(PeerMessage.PublishedFetch.class),
-        PUBLISHED_CHANGES(PeerMessage.PublishedChanges.class);
+        PUBLISHED_CHANGES(PeerMessage.PublishedChanges.class),
+        CRASH_NOTICE(PeerMessage.CrashNotice.class);
 
         private final Class<? extends PeerMessage> mMessageClass;
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
 import org.bulrushvale.decision.forward.PublishedItems;
+import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.kernel.verdict.Verdict;
 
 /**
@@ -272,6 +273,20 @@
         }
     }
 
+    /**
+     * What the sender knows about crashes of servers beside contents. The answer is a notice with
+     * what the receiver knows and the sender may not.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param digest digest of all that the sender knows
+     */
+    record CrashNotice(long digest, List<CrashRecord> records) implements PeerMessage {
+        public CrashNotice {
+            records = List.copyOf(records);
+        }
+    }
+
     /**
      * Announces that the sender shuts down.
      *
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -13,6 +14,7 @@
 import java.util.UUID;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.bulrushvale.adapters.forward.CompletedPiece;
 import org.bulrushvale.adapters.forward.PieceResult;
@@ -22,6 +24,7 @@
 import org.bulrushvale.adapters.peer.PeerMessage;
 import org.bulrushvale.adapters.peer.PeerTransport;
 import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.daemon.CrashNotices;
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
@@ -41,7 +44,10 @@
  * passed to it.
  */
 final class FleetStageExecutor
-        implements StageExecutor, PublishedStateRelay.PeerRequester, AutoCloseable {
+        implements StageExecutor,
+                PublishedStateRelay.PeerRequester,
+                CrashNotices.Peers,
+                AutoCloseable {
     private static final Duration EXCHANGE_PERIOD = Duration.ofSeconds(1);
 
     // A starting entry exchanges member lists more often, because an entry that does not know the
@@ -73,6 +79,7 @@
     private Set<String> mLiveMembers = Set.of();
     private BiConsumer<PeerMessage.PublishedFetch, PeerListener.Responder> mPublishedFetchHandler =
             (fetch, reply) -> {};
+    private Function<PeerMessage.CrashNotice, PeerMessage> mCrashNoticeHandler = notice -> notice;
 
     private FleetStageExecutor(
             ForwardSettings settings,
@@ -223,9 +230,27 @@
             mLocalExecutor.release(release.service(), release.pieces());
         } else if (message instanceof PeerMessage.PublishedFetch fetch) {
             mPublishedFetchHandler.accept(fetch, reply);
+        } else if (message instanceof PeerMessage.CrashNotice notice) {
+            reply.send(mCrashNoticeHandler.apply(notice));
         }
     }
 
+    /** Sets what merges notices of crashes and answers them. */
+    void onCrashNotice(Function<PeerMessage.CrashNotice, PeerMessage> handler) {
+        mLoop.execute(() -> mCrashNoticeHandler = handler);
+    }
+
+    @Override
+    public Collection<String> choose(int count) {
+        return mMembers.randomMembers(count);
+    }
+
+    @Override
+    public void request(
+            String peer, PeerMessage message, Consumer<@Nullable PeerMessage> onAnswer) {
+        request(peer, message, SILENCE_LIMIT, onAnswer);
+    }
+
     /** Sets what answers entries that ask for the published state. */
     void onPublishedFetch(BiConsumer<PeerMessage.PublishedFetch, PeerListener.Responder> handler) {
         mLoop.execute(() -> mPublishedFetchHandler = handler);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -18,6 +18,7 @@
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
 import org.bulrushvale.decision.forward.ServerChoice;
+import org.bulrushvale.decision.retry.CrashSuspects;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
@@ -90,6 +91,8 @@
                         this::onPublished);
         MemberTable members = FleetStageExecutor.createMemberTable(settings, mClock);
         ColdServerRateLimit coldLimit = new ColdServerRateLimit(mClock, members);
+        ForwardTelemetry telemetry = new ForwardTelemetry(mLog, metrics);
+        CrashGuard crashGuard = newCrashGuard(telemetry);
         ForwardServices services =
                 new ForwardServices(
                         mLoop,
@@ -105,10 +108,12 @@
                                 settings.limits().repeatSlack(),
                                 settings.limits().repeatWindow(),
                                 members::entryCount),
-                        new ServerLivenessCheck(mLoop, mUpstreamClient, mLog, metrics),
-                        new ForwardTelemetry(mLog, metrics));
+                        crashGuard,
+                        telemetry);
         mLocalExecutor = new LocalStageExecutor(services);
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
+        mFleet.onCrashNotice(crashGuard.notices()::receive);
+        crashGuard.notices().start(mLoop, mFleet);
         mCore = new ForwardCore(services, mFleet);
         mServer = ForwardServer.start(settings, mWorker, mCore, metrics::scrape, mClock);
         mLoop.scheduleWithFixedDelay(DISPATCH_PERIOD, mLocalExecutor::dispatch);
@@ -126,6 +131,12 @@
         relay.start(settings, mUpstreamClient);
     }
 
+    private CrashGuard newCrashGuard(ForwardTelemetry telemetry) {
+        ServerLivenessCheck livenessCheck =
+                new ServerLivenessCheck(mLoop, mUpstreamClient, telemetry);
+        return new CrashGuard(new CrashSuspects(mClock), livenessCheck, telemetry);
+    }
+
     /** Starts a daemon, which reports ready once it has read the published state. */
     public static ForwardDaemon start(ForwardSettings settings) throws BulrushvaleException {
         ForwardDaemon daemon = new ForwardDaemon(settings);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -25,7 +25,7 @@
         ServerChoice serverChoice,
         ColdServerRateLimit coldLimit,
         RepeatBudget repeatBudget,
-        ServerLivenessCheck livenessCheck,
+        CrashGuard crashGuard,
         ForwardTelemetry telemetry) {
     /** Returns the failure domain that holds a stage result; empty when it is unknown. */
     String domainOf(String handle) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -23,6 +23,7 @@
 import org.bulrushvale.decision.forward.RequestKind;
 import org.bulrushvale.decision.forward.Route;
 import org.bulrushvale.decision.forward.ServiceSpec;
+import org.bulrushvale.decision.retry.ContentFingerprint;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
@@ -51,6 +52,9 @@
 
     private static final Duration SERVER_RECHECK_PERIOD = Duration.ofMillis(20);
 
+    // A server that crashes on the answer to a request does so when it begins to write it.
+    private static final Duration ANSWER_BEGIN = Duration.ofSeconds(1);
+
     private final ForwardServices mServices;
     private final StageExecutor mStageExecutor;
     private final CallerExchange mCaller;
@@ -64,6 +68,7 @@
     private final EndListener mOnEnd;
     private final RequestTimeLimits mTimeLimits;
     private final AttemptStarter mStarter;
+    private final RequestContents mContents;
     private final Set<String> mTriedServers = new HashSet<>();
     private StageScheduler mStageScheduler;
     private List<String> mInputs = List.of();
@@ -82,6 +87,10 @@
     private boolean mCallerDisconnected;
     private long mLastEventId;
     private int mEventsReceived;
+    private long mFirstEventNanos;
+    private long mKnownCrashes;
+    private boolean mConnectionLost;
+    private boolean mAnswerRecorded;
 
     ForwardedRequest(
             ForwardServices services,
@@ -107,6 +116,7 @@
         mTimeLimits =
                 new RequestTimeLimits(services.clock(), caller.arrivedNanos(), metadata, route);
         mStarter = new AttemptStarter(services, caller, metadata, route, mWorkspace);
+        mContents = new RequestContents(caller, metadata, mService, mWorkspace);
         mLastEventId = metadata.resumeAfter();
         mStageScheduler = newScheduler();
     }
@@ -132,6 +142,9 @@
         mServices.repeatBudget().recordRequest(mService);
         mTimer = mServices.loop().schedule(Duration.ofMillis(millisToDeadline()), this::onDeadline);
         mCaller.onClose(() -> mServices.loop().execute(this::onCallerDisconnect));
+        if (refuseIfHeldBack()) {
+            return;
+        }
         mStageScheduler.startReadyStages();
     }
 
@@ -215,6 +228,9 @@
             onDeadline();
             return;
         }
+        if (refuseIfHeldBack()) {
+            return;
+        }
         Server server = chooseServer();
         if (server == null) {
             waitForServer();
@@ -227,14 +243,26 @@
         sendTo(server, remainingMillis);
     }
 
+    private boolean refuseIfHeldBack() {
+        Optional<ContentFingerprint> content = mServices.crashGuard().findHeldBack(mContents);
+        content.ifPresent(
+                found ->
+                        giveUp(
+                                ErrorCode.QUARANTINED,
+                                "backend servers crash on content " + mContents.nameOf(found)));
+        return content.isPresent();
+    }
+
     private @Nullable Server chooseServer() {
+        // A request that may have crashed a server keeps away from those that others prefer.
+        String affinity = mConnectionLost ? "" : mRequestMetadata.affinity();
         return mServices
                 .serverChoice()
                 .choose(
                         mServices.publishedState().directory().eligibleServers(mService),
                         mTriedServers,
                         mColdPerSecond,
-                        mRequestMetadata.affinity(),
+                        affinity,
                         LongHashFunction.xx().hashChars(mRequestMetadata.id()));
     }
 
@@ -271,6 +299,8 @@
         mSplitter = new EventSplitter();
         mStreamHead = null;
         mEventsReceived = 0;
+        mAnswerRecorded = false;
+        mKnownCrashes = mServices.crashGuard().onAttemptStarted(mContents);
         int attempt = mSentAttempts;
         mCall =
                 mStarter.start(
@@ -304,6 +334,7 @@
             }
         } else {
             server.recordSuccess();
+            recordAnswered();
         }
         deliver(head, body);
     }
@@ -346,6 +377,9 @@
     public void onStreamBytes(byte[] bytes) {
         ByteArrayOutputStream newEvents = new ByteArrayOutputStream();
         for (EventSplitter.Event event : mSplitter.add(bytes)) {
+            if (mEventsReceived == 0) {
+                mFirstEventNanos = mServices.clock().monotonicNanos();
+            }
             mEventsReceived++;
             if (isNew(event)) {
                 newEvents.writeBytes(event.bytes());
@@ -354,6 +388,9 @@
         if (newEvents.size() > 0) {
             forwardEvents(newEvents.toByteArray());
         }
+        if (isWellIntoAnswer()) {
+            recordAnswered();
+        }
         if (mSplitter.isTooLong()) {
             UpstreamClient.Call call = mCall;
             if (call != null) {
@@ -398,6 +435,7 @@
             return;
         }
         clearAttempt();
+        recordAnswered();
         if (finish("streamed", 200)) {
             mCaller.endStream();
         }
@@ -421,16 +459,36 @@
         if (sent) {
             mPossibleRuns++;
             mVerdict = mVerdict.combinedWith(Verdict.MAY_HAVE_RUN);
-            if (failure.isConnectionLoss()) {
-                mServices.livenessCheck().check(server.published(), accepting -> {});
-            }
         } else {
             mSentAttempts--;
         }
-        if (!sent || mayRepeat()) {
-            send();
-        } else {
-            giveUp(ErrorCode.BACKEND_FAILED, detail);
+        boolean repeat = !sent || mayRepeat();
+        Runnable next = repeat ? this::send : () -> giveUp(ErrorCode.BACKEND_FAILED, detail);
+        if (!sent || !failure.isConnectionLoss() || isWellIntoAnswer()) {
+            next.run();
+            return;
+        }
+        mConnectionLost = true;
+        // A repeat must know of the crash, so it waits for the check; a failure does not.
+        Runnable afterCheck = repeat ? next : () -> {};
+        mServices
+                .crashGuard()
+                .onConnectionLost(server.published(), mContents, mKnownCrashes, afterCheck);
+        if (!repeat) {
+            next.run();
+        }
+    }
+
+    /** Returns true when the server wrote on for a while after the first event of its answer. */
+    private boolean isWellIntoAnswer() {
+        return mEventsReceived > 0
+                && mServices.clock().elapsedSince(mFirstEventNanos).compareTo(ANSWER_BEGIN) >= 0;
+    }
+
+    private void recordAnswered() {
+        if (!mAnswerRecorded) {
+            mAnswerRecorded = true;
+            mServices.crashGuard().onAnswered(mContents);
         }
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerLivenessCheck.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerLivenessCheck.java
@@ -27,11 +27,11 @@
     private final Map<String, Consumer<Boolean>> mInProgress = new HashMap<>();
 
     ServerLivenessCheck(
-            EventLoop loop, UpstreamClient client, DecisionLog log, EntryMetrics metrics) {
+            EventLoop loop, UpstreamClient client, ForwardServices.ForwardTelemetry telemetry) {
         mLoop = loop;
         mClient = client;
-        mLog = log;
-        mMetrics = metrics;
+        mLog = telemetry.log();
+        mMetrics = telemetry.metrics();
     }
 
     /**
--- a/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
@@ -256,6 +256,17 @@
         return targets;
     }
 
+    /** Returns at most {@code count} random live members, without this entry. */
+    public List<String> randomMembers(int count) {
+        List<String> candidates = live();
+        candidates.remove(mSelf);
+        List<String> chosen = new ArrayList<>();
+        while (chosen.size() < count && !candidates.isEmpty()) {
+            chosen.add(candidates.remove(mRandom.nextInt(candidates.size())));
+        }
+        return chosen;
+    }
+
     /**
      * Returns the members to report in a gossip message: this entry, then the other members that
      * have not failed, most recently heard of first.
--- a/decision/src/main/java/org/bulrushvale/decision/retry/ContentFingerprint.java
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/ContentFingerprint.java
@@ -20,11 +20,22 @@
 public record ContentFingerprint(long high, long low) {
     /** Returns the fingerprint of an input that a workspace sends. */
     public static ContentFingerprint of(String workspace, String input) {
+        return of(workspace, "", input.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Returns the fingerprint of a content within a scope.
+     *
+     * @param scope workspace or service within which equal contents are the same
+     * @param kind distinguishes contents of one scope that are not comparable
+     */
+    public static ContentFingerprint of(String scope, String kind, byte[] content) {
         MessageDigest digest = sha256();
-        byte[] name = workspace.getBytes(StandardCharsets.UTF_8);
+        byte[] name = scope.getBytes(StandardCharsets.UTF_8);
         digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(name.length).array());
         digest.update(name);
-        digest.update(input.getBytes(StandardCharsets.UTF_8));
+        digest.update(kind.getBytes(StandardCharsets.UTF_8));
+        digest.update(content);
         ByteBuffer bytes = ByteBuffer.wrap(digest.digest());
         return new ContentFingerprint(bytes.getLong(), bytes.getLong());
     }
--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
@@ -0,0 +1,465 @@
+package org.bulrushvale.decision.retry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import net.openhft.hashing.LongHashFunction;
+import org.bulrushvale.kernel.time.Clock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Finds the content that crashes backend servers among all that the requests beside a crash hold,
+ * such as one part of a prompt that many different requests share.
+ *
+ * <p>Content is quarantined after a chain of crashes without a complete answer between them. Each
+ * crash of a chain happened to an attempt that began when the crash before it was known, so servers
+ * that end at the same time for another reason count as one. Content that has been answered before
+ * needs a longer chain than content that was never answered, and content beside quarantined content
+ * is not blamed.
+ *
+ * <p>Contents that occur only together reach the same chain, although one of them may be sound. A
+ * request that holds one of them without the others is sent to a server as a trial: an answer
+ * releases the content, a crash shows that it is the cause.
+ *
+ * <p>Invariants: the order in which records of other entries arrive does not matter; an answer
+ * refutes all crashes before it for good, because the time of a crash is set once, when this entry
+ * first hears of it; the table holds at most {@value #MAX_HISTORIES} histories. Thread safety: not
+ * safe; used by the event loop.
+ */
+public final class CrashSuspects {
+    /** Time since its last crash after which content is no longer quarantined. */
+    public static final Duration LIFETIME = Duration.ofMinutes(15);
+
+    /** Time after which a crash is forgotten that none of the next attempts repeated. */
+    static final Duration SINGLE_CRASH_LIFETIME = Duration.ofMinutes(2);
+
+    /** Limits the memory of the table to about 1 MB. */
+    public static final int MAX_HISTORIES = 2_048;
+
+    /** Crashes in a row after which content that was never answered is quarantined. */
+    static final int CHAIN_OF_UNANSWERED = 3;
+
+    /** Crashes in a row after which content that was answered before is quarantined. */
+    static final int CHAIN_OF_ANSWERED = 5;
+
+    private static final int MAX_CRASHES_PER_CONTENT = 16;
+    private static final int MAX_PROCESS_NAME_LENGTH = 192;
+    private static final int MAX_ANSWERED_CONTENTS = 8_192;
+    private static final int MAX_CRASHES = 2_048;
+
+    // How often the digest is computed anew, because histories expire.
+    private static final Duration DIGEST_PERIOD = Duration.ofSeconds(1);
+
+    // Longer than a server takes to begin an answer.
+    private static final Duration TRIAL_TIME = Duration.ofSeconds(5);
+
+    private final Clock mClock;
+    private final Map<ContentFingerprint, History> mHistories = new HashMap<>();
+    private final Map<ContentFingerprint, Long> mTrialNanos = new HashMap<>();
+    private final Map<ContentFingerprint, Long> mAnsweredNanos =
+            new LeastRecentlyUsedMap<>(MAX_ANSWERED_CONTENTS);
+    private final Map<String, Long> mCrashNanos = new LeastRecentlyUsedMap<>(MAX_CRASHES);
+    private long mKnownCrashes;
+    private long mRecordsCalls;
+    private long mDigest;
+    private long mDigestNanos;
+    private boolean mDigestIsCurrent;
+
+    /** Creates an empty table. */
+    public CrashSuspects(Clock clock) {
+        mClock = clock;
+    }
+
+    /** Returns true when no content is suspect, so that requests need not be examined. */
+    public boolean isEmpty() {
+        return mHistories.isEmpty();
+    }
+
+    /** Returns true when the content is quarantined. */
+    public boolean isQuarantined(ContentFingerprint content) {
+        History history = findUnexpired(content);
+        return history != null && history.isQuarantined();
+    }
+
+    /**
+     * Returns a quarantined content for which a request with these contents must not be sent to a
+     * server; empty when there is none or the request may be sent as a trial.
+     */
+    public Optional<ContentFingerprint> findHeldBack(Collection<ContentFingerprint> contents) {
+        return contents.stream()
+                .filter(content -> isQuarantined(content) && !mayTry(content, contents))
+                .findFirst();
+    }
+
+    private boolean mayTry(ContentFingerprint content, Collection<ContentFingerprint> contents) {
+        Long trial = mTrialNanos.get(content);
+        if (trial != null && mClock.elapsedSince(trial).compareTo(TRIAL_TIME) < 0) {
+            return false;
+        }
+        List<ContentFingerprint> rivals = rivals(content);
+        return !rivals.isEmpty() && rivals.stream().noneMatch(contents::contains);
+    }
+
+    /** Returns the other quarantined contents that were beside all crashes of a content. */
+    private List<ContentFingerprint> rivals(ContentFingerprint content) {
+        List<ContentFingerprint> rivals = new ArrayList<>();
+        History own = findUnexpired(content);
+        if (own == null) {
+            return rivals;
+        }
+        mHistories.forEach(
+                (other, history) -> {
+                    if (!other.equals(content)
+                            && history.isQuarantined()
+                            && history.mCrashes.keySet().containsAll(own.mCrashes.keySet())) {
+                        rivals.add(other);
+                    }
+                });
+        return rivals;
+    }
+
+    /**
+     * Records that an attempt with these contents begins.
+     *
+     * @return the number of crashes known so far, to be kept with the attempt
+     */
+    public long onAttemptStarted(Collection<ContentFingerprint> contents) {
+        contents.stream()
+                .filter(this::isQuarantined)
+                .forEach(content -> mTrialNanos.put(content, mClock.monotonicNanos()));
+        return mKnownCrashes;
+    }
+
+    /**
+     * Records that a process crashed while it had an attempt with these contents.
+     *
+     * @param knownAtStart result of {@link #onAttemptStarted} for the attempt
+     * @return the records that changed, for the other entries
+     */
+    public List<CrashRecord> onCrash(
+            Collection<ContentFingerprint> contents, String process, long knownAtStart) {
+        if (process.length() > MAX_PROCESS_NAME_LENGTH) {
+            return List.of();
+        }
+        mCrashNanos.putIfAbsent(process, mClock.monotonicNanos());
+        List<ContentFingerprint> blamed = contents.stream().filter(this::isQuarantined).toList();
+        List<CrashRecord> changed = new ArrayList<>();
+        for (ContentFingerprint content : blamed.isEmpty() ? contents : blamed) {
+            mTrialNanos.remove(content);
+            History history = findOrCreate(content);
+            if (history.add(process, history.depthAfter(process, knownAtStart))) {
+                changed.add(record(content));
+            }
+        }
+        return changed;
+    }
+
+    /**
+     * Records a complete answer to a request with these contents.
+     *
+     * @return the records that changed, for the other entries
+     */
+    public List<CrashRecord> onAnswered(Collection<ContentFingerprint> contents) {
+        List<CrashRecord> changed = new ArrayList<>();
+        for (ContentFingerprint content : contents) {
+            mTrialNanos.remove(content);
+            if (answer(content, mClock.monotonicNanos())) {
+                changed.add(record(content));
+            }
+        }
+        return changed;
+    }
+
+    /**
+     * Records an answer; returns true when it is the first of suspect content or refutes a crash.
+     */
+    private boolean answer(ContentFingerprint content, long nanos) {
+        Long before = mAnsweredNanos.get(content);
+        if (before != null && before - nanos >= 0) {
+            return false;
+        }
+        mAnsweredNanos.put(content, nanos);
+        History history = findUnexpired(content);
+        if (history == null) {
+            return false;
+        }
+        mDigestIsCurrent = false;
+        boolean refuted = history.mCrashes.keySet().removeIf(p -> isRefuted(content, p));
+        if (history.mCrashes.isEmpty()) {
+            mHistories.remove(content);
+        }
+        return refuted || before == null;
+    }
+
+    private boolean isRefuted(ContentFingerprint content, String process) {
+        Long answered = mAnsweredNanos.get(content);
+        Long crashed = mCrashNanos.get(process);
+        return answered != null && crashed != null && answered - crashed >= 0;
+    }
+
+    /** Merges records of another entry. */
+    public Merged merge(Collection<CrashRecord> records) {
+        Set<ContentFingerprint> changed = new LinkedHashSet<>();
+        Set<ContentFingerprint> corrections = new LinkedHashSet<>();
+        for (CrashRecord record : records) {
+            ContentFingerprint content = record.content();
+            record.answeredAgeMillis()
+                    .ifPresent(
+                            age -> {
+                                if (answer(content, nanosAgo(Math.max(0, age)))) {
+                                    changed.add(content);
+                                }
+                            });
+            for (CrashRecord.Crash crash : record.crashes()) {
+                if (!isAcceptable(crash)) {
+                    continue;
+                }
+                mCrashNanos.putIfAbsent(crash.process(), nanosAgo(crash.ageMillis()));
+                if (isRefuted(content, crash.process())) {
+                    corrections.add(content);
+                } else if (findOrCreate(content).add(crash.process(), crash.depth())) {
+                    changed.add(content);
+                }
+            }
+        }
+        return new Merged(
+                changed.stream().map(this::record).toList(),
+                corrections.stream().map(this::record).toList());
+    }
+
+    private static boolean isAcceptable(CrashRecord.Crash crash) {
+        return crash.depth() > 0
+                && crash.ageMillis() >= 0
+                && crash.ageMillis() < LIFETIME.toMillis()
+                && crash.process().length() <= MAX_PROCESS_NAME_LENGTH;
+    }
+
+    private long nanosAgo(long millis) {
+        return mClock.monotonicNanos() - Duration.ofMillis(millis).toNanos();
+    }
+
+    /**
+     * Returns at most {@code limit} records: those of quarantined content first, then others that
+     * differ from call to call.
+     */
+    public List<CrashRecord> records(int limit) {
+        removeExpired();
+        LongHashFunction shuffle = LongHashFunction.xx(mRecordsCalls++);
+        Comparator<Map.Entry<ContentFingerprint, History>> order =
+                Comparator.comparing(entry -> !entry.getValue().isQuarantined());
+        return mHistories.entrySet().stream()
+                .sorted(order.thenComparingLong(e -> shuffle.hashLong(e.getKey().low())))
+                .limit(limit)
+                .map(entry -> record(entry.getKey()))
+                .toList();
+    }
+
+    /** Returns a number that is equal at entries that know the same, whatever their clocks say. */
+    public long digest() {
+        long now = mClock.monotonicNanos();
+        if (!mDigestIsCurrent || now - mDigestNanos > DIGEST_PERIOD.toNanos()) {
+            removeExpired();
+            mDigest = 0;
+            mHistories.forEach(
+                    (content, history) ->
+                            mDigest +=
+                                    LongHashFunction.xx(content.low()).hashLong(history.digest()));
+            mDigestNanos = now;
+            mDigestIsCurrent = true;
+        }
+        return mDigest;
+    }
+
+    private CrashRecord record(ContentFingerprint content) {
+        long now = mClock.monotonicNanos();
+        List<CrashRecord.Crash> crashes = new ArrayList<>();
+        History history = mHistories.get(content);
+        if (history != null) {
+            history.mCrashes.forEach(
+                    (process, crash) ->
+                            crashes.add(
+                                    new CrashRecord.Crash(
+                                            process,
+                                            crash.depth(),
+                                            millisSince(crashNanos(process), now))));
+        }
+        Long answered = mAnsweredNanos.get(content);
+        return new CrashRecord(
+                content,
+                crashes,
+                answered == null
+                        ? OptionalLong.empty()
+                        : OptionalLong.of(millisSince(answered, now)));
+    }
+
+    private static long millisSince(long nanos, long now) {
+        return Math.max(0, Duration.ofNanos(now - nanos).toMillis());
+    }
+
+    private long crashNanos(String process) {
+        return mCrashNanos.computeIfAbsent(process, unknown -> mClock.monotonicNanos());
+    }
+
+    private @Nullable History findUnexpired(ContentFingerprint content) {
+        History history = mHistories.get(content);
+        if (history != null && isExpired(history)) {
+            mHistories.remove(content);
+            return null;
+        }
+        return history;
+    }
+
+    private History findOrCreate(ContentFingerprint content) {
+        History known = findUnexpired(content);
+        if (known != null) {
+            return known;
+        }
+        if (mHistories.size() >= MAX_HISTORIES) {
+            removeExpired();
+            evictOne();
+        }
+        History history = new History(content);
+        mHistories.put(content, history);
+        return history;
+    }
+
+    private boolean isExpired(History history) {
+        return mClock.elapsedSince(history.mLastCrashNanos).compareTo(history.lifetime()) >= 0;
+    }
+
+    private void removeExpired() {
+        mHistories.values().removeIf(this::isExpired);
+        mTrialNanos.keySet().retainAll(mHistories.keySet());
+    }
+
+    /** Makes room in a full table: content that is not quarantined goes first, then the oldest. */
+    private void evictOne() {
+        long now = mClock.monotonicNanos();
+        Comparator<Map.Entry<ContentFingerprint, History>> order =
+                Comparator.comparing(entry -> entry.getValue().isQuarantined());
+        mHistories.entrySet().stream()
+                .min(order.thenComparingLong(e -> e.getValue().mLastCrashNanos - now))
+                .filter(entry -> mHistories.size() >= MAX_HISTORIES)
+                .ifPresent(entry -> mHistories.remove(entry.getKey()));
+        mDigestIsCurrent = false;
+    }
+
+    /**
+     * Result of merging the records of another entry.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param changed records that held something new, for further entries
+     * @param corrections records by which the sender learns of answers that it does not know
+     */
+    public record Merged(List<CrashRecord> changed, List<CrashRecord> corrections) {}
+
+    /**
+     * The crashes beside one content that no answer has refuted.
+     *
+     * <p>Thread safety: not safe.
+     */
+    private final class History {
+        private final ContentFingerprint mContent;
+        private final Map<String, KnownCrash> mCrashes = new HashMap<>();
+        private long mLastCrashNanos = mClock.monotonicNanos();
+
+        private History(ContentFingerprint content) {
+            mContent = content;
+        }
+
+        private boolean isQuarantined() {
+            int chain = wasAnswered() ? CHAIN_OF_ANSWERED : CHAIN_OF_UNANSWERED;
+            return mCrashes.values().stream().anyMatch(crash -> crash.depth() >= chain);
+        }
+
+        private boolean wasAnswered() {
+            return mAnsweredNanos.containsKey(mContent);
+        }
+
+        /** Returns the depth of a crash of an attempt that began when some crashes were known. */
+        private int depthAfter(String process, long knownAtStart) {
+            int depth = 0;
+            for (Map.Entry<String, KnownCrash> entry : mCrashes.entrySet()) {
+                KnownCrash crash = entry.getValue();
+                if (crash.sequence() <= knownAtStart && !entry.getKey().equals(process)) {
+                    depth = Math.max(depth, crash.depth());
+                }
+            }
+            return depth + 1;
+        }
+
+        /** Adds a crash; returns false when it is known with this depth or adds nothing. */
+        private boolean add(String process, int depth) {
+            KnownCrash known = mCrashes.get(process);
+            if (known != null && known.depth() >= depth) {
+                return false;
+            }
+            if (known == null && mCrashes.size() >= MAX_CRASHES_PER_CONTENT && !replaces(depth)) {
+                return false;
+            }
+            mDigestIsCurrent = false;
+            long nanos = crashNanos(process);
+            mLastCrashNanos =
+                    mCrashes.isEmpty() || nanos - mLastCrashNanos > 0 ? nanos : mLastCrashNanos;
+            mCrashes.put(process, new KnownCrash(depth, ++mKnownCrashes));
+            return true;
+        }
+
+        /** Removes a crash of lower depth than all others may have; false when there is none. */
+        private boolean replaces(int depth) {
+            return mCrashes.entrySet().stream()
+                    .min(Comparator.comparingInt(entry -> entry.getValue().depth()))
+                    .filter(lowest -> lowest.getValue().depth() < depth)
+                    .map(lowest -> mCrashes.remove(lowest.getKey()) != null)
+                    .orElse(false);
+        }
+
+        private Duration lifetime() {
+            boolean repeated = mCrashes.values().stream().anyMatch(crash -> crash.depth() > 1);
+            return repeated ? LIFETIME : SINGLE_CRASH_LIFETIME;
+        }
+
+        private long digest() {
+            long sum = wasAnswered() ? 1 : 0;
+            for (Map.Entry<String, KnownCrash> entry : mCrashes.entrySet()) {
+                sum += LongHashFunction.xx(entry.getValue().depth()).hashChars(entry.getKey());
+            }
+            return sum;
+        }
+    }
+
+    /**
+     * A crash as this entry knows it.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param sequence number of crashes that this entry knew, with this one
+     */
+    private record KnownCrash(int depth, long sequence) {}
+
+    /** A map that forgets what was not used for longest. */
+    private static final class LeastRecentlyUsedMap<K, V> extends LinkedHashMap<K, V> {
+        private static final long serialVersionUID = 1;
+        private final int mCapacity;
+
+        LeastRecentlyUsedMap(int capacity) {
+            super(16, 0.75f, true);
+            mCapacity = capacity;
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+            return size() > mCapacity;
+        }
+    }
+}
--- a/kernel/src/main/java/org/bulrushvale/kernel/verdict/ErrorCode.java
+++ b/kernel/src/main/java/org/bulrushvale/kernel/verdict/ErrorCode.java
@@ -32,6 +32,7 @@
     NO_BACKEND(503, "No backend server available", RetryAdvice.RETRY),
     BACKEND_FAILED(502, "Backend server failed", RetryAdvice.RETRY),
     POISON(422, "Request content crashes backend servers", RetryAdvice.DO_NOT_RETRY),
+    QUARANTINED(503, "Request content is held back for crashing servers", RetryAdvice.DO_NOT_RETRY),
     ISOLATED(503, "Entry is cut off from the fleet", RetryAdvice.RETRY),
     NOT_CONFIGURED(503, "No published configuration yet", RetryAdvice.RETRY),
     DRAINING(503, "Entry is shutting down", RetryAdvice.RETRY),
