Refuse requests that share a line with requests that crash servers, at bulrushvaled too

Callers saw: the product's own interface refuses an input that crashed two servers, but inputs that differ in one line crashed the next servers. Cause: the class of fault of the prompt parts: PoisonTable compares whole inputs, so a cause that unequal inputs share stays unknown. Change: PoisonGuard gives the lines of an input to CrashSuspects and FleetNode exchanges its notices; such requests are refused with POISON, NOT_RUN. A trial belongs to its request, so its later stages and repeats may go on.

--- a/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
@@ -26,7 +26,6 @@
 import org.bulrushvale.decision.request.RunDecision;
 import org.bulrushvale.decision.request.StageResult;
 import org.bulrushvale.decision.request.StageSummary;
-import org.bulrushvale.decision.retry.ContentFingerprint;
 import org.bulrushvale.decision.warmup.AttemptOutcome;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.id.RequestId;
@@ -51,12 +50,13 @@
     private final Pipeline mPipeline;
     private final RequestRun mRun;
     private final RequestVerdictTracker mVerdictTracker;
-    private final ContentFingerprint mContentFingerprint;
+    private final InputContent mContent;
     private final Listener mListener;
     private final double mWorkspaceShare;
     private final long mStartNanos;
     private final long mDeadlineNanos;
     private final Map<AttemptId, BackendAttempt> mAttempts = new HashMap<>();
+    private final Map<AttemptId, Long> mKnownCrashes = new HashMap<>();
     private final EventLoop.ScheduledTask mDeadlineTimer;
 
     ActiveRequest(
@@ -66,14 +66,14 @@
             Pipeline pipeline,
             double workspaceShare,
             Duration deadline,
-            ContentFingerprint contentFingerprint,
+            InputContent content,
             Listener listener) {
         mCore = core;
         mRequest = request;
         mClass = workClass;
         mPipeline = pipeline;
         mWorkspaceShare = workspaceShare;
-        mContentFingerprint = contentFingerprint;
+        mContent = content;
         mListener = listener;
         mStartNanos = core.clock().monotonicNanos();
         mDeadlineNanos = mStartNanos + deadline.toNanos();
@@ -143,7 +143,7 @@
                 mListener.text(piece.offset(), piece.text());
             } else if (decision instanceof RunDecision.Deliver answer) {
                 mDeadlineTimer.cancel();
-                mCore.poison().table().onCompleted(mContentFingerprint);
+                mCore.poison().onCompleted(mContent);
                 count(AttainmentOutcome.MET);
                 // Counted before the answer is sent, so a caller that has its answer finds the
                 // request in the metrics.
@@ -172,7 +172,7 @@
         if (start.kind() == RunDecision.AttemptKind.HEDGE) {
             // A hedge that has to wait cannot help and would take a queue slot from other requests.
             boolean idle = mCore.attemptQueues().isEmpty(start.stage().pool());
-            if (!idle || !launch(start)) {
+            if (!idle || mCore.poison().isHeldBack(mContent, this) || !launch(start)) {
                 String detail = "no server is free for a second attempt";
                 apply(
                         mRun.onFailure(
@@ -197,7 +197,9 @@
 
     /** Returns the reason not to start an attempt, or null if it may start. */
     private @Nullable ErrorCode refusalReason(RunDecision.StartAttempt start) {
-        if (mCore.poison().table().isPoison(mContentFingerprint)) {
+        boolean hedge = start.kind() == RunDecision.AttemptKind.HEDGE;
+        if (mCore.poison().isPoison(mContent)
+                || !hedge && mCore.poison().isHeldBack(mContent, this)) {
             return ErrorCode.POISON;
         }
         DeadlineBudget.DeadlineDecision decision =
@@ -250,7 +252,7 @@
         if (mRun.isEnded() || !mRun.openAttempts().contains(start.attempt())) {
             return true;
         }
-        if (mCore.poison().table().isPoison(mContentFingerprint)) {
+        if (mCore.poison().isPoison(mContent) || mCore.poison().isHeldBack(mContent, this)) {
             apply(
                     mRun.stop(
                             ErrorCode.POISON,
@@ -273,7 +275,7 @@
                                 avoid,
                                 mustAvoid,
                                 mRequest.session(),
-                                mContentFingerprint);
+                                mContent.whole());
         if (server.isEmpty()) {
             return false;
         }
@@ -293,6 +295,7 @@
                         this,
                         mCore.clock().monotonicNanos());
         mAttempts.put(id, attempt);
+        mKnownCrashes.put(id, mCore.poison().onAttemptStarted(mContent, this));
         if (start.kind() == RunDecision.AttemptKind.FIRST) {
             mCore.budget().onFirstAttempt(start.stage());
         }
@@ -373,7 +376,7 @@
             boolean ran = end == AttemptOutcome.COMPLETED;
             long nanos = mCore.clock().elapsedSince(attempt.startNanos()).toNanos();
             double nanosPerToken = tokens > 0 ? (double) nanos / tokens : 0;
-            mCore.picker().finished(attempt.server(), mContentFingerprint, end, nanosPerToken);
+            mCore.picker().finished(attempt.server(), mContent.whole(), end, nanosPerToken);
             Stage stage = mPipeline.stages().get(attempt.id().stage());
             mCore.attainment()
                     .onAttemptEnded(
@@ -435,6 +438,8 @@
                     .onCrash(
                             attempt.server().name(),
                             attempt.epoch(),
+                            mContent,
+                            mKnownCrashes.getOrDefault(attempt.id(), 0L),
                             () -> fail(attempt, ErrorCode.BACKEND_FAILED, detail));
             release(attempt, end, 0);
             return;
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
@@ -23,7 +23,6 @@
 import org.bulrushvale.decision.config.Workspace;
 import org.bulrushvale.decision.drain.DrainSequence;
 import org.bulrushvale.decision.request.DeadlineBudget;
-import org.bulrushvale.decision.retry.ContentFingerprint;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
@@ -262,8 +261,8 @@
                                                 ErrorCode.INTERNAL,
                                                 "the pipeline of the class is not configured"));
         Duration deadline = deadline(workClass, request);
-        ContentFingerprint content = ContentFingerprint.of(request.workspace(), request.input());
-        if (mCore.poison().table().isPoison(content)) {
+        InputContent content = InputContent.of(request.workspace(), request.input());
+        if (mCore.poison().isPoison(content) || mCore.poison().isHeldBack(content, request)) {
             mCore.attainment()
                     .onRequestEnded(
                             workClass,
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -29,6 +29,7 @@
 import org.bulrushvale.decision.request.DeadlineBudget;
 import org.bulrushvale.decision.request.DropCounts;
 import org.bulrushvale.decision.request.StageLatency;
+import org.bulrushvale.decision.retry.CrashSuspects;
 import org.bulrushvale.decision.retry.HedgePolicy;
 import org.bulrushvale.decision.retry.PoisonTable;
 import org.bulrushvale.decision.retry.RetryBudget;
@@ -85,7 +86,7 @@
         SplittableRandom random = new SplittableRandom();
         PoisonTable poison = new PoisonTable(clock);
         mRouting = new BackendRouting(settings, poison, clock, random.nextLong());
-        mPoison = new PoisonGuard(poison, mRouting);
+        mPoison = new PoisonGuard(poison, new CrashSuspects(clock), mRouting);
         mClient = BackendClient.start(settings.backend(), this::onConnectionLost);
         mConfig = ConfigStore.empty(clock);
         KeyedRequests keys =
@@ -187,6 +188,7 @@
         try {
             daemon.mPlugins.start(daemon);
             daemon.mFleet.start(daemon.mCore, daemon::onVmList);
+            daemon.mFleet.crashNotices(daemon.mPoison.notices());
         } catch (BulrushvaleException | RuntimeException e) {
             daemon.close();
             throw e;
--- a/daemon/src/main/java/org/bulrushvale/daemon/PoisonGuard.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/PoisonGuard.java
@@ -5,8 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.bulrushvale.decision.retry.CrashRecord;
+import org.bulrushvale.decision.retry.CrashSuspects;
 import org.bulrushvale.decision.retry.PoisonRecord;
 import org.bulrushvale.decision.retry.PoisonTable;
+import org.jboss.logging.Logger;
 
 /**
  * Records the crash of a server against the content that it was processing, and delays the affected
@@ -17,15 +20,21 @@
  * count as a crash. Thread safety: owned by the event loop.
  */
 final class PoisonGuard {
+    private static final Logger LOG = Logger.getLogger(PoisonGuard.class);
+
     private final PoisonTable mTable;
+    private final CrashSuspects mSuspects;
+    private final CrashNotices mNotices;
     private final ServerPicker mPicker;
-    private final Map<String, List<Runnable>> mContinuationsByServer = new HashMap<>();
+    private final Map<String, List<LostAttempt>> mLostAttemptsByServer = new HashMap<>();
     private RecordSpreader mSpreader = (records, continuation) -> continuation.run();
     private ProcessProbe mProbe = (server, epoch, onResult) -> onResult.accept(false);
 
-    PoisonGuard(PoisonTable table, ServerPicker picker) {
+    PoisonGuard(PoisonTable table, CrashSuspects suspects, ServerPicker picker) {
         mTable = table;
+        mSuspects = suspects;
         mPicker = picker;
+        mNotices = new CrashNotices(suspects, this::logQuarantined);
     }
 
     /**
@@ -69,20 +78,53 @@
         mSpreader = spreader;
     }
 
-    PoisonTable table() {
-        return mTable;
+    /** Returns the exchange of crashes beside lines of inputs with the other entries. */
+    CrashNotices notices() {
+        return mNotices;
+    }
+
+    /** Returns true when no request with this content may be sent to a server. */
+    boolean isPoison(InputContent content) {
+        return mTable.isPoison(content.whole());
+    }
+
+    /** Returns true when the request shares a line with requests that crash servers. */
+    boolean isHeldBack(InputContent content, Object request) {
+        return !mSuspects.isEmpty() && mSuspects.findHeldBack(content.lines(), request).isPresent();
+    }
+
+    /**
+     * Records that an attempt begins.
+     *
+     * @return the number of crashes known so far, to be kept with the attempt
+     */
+    long onAttemptStarted(InputContent content, Object request) {
+        return mSuspects.onAttemptStarted(content.lines(), request);
+    }
+
+    /** Records that a request with this content was answered completely. */
+    void onCompleted(InputContent content) {
+        mTable.onCompleted(content.whole());
+        mNotices.push(mSuspects.onAnswered(content.lines()));
     }
 
     /**
      * Records that a server lost the connection of an attempt, which may be a crash.
      *
      * @param epoch epoch of the server when the attempt was sent
+     * @param knownAtStart result of {@link #onAttemptStarted} for the attempt
      * @param continuation continues the request of the attempt; runs exactly once
      */
-    void onCrash(String server, String epoch, Runnable continuation) {
-        List<Runnable> pending = mContinuationsByServer.get(server);
+    void onCrash(
+            String server,
+            String epoch,
+            InputContent content,
+            long knownAtStart,
+            Runnable continuation) {
+        LostAttempt lost = new LostAttempt(content, knownAtStart, continuation);
+        List<LostAttempt> pending = mLostAttemptsByServer.get(server);
         if (pending != null) {
-            pending.add(continuation);
+            pending.add(lost);
             return;
         }
         // Content that runs on a later process of the server is not blamed for the end of this one.
@@ -92,12 +134,12 @@
             continuation.run();
             return;
         }
-        List<Runnable> continuations = new ArrayList<>(List.of(continuation));
-        mContinuationsByServer.put(server, continuations);
+        List<LostAttempt> attempts = new ArrayList<>(List.of(lost));
+        mLostAttemptsByServer.put(server, attempts);
         Runnable runContinuations =
                 () -> {
-                    mContinuationsByServer.remove(server, continuations);
-                    continuations.forEach(Runnable::run);
+                    mLostAttemptsByServer.remove(server, attempts);
+                    attempts.forEach(attempt -> attempt.continuation().run());
                 };
         mProbe.isSameProcess(
                 server,
@@ -107,8 +149,33 @@
                         mTable.retractCrash(server, epoch);
                         runContinuations.run();
                     } else {
+                        List.copyOf(attempts).forEach(a -> blameLines(server + "/" + epoch, a));
                         mSpreader.spread(changed, runContinuations);
                     }
                 });
     }
+
+    private void blameLines(String process, LostAttempt attempt) {
+        List<CrashRecord> changed =
+                mSuspects.onCrash(attempt.content().lines(), process, attempt.knownAtStart());
+        logQuarantined(changed);
+        mNotices.push(changed);
+    }
+
+    private void logQuarantined(List<CrashRecord> changed) {
+        for (CrashRecord record : changed) {
+            if (mSuspects.isQuarantined(record.content())) {
+                LOG.infof(
+                        "requests with line %016x of their input are refused after %d crashes",
+                        record.content().high(), record.crashes().size());
+            }
+        }
+    }
+
+    /**
+     * An attempt whose server may have crashed.
+     *
+     * <p>Thread safety: immutable.
+     */
+    private record LostAttempt(InputContent content, long knownAtStart, Runnable continuation) {}
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/fleet/FleetNode.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/fleet/FleetNode.java
@@ -22,6 +22,7 @@
 import org.bulrushvale.adapters.platform.PlatformListener;
 import org.bulrushvale.adapters.platform.PlatformReader;
 import org.bulrushvale.adapters.settings.EntrySettings;
+import org.bulrushvale.daemon.CrashNotices;
 import org.bulrushvale.decision.config.ConfigDigest;
 import org.bulrushvale.decision.config.ConfigStore;
 import org.bulrushvale.decision.keys.KeySpaces;
@@ -79,6 +80,7 @@
     private final KeyForwarder mForwarder;
     private final PoisonNotifier mPoisonNotifier;
     private WarmthExchange mWarmth = WarmthExchange.none();
+    private volatile @Nullable CrashNotices mCrashNotices;
     private volatile @Nullable EventHandler mEventHandler;
     private volatile @Nullable PlatformReader mPlatformReader;
     private volatile Consumer<ConfirmedValue<VmList>> mOnVmList = view -> {};
@@ -208,6 +210,12 @@
         return mPoisonNotifier;
     }
 
+    /** Begins to exchange notices of crashes with the peers. */
+    public void crashNotices(CrashNotices notices) {
+        mCrashNotices = notices;
+        notices.start(mLoop, new CrashNoticePeers(mLoop, mTransport, this::peerNames));
+    }
+
     /** Sets the exchange that provides and receives warmth announcements. */
     public void warmth(WarmthExchange warmth) {
         mWarmth = warmth;
@@ -498,6 +506,11 @@
             onForward(forward, KeyForwarder.responderTo(forward, reply));
         } else if (message instanceof PeerMessage.PoisonNotice notice) {
             mLoop.execute(() -> mPoisonNotifier.receive(notice, reply));
+        } else if (message instanceof PeerMessage.CrashNotice notice) {
+            CrashNotices notices = mCrashNotices;
+            if (notices != null) {
+                mLoop.execute(() -> reply.send(notices.receive(notice)));
+            }
         } else if (message instanceof PeerMessage.KeyHandover handover) {
             mLoop.execute(() -> onKeyHandover(handover, reply));
         } else if (message instanceof PeerMessage.LeaveNotice) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashGuard.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashGuard.java
@@ -45,12 +45,15 @@
      * @return the number of crashes known so far, to be kept with the attempt
      */
     long onAttemptStarted(RequestContents contents) {
-        return mSuspects.onAttemptStarted(mSuspects.isEmpty() ? List.of() : contents.all());
+        return mSuspects.onAttemptStarted(
+                mSuspects.isEmpty() ? List.of() : contents.all(), contents);
     }
 
     /** Returns a content of the request for which it must not be sent to a server. */
     Optional<ContentFingerprint> findHeldBack(RequestContents contents) {
-        return mSuspects.isEmpty() ? Optional.empty() : mSuspects.findHeldBack(contents.all());
+        return mSuspects.isEmpty()
+                ? Optional.empty()
+                : mSuspects.findHeldBack(contents.all(), contents);
     }
 
     /**
--- a/daemon/src/test/java/org/bulrushvale/daemon/CrashNoticesFleetTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/CrashNoticesFleetTest.java
@@ -203,12 +203,12 @@
 
             void start() {
                 mSound += mDeadly || mNumber > 1 ? 0 : 1;
-                if (mEntry.mSuspects.findHeldBack(mContents).isPresent()) {
+                if (mEntry.mSuspects.findHeldBack(mContents, this).isPresent()) {
                     mSoundRefused += mDeadly || mNumber > 1 ? 0 : 1;
                     return;
                 }
                 mServer = mRandom.nextInt(SERVERS);
-                mKnownAtStart = mEntry.mSuspects.onAttemptStarted(mContents);
+                mKnownAtStart = mEntry.mSuspects.onAttemptStarted(mContents, this);
                 mRunning.add(this);
                 if (mDeadly && !mEntry.isDisturbed(STABLE_MILLIS)) {
                     mDeadlyStarts.add(now());
--- a/decision/src/main/java/org/bulrushvale/decision/retry/ContentFingerprint.java
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/ContentFingerprint.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.List;
 
 /**
  * Identifies the content of a request: the first 128 bits of a SHA-256 digest.
@@ -18,11 +19,28 @@
  * @param low second 64 bits of the digest
  */
 public record ContentFingerprint(long high, long low) {
+    /** Limits the work for a long input. */
+    public static final int MAX_LINES = 64;
+
     /** Returns the fingerprint of an input that a workspace sends. */
     public static ContentFingerprint of(String workspace, String input) {
         return of(workspace, "", input.getBytes(StandardCharsets.UTF_8));
     }
 
+    /**
+     * Returns the fingerprints of the first {@value #MAX_LINES} different lines of an input that a
+     * workspace sends: shared instructions and documents recur as whole lines.
+     */
+    public static List<ContentFingerprint> ofLines(String workspace, String input) {
+        return input.lines()
+                .map(String::strip)
+                .filter(line -> !line.isEmpty())
+                .distinct()
+                .limit(MAX_LINES)
+                .map(line -> of(workspace, "line", line.getBytes(StandardCharsets.UTF_8)))
+                .toList();
+    }
+
     /**
      * Returns the fingerprint of a content within a scope.
      *
--- a/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
@@ -64,7 +64,7 @@
 
     private final Clock mClock;
     private final Map<ContentFingerprint, History> mHistories = new HashMap<>();
-    private final Map<ContentFingerprint, Long> mTrialNanos = new HashMap<>();
+    private final Map<ContentFingerprint, Trial> mTrials = new HashMap<>();
     private final Map<ContentFingerprint, Long> mAnsweredNanos =
             new LeastRecentlyUsedMap<>(MAX_ANSWERED_CONTENTS);
     private final Map<String, Long> mCrashNanos = new LeastRecentlyUsedMap<>(MAX_CRASHES);
@@ -93,16 +93,22 @@
     /**
      * Returns a quarantined content for which a request with these contents must not be sent to a
      * server; empty when there is none or the request may be sent as a trial.
+     *
+     * @param request identity of the request
      */
-    public Optional<ContentFingerprint> findHeldBack(Collection<ContentFingerprint> contents) {
+    public Optional<ContentFingerprint> findHeldBack(
+            Collection<ContentFingerprint> contents, Object request) {
         return contents.stream()
-                .filter(content -> isQuarantined(content) && !mayTry(content, contents))
+                .filter(content -> isQuarantined(content) && !mayTry(content, contents, request))
                 .findFirst();
     }
 
-    private boolean mayTry(ContentFingerprint content, Collection<ContentFingerprint> contents) {
-        Long trial = mTrialNanos.get(content);
-        if (trial != null && mClock.elapsedSince(trial).compareTo(TRIAL_TIME) < 0) {
+    private boolean mayTry(
+            ContentFingerprint content, Collection<ContentFingerprint> contents, Object request) {
+        Trial trial = mTrials.get(content);
+        if (trial != null
+                && trial.request() != request
+                && mClock.elapsedSince(trial.startNanos()).compareTo(TRIAL_TIME) < 0) {
             return false;
         }
         List<ContentFingerprint> rivals = rivals(content);
@@ -130,12 +136,14 @@
     /**
      * Records that an attempt with these contents begins.
      *
+     * @param request identity of the request
      * @return the number of crashes known so far, to be kept with the attempt
      */
-    public long onAttemptStarted(Collection<ContentFingerprint> contents) {
+    public long onAttemptStarted(Collection<ContentFingerprint> contents, Object request) {
+        Trial trial = new Trial(request, mClock.monotonicNanos());
         contents.stream()
                 .filter(this::isQuarantined)
-                .forEach(content -> mTrialNanos.put(content, mClock.monotonicNanos()));
+                .forEach(content -> mTrials.put(content, trial));
         return mKnownCrashes;
     }
 
@@ -154,7 +162,7 @@
         List<ContentFingerprint> blamed = contents.stream().filter(this::isQuarantined).toList();
         List<CrashRecord> changed = new ArrayList<>();
         for (ContentFingerprint content : blamed.isEmpty() ? contents : blamed) {
-            mTrialNanos.remove(content);
+            mTrials.remove(content);
             History history = findOrCreate(content);
             if (history.add(process, history.depthAfter(process, knownAtStart))) {
                 changed.add(record(content));
@@ -171,7 +179,7 @@
     public List<CrashRecord> onAnswered(Collection<ContentFingerprint> contents) {
         List<CrashRecord> changed = new ArrayList<>();
         for (ContentFingerprint content : contents) {
-            mTrialNanos.remove(content);
+            mTrials.remove(content);
             if (answer(content, mClock.monotonicNanos())) {
                 changed.add(record(content));
             }
@@ -338,7 +346,7 @@
 
     private void removeExpired() {
         mHistories.values().removeIf(this::isExpired);
-        mTrialNanos.keySet().retainAll(mHistories.keySet());
+        mTrials.keySet().retainAll(mHistories.keySet());
     }
 
     /** Makes room in a full table: content that is not quarantined goes first, then the oldest. */
@@ -447,6 +455,13 @@
      */
     private record KnownCrash(int depth, long sequence) {}
 
+    /**
+     * A request that is sent although it holds quarantined content.
+     *
+     * <p>Thread safety: immutable.
+     */
+    private record Trial(Object request, long startNanos) {}
+
     /** A map that forgets what was not used for longest. */
     private static final class LeastRecentlyUsedMap<K, V> extends LinkedHashMap<K, V> {
         private static final long serialVersionUID = 1;
--- a/decision/src/test/java/org/bulrushvale/decision/retry/CrashSuspectsTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/retry/CrashSuspectsTest.java
@@ -17,6 +17,9 @@
     private static final ContentFingerprint SUBJECT = part("subject");
     private static final ContentFingerprint TEMPLATE = part("template");
 
+    private static final Object TRIED = "tried request";
+    private static final Object OTHER = "other request";
+
     private final ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
 
     private static ContentFingerprint part(String name) {
@@ -25,7 +28,7 @@
 
     private List<CrashRecord> crash(
             CrashSuspects suspects, String process, List<ContentFingerprint> contents) {
-        long known = suspects.onAttemptStarted(contents);
+        long known = suspects.onAttemptStarted(contents, TRIED);
         mClock.advance(Duration.ofMillis(100));
         return suspects.onCrash(contents, process, known);
     }
@@ -37,20 +40,20 @@
         crash(suspects, "s1", List.of(TEMPLATE, DEADLY));
         suspects.onAnswered(List.of(TEMPLATE));
         crash(suspects, "s2", List.of(TEMPLATE, DEADLY));
-        assertThat(suspects.findHeldBack(List.of(DEADLY))).isEmpty();
+        assertThat(suspects.findHeldBack(List.of(DEADLY), OTHER)).isEmpty();
         crash(suspects, "s3", List.of(TEMPLATE, DEADLY));
         // then
-        assertThat(suspects.findHeldBack(List.of(part("x"), DEADLY))).contains(DEADLY);
-        assertThat(suspects.findHeldBack(List.of(TEMPLATE))).isEmpty();
+        assertThat(suspects.findHeldBack(List.of(part("x"), DEADLY), OTHER)).contains(DEADLY);
+        assertThat(suspects.findHeldBack(List.of(TEMPLATE), OTHER)).isEmpty();
         mClock.advance(CrashSuspects.LIFETIME);
-        assertThat(suspects.findHeldBack(List.of(DEADLY))).isEmpty();
+        assertThat(suspects.findHeldBack(List.of(DEADLY), OTHER)).isEmpty();
     }
 
     @Test
     public void crashes_at_the_same_time_count_as_one() {
         CrashSuspects suspects = new CrashSuspects(mClock);
         // given twelve attempts that all began before the first crash
-        long known = suspects.onAttemptStarted(List.of(TEMPLATE));
+        long known = suspects.onAttemptStarted(List.of(TEMPLATE), TRIED);
         // when
         for (int i = 0; i < 12; i++) {
             suspects.onCrash(List.of(TEMPLATE), "s" + i, known);
@@ -66,15 +69,15 @@
         for (int i = 0; i < CrashSuspects.CHAIN_OF_UNANSWERED; i++) {
             crash(suspects, "s" + i, List.of(SUBJECT, DEADLY));
         }
-        assertThat(suspects.findHeldBack(List.of(SUBJECT, DEADLY))).isPresent();
+        assertThat(suspects.findHeldBack(List.of(SUBJECT, DEADLY), OTHER)).isPresent();
         // when a request holds one of them, it is tried, but no second one beside it
-        assertThat(suspects.findHeldBack(List.of(SUBJECT))).isEmpty();
-        suspects.onAttemptStarted(List.of(SUBJECT));
-        assertThat(suspects.findHeldBack(List.of(SUBJECT))).contains(SUBJECT);
+        assertThat(suspects.findHeldBack(List.of(SUBJECT), OTHER)).isEmpty();
+        suspects.onAttemptStarted(List.of(SUBJECT), TRIED);
+        assertThat(suspects.findHeldBack(List.of(SUBJECT), OTHER)).contains(SUBJECT);
         suspects.onAnswered(List.of(SUBJECT));
         // then
-        assertThat(suspects.findHeldBack(List.of(SUBJECT))).isEmpty();
-        assertThat(suspects.findHeldBack(List.of(DEADLY))).contains(DEADLY);
+        assertThat(suspects.findHeldBack(List.of(SUBJECT), OTHER)).isEmpty();
+        assertThat(suspects.findHeldBack(List.of(DEADLY), OTHER)).contains(DEADLY);
     }
 
     @Test
@@ -87,8 +90,8 @@
         // when
         crash(suspects, "s9", List.of(DEADLY, part("own")));
         // then
-        assertThat(suspects.findHeldBack(List.of(DEADLY))).contains(DEADLY);
-        assertThat(suspects.findHeldBack(List.of(SUBJECT))).isEmpty();
+        assertThat(suspects.findHeldBack(List.of(DEADLY), OTHER)).contains(DEADLY);
+        assertThat(suspects.findHeldBack(List.of(SUBJECT), OTHER)).isEmpty();
     }
 
     @Test
