Log the request rates that backend servers state

Cause: the logs could not tell whether an entry had been told a limit. Change: answers are read for a stated rate; each change of the rate of a process is logged as 'server_limit' and the number of such servers is a gauge. No decision uses it yet.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
@@ -3,6 +3,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.io.ByteArrayOutputStream;
+import java.util.OptionalDouble;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.adapters.forward.BackendResponseMetadata;
@@ -32,7 +33,10 @@
     private final Handler mHandler;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private Head mHead =
-            new Head(0, new HeaderMap(), new BackendResponseMetadata("", false, false));
+            new Head(
+                    0,
+                    new HeaderMap(),
+                    new BackendResponseMetadata("", false, false, OptionalDouble.empty()));
     private final AtomicInteger mPendingStreamBytes = new AtomicInteger();
     private boolean mStreaming;
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -109,6 +109,7 @@
                                 settings.limits().repeatWindow(),
                                 members::entryCount),
                         crashGuard,
+                        new StatedLimits(telemetry),
                         telemetry);
         mLocalExecutor = new LocalStageExecutor(services);
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -26,6 +26,7 @@
         ColdServerRateLimit coldLimit,
         RepeatBudget repeatBudget,
         CrashGuard crashGuard,
+        StatedLimits statedLimits,
         ForwardTelemetry telemetry) {
     /** Returns the failure domain that holds a stage result; empty when it is unknown. */
     String domainOf(String handle) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -319,6 +319,7 @@
     @Override
     public void onAnswer(ForwardAttempt.Head head, byte[] body) {
         Server server = clearAttempt();
+        mServices.statedLimits().onAnswer(server.published(), head.metadata());
         int status = head.status();
         if (head.metadata().notRun() || status == 421) {
             onRefusal(head, body, server);
@@ -371,6 +372,10 @@
     @Override
     public void onStreamBegin(ForwardAttempt.Head head) {
         mStreamHead = head;
+        Server server = mServer;
+        if (server != null) {
+            mServices.statedLimits().onAnswer(server.published(), head.metadata());
+        }
     }
 
     @Override
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -143,6 +143,7 @@
             byte[] body,
             long startedNanos) {
         Server server = call.server();
+        mServices.statedLimits().onAnswer(server.published(), metadata);
         if (status != 200) {
             if (metadata.notRun()) {
                 server.pauseFor(mServices.clock().monotonicNanos(), BUSY_PAUSE.toNanos());
