Let notices between entries carry records of any kind

Cause: the spreading of news over the fleet was tied to records of crashes. Change: FleetNotices spreads what implements SharedRecords; CrashSuspects does. No change of behaviour.

--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -7,6 +7,7 @@
 import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.kernel.verdict.Verdict;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A message between two processes of the fleet.
@@ -274,17 +275,36 @@
     }
 
     /**
-     * What the sender knows about crashes of servers beside contents. The answer is a notice with
-     * what the receiver knows and the sender may not.
+     * Records that entries share. The answer is a notice with what the receiver knows and the
+     * sender may not.
      *
      * <p>Thread safety: immutable.
+     */
+    sealed interface Notice<R> extends PeerMessage {
+        /** Returns the digest of all records of this kind that the sender knows. */
+        long digest();
+
+        /** Returns the records; empty when only the digests are to be compared. */
+        List<R> records();
+
+        /** Returns a message as an answer to this notice; null when it is of another kind. */
+        @Nullable Notice<R> answer(@Nullable PeerMessage message);
+    }
+
+    /**
+     * What the sender knows about crashes of servers beside contents.
      *
-     * @param digest digest of all that the sender knows
+     * <p>Thread safety: immutable.
      */
-    record CrashNotice(long digest, List<CrashRecord> records) implements PeerMessage {
+    record CrashNotice(long digest, List<CrashRecord> records) implements Notice<CrashRecord> {
         public CrashNotice {
             records = List.copyOf(records);
         }
+
+        @Override
+        public @Nullable CrashNotice answer(@Nullable PeerMessage message) {
+            return message instanceof CrashNotice notice ? notice : null;
+        }
     }
 
     /**
--- a/daemon/src/main/java/org/bulrushvale/daemon/CrashNotices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/FleetNotices.java
@@ -3,24 +3,26 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.bulrushvale.adapters.peer.PeerMessage;
-import org.bulrushvale.decision.retry.CrashRecord;
-import org.bulrushvale.decision.retry.CrashSuspects;
+import org.bulrushvale.decision.membership.SharedRecords;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Spreads what entries know about crashes beside contents over the fleet.
+ * Spreads records that entries share over the fleet.
  *
  * <p>News goes to a few random entries at once, and each entry that learns something passes it on,
- * so the cost of one crash for an entry does not grow with the fleet. What got lost, or what an
+ * so the cost of one record for an entry does not grow with the fleet. What got lost, or what an
  * entry missed while it was down, frozen or cut off, is made up for by a periodic comparison of
  * digests with random entries.
  *
  * <p>Thread safety: used on the event loop.
+ *
+ * @param <R> type of the records
  */
-public final class CrashNotices {
+public final class FleetNotices<R> {
     private static final int PUSH_TARGETS = 4;
     private static final int COMPARE_TARGETS = 2;
     private static final Duration COMPARE_PERIOD = Duration.ofSeconds(1);
@@ -32,17 +34,23 @@
     // About 10 KB at 150 bytes per record.
     private static final int MAX_RECORDS_PER_NOTICE = 64;
 
-    private final CrashSuspects mSuspects;
-    private final Consumer<List<CrashRecord>> mOnLearned;
+    private final SharedRecords<R> mRecords;
+    private final BiFunction<Long, List<R>, PeerMessage.Notice<R>> mNewNotice;
+    private final Consumer<List<R>> mOnLearned;
     private Peers mPeers = new NoPeers();
 
     /**
-     * Creates notices that keep a table up to date.
+     * Creates notices that keep the records of this entry up to date.
      *
+     * @param newNotice creates a message from a digest and records
      * @param onLearned called with the records that other entries changed
      */
-    public CrashNotices(CrashSuspects suspects, Consumer<List<CrashRecord>> onLearned) {
-        mSuspects = suspects;
+    public FleetNotices(
+            SharedRecords<R> records,
+            BiFunction<Long, List<R>, PeerMessage.Notice<R>> newNotice,
+            Consumer<List<R>> onLearned) {
+        mRecords = records;
+        mNewNotice = newNotice;
         mOnLearned = onLearned;
     }
 
@@ -60,8 +68,14 @@
         /** Returns at most {@code count} random entries. */
         Collection<String> choose(int count);
 
-        /** Sends a message; calls {@code onAnswer} on the event loop, with null without one. */
-        void request(String peer, PeerMessage message, Consumer<@Nullable PeerMessage> onAnswer);
+        /**
+         * Sends a notice; calls {@code onAnswer} on the event loop, with null when there is no
+         * answer of the same kind.
+         */
+        <R> void request(
+                String peer,
+                PeerMessage.Notice<R> notice,
+                Consumer<PeerMessage.@Nullable Notice<R>> onAnswer);
     }
 
     void connect(Peers peers) {
@@ -69,51 +83,51 @@
     }
 
     /** Sends records that changed at this entry to other entries. */
-    public void push(List<CrashRecord> changed) {
+    public void push(List<R> changed) {
         for (int from = 0; from < changed.size(); from += MAX_RECORDS_PER_NOTICE) {
             int to = Math.min(changed.size(), from + MAX_RECORDS_PER_NOTICE);
-            PeerMessage notice =
-                    new PeerMessage.CrashNotice(mSuspects.digest(), changed.subList(from, to));
+            PeerMessage.Notice<R> notice = notice(changed.subList(from, to));
             for (String peer : mPeers.choose(PUSH_TARGETS)) {
                 mPeers.request(peer, notice, this::learn);
             }
         }
     }
 
+    private PeerMessage.Notice<R> notice(List<R> records) {
+        return mNewNotice.apply(mRecords.digest(), records);
+    }
+
     /** Compares digests with random entries, and exchanges records where they differ. */
     void compare() {
-        PeerMessage digest = new PeerMessage.CrashNotice(mSuspects.digest(), List.of());
+        PeerMessage.Notice<R> digest = notice(List.of());
         for (String peer : mPeers.choose(COMPARE_TARGETS)) {
             mPeers.request(peer, digest, answer -> onDigestAnswer(peer, answer));
         }
     }
 
-    private void onDigestAnswer(String peer, @Nullable PeerMessage answer) {
+    private void onDigestAnswer(String peer, PeerMessage.@Nullable Notice<R> answer) {
         learn(answer);
-        if (answer instanceof PeerMessage.CrashNotice notice
-                && mSuspects.digest() != notice.digest()
-                && !mSuspects.isEmpty()) {
+        if (answer != null && mRecords.digest() != answer.digest() && !mRecords.isEmpty()) {
             mPeers.request(peer, fullNotice(), this::learn);
         }
     }
 
-    private void learn(@Nullable PeerMessage answer) {
-        if (answer instanceof PeerMessage.CrashNotice notice) {
-            merge(notice);
+    private void learn(PeerMessage.@Nullable Notice<R> answer) {
+        if (answer != null) {
+            merge(answer);
         }
     }
 
     /** Merges a notice of another entry; returns the answer to it. */
-    public PeerMessage receive(PeerMessage.CrashNotice notice) {
-        if (notice.records().isEmpty() && notice.digest() != mSuspects.digest()) {
+    public PeerMessage.Notice<R> receive(PeerMessage.Notice<R> received) {
+        if (received.records().isEmpty() && received.digest() != mRecords.digest()) {
             return fullNotice();
         }
-        List<CrashRecord> corrections = merge(notice);
-        return new PeerMessage.CrashNotice(mSuspects.digest(), corrections);
+        return notice(merge(received));
     }
 
-    private List<CrashRecord> merge(PeerMessage.CrashNotice notice) {
-        CrashSuspects.Merged merged = mSuspects.merge(notice.records());
+    private List<R> merge(PeerMessage.Notice<R> received) {
+        SharedRecords.Merged<R> merged = mRecords.merge(received.records());
         if (!merged.changed().isEmpty()) {
             mOnLearned.accept(merged.changed());
             push(merged.changed());
@@ -121,9 +135,8 @@
         return merged.corrections();
     }
 
-    private PeerMessage.CrashNotice fullNotice() {
-        return new PeerMessage.CrashNotice(
-                mSuspects.digest(), mSuspects.records(MAX_RECORDS_PER_NOTICE));
+    private PeerMessage.Notice<R> fullNotice() {
+        return notice(mRecords.records(MAX_RECORDS_PER_NOTICE));
     }
 
     private static final class NoPeers implements Peers {
@@ -133,8 +146,10 @@
         }
 
         @Override
-        public void request(
-                String peer, PeerMessage message, Consumer<@Nullable PeerMessage> onAnswer) {
+        public <R> void request(
+                String peer,
+                PeerMessage.Notice<R> notice,
+                Consumer<PeerMessage.@Nullable Notice<R>> onAnswer) {
             onAnswer.accept(null);
         }
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/PoisonGuard.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/PoisonGuard.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.bulrushvale.adapters.peer.PeerMessage;
 import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.decision.retry.CrashSuspects;
 import org.bulrushvale.decision.retry.PoisonRecord;
@@ -24,7 +25,7 @@
 
     private final PoisonTable mTable;
     private final CrashSuspects mSuspects;
-    private final CrashNotices mNotices;
+    private final FleetNotices<CrashRecord> mNotices;
     private final ServerPicker mPicker;
     private final Map<String, List<LostAttempt>> mLostAttemptsByServer = new HashMap<>();
     private RecordSpreader mSpreader = (records, continuation) -> continuation.run();
@@ -34,7 +35,7 @@
         mTable = table;
         mSuspects = suspects;
         mPicker = picker;
-        mNotices = new CrashNotices(suspects, this::logQuarantined);
+        mNotices = new FleetNotices<>(suspects, PeerMessage.CrashNotice::new, this::logQuarantined);
     }
 
     /**
@@ -79,7 +80,7 @@
     }
 
     /** Returns the exchange of crashes beside lines of inputs with the other entries. */
-    CrashNotices notices() {
+    FleetNotices<CrashRecord> notices() {
         return mNotices;
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/fleet/FleetNode.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/fleet/FleetNode.java
@@ -22,7 +22,7 @@
 import org.bulrushvale.adapters.platform.PlatformListener;
 import org.bulrushvale.adapters.platform.PlatformReader;
 import org.bulrushvale.adapters.settings.EntrySettings;
-import org.bulrushvale.daemon.CrashNotices;
+import org.bulrushvale.daemon.FleetNotices;
 import org.bulrushvale.decision.config.ConfigDigest;
 import org.bulrushvale.decision.config.ConfigStore;
 import org.bulrushvale.decision.keys.KeySpaces;
@@ -32,6 +32,7 @@
 import org.bulrushvale.decision.membership.PeerTable;
 import org.bulrushvale.decision.membership.ReaderSelection;
 import org.bulrushvale.decision.membership.VmList;
+import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.decision.retry.PoisonTable;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
@@ -80,7 +81,7 @@
     private final KeyForwarder mForwarder;
     private final PoisonNotifier mPoisonNotifier;
     private WarmthExchange mWarmth = WarmthExchange.none();
-    private volatile @Nullable CrashNotices mCrashNotices;
+    private volatile @Nullable FleetNotices<CrashRecord> mCrashNotices;
     private volatile @Nullable EventHandler mEventHandler;
     private volatile @Nullable PlatformReader mPlatformReader;
     private volatile Consumer<ConfirmedValue<VmList>> mOnVmList = view -> {};
@@ -211,9 +212,9 @@
     }
 
     /** Begins to exchange notices of crashes with the peers. */
-    public void crashNotices(CrashNotices notices) {
+    public void crashNotices(FleetNotices<CrashRecord> notices) {
         mCrashNotices = notices;
-        notices.start(mLoop, new CrashNoticePeers(mLoop, mTransport, this::peerNames));
+        notices.start(mLoop, new NoticePeers(mLoop, mTransport, this::peerNames));
     }
 
     /** Sets the exchange that provides and receives warmth announcements. */
@@ -507,7 +508,7 @@
         } else if (message instanceof PeerMessage.PoisonNotice notice) {
             mLoop.execute(() -> mPoisonNotifier.receive(notice, reply));
         } else if (message instanceof PeerMessage.CrashNotice notice) {
-            CrashNotices notices = mCrashNotices;
+            FleetNotices<CrashRecord> notices = mCrashNotices;
             if (notices != null) {
                 mLoop.execute(() -> reply.send(notices.receive(notice)));
             }
--- a/daemon/src/main/java/org/bulrushvale/daemon/fleet/CrashNoticePeers.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/fleet/NoticePeers.java
@@ -9,23 +9,23 @@
 import java.util.function.Supplier;
 import org.bulrushvale.adapters.peer.PeerMessage;
 import org.bulrushvale.adapters.peer.PeerTransport;
-import org.bulrushvale.daemon.CrashNotices;
+import org.bulrushvale.daemon.FleetNotices;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.jspecify.annotations.Nullable;
 
 /**
- * The peers with which an entry exchanges notices of crashes.
+ * The peers with which an entry exchanges notices.
  *
  * <p>Thread safety: used on the event loop.
  */
-final class CrashNoticePeers implements CrashNotices.Peers {
+final class NoticePeers implements FleetNotices.Peers {
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
     private final EventLoop mLoop;
     private final PeerTransport mTransport;
     private final Supplier<List<String>> mNames;
 
-    CrashNoticePeers(EventLoop loop, PeerTransport transport, Supplier<List<String>> names) {
+    NoticePeers(EventLoop loop, PeerTransport transport, Supplier<List<String>> names) {
         mLoop = loop;
         mTransport = transport;
         mNames = names;
@@ -39,10 +39,14 @@
     }
 
     @Override
-    public void request(
-            String peer, PeerMessage message, Consumer<@Nullable PeerMessage> onAnswer) {
+    public <R> void request(
+            String peer,
+            PeerMessage.Notice<R> notice,
+            Consumer<PeerMessage.@Nullable Notice<R>> onAnswer) {
         mTransport
-                .request(peer, message, TIMEOUT)
-                .whenComplete((answer, error) -> mLoop.execute(() -> onAnswer.accept(answer)));
+                .request(peer, notice, TIMEOUT)
+                .whenComplete(
+                        (answer, error) ->
+                                mLoop.execute(() -> onAnswer.accept(notice.answer(answer))));
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashGuard.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashGuard.java
@@ -4,7 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.bulrushvale.daemon.CrashNotices;
+import org.bulrushvale.adapters.peer.PeerMessage;
+import org.bulrushvale.daemon.FleetNotices;
 import org.bulrushvale.decision.forward.PublishedBackend;
 import org.bulrushvale.decision.retry.ContentFingerprint;
 import org.bulrushvale.decision.retry.CrashRecord;
@@ -21,7 +22,7 @@
     private final ServerLivenessCheck mLivenessCheck;
     private final DecisionLog mLog;
     private final Set<ContentFingerprint> mLoggedQuarantines = new HashSet<>();
-    private final CrashNotices mNotices;
+    private final FleetNotices<CrashRecord> mNotices;
 
     CrashGuard(
             CrashSuspects suspects,
@@ -31,11 +32,14 @@
         mLivenessCheck = livenessCheck;
         mLog = telemetry.log();
         mNotices =
-                new CrashNotices(suspects, changed -> changed.forEach(r -> logChange(r, "peer")));
+                new FleetNotices<>(
+                        suspects,
+                        PeerMessage.CrashNotice::new,
+                        changed -> changed.forEach(r -> logChange(r, "peer")));
         telemetry.metrics().gauge("bulrushvale.quarantined.contents", mLoggedQuarantines::size);
     }
 
-    CrashNotices notices() {
+    FleetNotices<CrashRecord> notices() {
         return mNotices;
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -24,7 +24,7 @@
 import org.bulrushvale.adapters.peer.PeerMessage;
 import org.bulrushvale.adapters.peer.PeerTransport;
 import org.bulrushvale.adapters.settings.ForwardSettings;
-import org.bulrushvale.daemon.CrashNotices;
+import org.bulrushvale.daemon.FleetNotices;
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
@@ -46,7 +46,7 @@
 final class FleetStageExecutor
         implements StageExecutor,
                 PublishedStateRelay.PeerRequester,
-                CrashNotices.Peers,
+                FleetNotices.Peers,
                 AutoCloseable {
     private static final Duration EXCHANGE_PERIOD = Duration.ofSeconds(1);
 
@@ -246,9 +246,11 @@
     }
 
     @Override
-    public void request(
-            String peer, PeerMessage message, Consumer<@Nullable PeerMessage> onAnswer) {
-        request(peer, message, SILENCE_LIMIT, onAnswer);
+    public <R> void request(
+            String peer,
+            PeerMessage.Notice<R> notice,
+            Consumer<PeerMessage.@Nullable Notice<R>> onAnswer) {
+        request(peer, notice, SILENCE_LIMIT, answer -> onAnswer.accept(notice.answer(answer)));
     }
 
     /** Sets what answers entries that ask for the published state. */
--- a/daemon/src/test/java/org/bulrushvale/daemon/CrashNoticesFleetTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/CrashNoticesFleetTest.java
@@ -15,6 +15,7 @@
 import java.util.stream.IntStream;
 import org.bulrushvale.adapters.peer.PeerMessage;
 import org.bulrushvale.decision.retry.ContentFingerprint;
+import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.decision.retry.CrashSuspects;
 import org.bulrushvale.kernel.time.ManualClock;
 import org.jspecify.annotations.Nullable;
@@ -244,18 +245,19 @@
         }
 
         /** One entry, whose messages take up to 30 ms and get lost at times. */
-        private final class Entry implements CrashNotices.Peers {
+        private final class Entry implements FleetNotices.Peers {
             private final int mIndex;
             private CrashSuspects mSuspects = new CrashSuspects(mClock);
-            private CrashNotices mNotices = newNotices();
+            private FleetNotices<CrashRecord> mNotices = newNotices();
             private long mUnreachableUntil = -STABLE_MILLIS;
 
             Entry(int index) {
                 mIndex = index;
             }
 
-            private CrashNotices newNotices() {
-                CrashNotices notices = new CrashNotices(mSuspects, changed -> {});
+            private FleetNotices<CrashRecord> newNotices() {
+                FleetNotices<CrashRecord> notices =
+                        new FleetNotices<>(mSuspects, PeerMessage.CrashNotice::new, changed -> {});
                 notices.connect(this);
                 return notices;
             }
@@ -285,8 +287,10 @@
             }
 
             @Override
-            public void request(
-                    String peer, PeerMessage message, Consumer<@Nullable PeerMessage> onAnswer) {
+            public <R> void request(
+                    String peer,
+                    PeerMessage.Notice<R> notice,
+                    Consumer<PeerMessage.@Nullable Notice<R>> onAnswer) {
                 Entry other = mEntries.get(Integer.parseInt(peer));
                 if (isDisturbed(0) || mRandom.nextDouble() < MESSAGE_LOSS) {
                     return;
@@ -298,8 +302,10 @@
                                 return;
                             }
                             PeerMessage answer =
-                                    other.mNotices.receive((PeerMessage.CrashNotice) message);
-                            at(now() + 1 + mRandom.nextInt(30), () -> onAnswer.accept(answer));
+                                    other.mNotices.receive((PeerMessage.CrashNotice) notice);
+                            at(
+                                    now() + 1 + mRandom.nextInt(30),
+                                    () -> onAnswer.accept(notice.answer(answer)));
                         });
             }
         }
--- a/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
@@ -13,6 +13,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import net.openhft.hashing.LongHashFunction;
+import org.bulrushvale.decision.membership.SharedRecords;
 import org.bulrushvale.kernel.time.Clock;
 import org.jspecify.annotations.Nullable;
 
@@ -35,7 +36,7 @@
  * first hears of it; the table holds at most {@value #MAX_HISTORIES} histories. Thread safety: not
  * safe; used by the event loop.
  */
-public final class CrashSuspects {
+public final class CrashSuspects implements SharedRecords<CrashRecord> {
     /** Time since its last crash after which content is no longer quarantined. */
     public static final Duration LIFETIME = Duration.ofMinutes(15);
 
@@ -80,6 +81,7 @@
     }
 
     /** Returns true when no content is suspect, so that requests need not be examined. */
+    @Override
     public boolean isEmpty() {
         return mHistories.isEmpty();
     }
@@ -214,8 +216,8 @@
         return answered != null && crashed != null && answered - crashed >= 0;
     }
 
-    /** Merges records of another entry. */
-    public Merged merge(Collection<CrashRecord> records) {
+    @Override
+    public Merged<CrashRecord> merge(Collection<CrashRecord> records) {
         Set<ContentFingerprint> changed = new LinkedHashSet<>();
         Set<ContentFingerprint> corrections = new LinkedHashSet<>();
         for (CrashRecord record : records) {
@@ -239,7 +241,7 @@
                 }
             }
         }
-        return new Merged(
+        return new Merged<>(
                 changed.stream().map(this::record).toList(),
                 corrections.stream().map(this::record).toList());
     }
@@ -259,6 +261,7 @@
      * Returns at most {@code limit} records: those of quarantined content first, then others that
      * differ from call to call.
      */
+    @Override
     public List<CrashRecord> records(int limit) {
         removeExpired();
         LongHashFunction shuffle = LongHashFunction.xx(mRecordsCalls++);
@@ -271,7 +274,7 @@
                 .toList();
     }
 
-    /** Returns a number that is equal at entries that know the same, whatever their clocks say. */
+    @Override
     public long digest() {
         long now = mClock.monotonicNanos();
         if (!mDigestIsCurrent || now - mDigestNanos > DIGEST_PERIOD.toNanos()) {
@@ -361,16 +364,6 @@
         mDigestIsCurrent = false;
     }
 
-    /**
-     * Result of merging the records of another entry.
-     *
-     * <p>Thread safety: immutable.
-     *
-     * @param changed records that held something new, for further entries
-     * @param corrections records by which the sender learns of answers that it does not know
-     */
-    public record Merged(List<CrashRecord> changed, List<CrashRecord> corrections) {}
-
     /**
      * The crashes beside one content that no answer has refuted.
      *
--- a/decision/src/test/java/org/bulrushvale/decision/retry/CrashSuspectsTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/retry/CrashSuspectsTest.java
@@ -8,6 +8,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import org.bulrushvale.decision.membership.SharedRecords;
 import org.bulrushvale.kernel.time.ManualClock;
 import org.testng.annotations.Test;
 
@@ -130,7 +131,7 @@
         mClock.advance(Duration.ofMillis(50));
         second.onAnswered(List.of(TEMPLATE));
         // when
-        CrashSuspects.Merged merged = second.merge(first.records(10));
+        SharedRecords.Merged<CrashRecord> merged = second.merge(first.records(10));
         first.merge(merged.corrections());
         // then
         assertThat(merged.changed()).isEmpty();
