Share the rates that servers state among all forwarding entries

Callers saw little; backend servers in need got up to 14 requests in 4 s where they had stated 1.2 a second. Cause: no entry read the rate. It is the class of faults in which a limit for the whole fleet is applied by each entry for itself, or by none. Change: StatedRateLimits divides the requests that a rate allows in 4 s among the entries by rank, so a rate lower than the number of entries is used, and applies to every send: requests, repeats and stage calls, for which the collector has the whole rate. FleetNotices spreads what one entry is told; a newer record replaces an older one, an answer without a rate lifts it.

--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/CrashCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/NoticeCodec.java
@@ -1,26 +1,42 @@
 package org.bulrushvale.adapters.peer;
 
 import java.io.IOException;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.bulrushvale.adapters.peer.PeerCodec.FieldReader;
+import org.bulrushvale.decision.forward.StatedRate;
 import org.bulrushvale.decision.retry.ContentFingerprint;
 import org.bulrushvale.decision.retry.CrashRecord;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Encodes and decodes notices of crashes beside contents.
+ * Encodes and decodes the records that entries share.
  *
  * <p>Thread safety: stateless.
  */
-final class CrashCodec {
+final class NoticeCodec {
     private static final long NEVER_ANSWERED = -1;
+    private static final double NO_RATE = -1;
 
-    private CrashCodec() {}
+    private NoticeCodec() {}
 
-    static void write(PeerMessage.CrashNotice notice, MessageBufferPacker out) throws IOException {
+    static void write(PeerMessage.Notice<?> notice, MessageBufferPacker out) throws IOException {
         out.packLong(notice.digest());
         out.packArrayHeader(notice.records().size());
+        if (notice instanceof PeerMessage.RateNotice rates) {
+            for (StatedRate rate : rates.records()) {
+                out.packString(rate.process());
+                out.packDouble(rate.requestsPerSecond().orElse(NO_RATE));
+                out.packLong(rate.ageMillis());
+            }
+        } else if (notice instanceof PeerMessage.CrashNotice crashes) {
+            writeCrashes(crashes, out);
+        }
+    }
+
+    private static void writeCrashes(PeerMessage.CrashNotice notice, MessageBufferPacker out)
+            throws IOException {
         for (CrashRecord record : notice.records()) {
             out.packLong(record.content().high()).packLong(record.content().low());
             out.packArrayHeader(record.crashes().size());
@@ -31,11 +47,27 @@
         }
     }
 
-    static PeerMessage.CrashNotice read(FieldReader in) throws IOException {
+    static PeerMessage.CrashNotice readCrashes(FieldReader in) throws IOException {
         MessageUnpacker unpacker = in.unpacker();
         return new PeerMessage.CrashNotice(unpacker.unpackLong(), in.list(() -> readRecord(in)));
     }
 
+    static PeerMessage.RateNotice readRates(FieldReader in) throws IOException {
+        MessageUnpacker unpacker = in.unpacker();
+        return new PeerMessage.RateNotice(
+                unpacker.unpackLong(),
+                in.list(
+                        () ->
+                                new StatedRate(
+                                        in.text(),
+                                        rate(unpacker.unpackDouble()),
+                                        unpacker.unpackLong())));
+    }
+
+    private static OptionalDouble rate(double value) {
+        return value >= 0 ? OptionalDouble.of(value) : OptionalDouble.empty();
+    }
+
     private static CrashRecord readRecord(FieldReader in) throws IOException {
         MessageUnpacker unpacker = in.unpacker();
         return new CrashRecord(
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
@@ -105,8 +105,8 @@
             writeBytes(hello.nonce(), out);
         } else if (message instanceof PeerMessage.Proof proof) {
             writeBytes(proof.mac(), out);
-        } else if (message instanceof PeerMessage.CrashNotice notice) {
-            CrashCodec.write(notice, out);
+        } else if (message instanceof PeerMessage.Notice<?> notice) {
+            NoticeCodec.write(notice, out);
         } else if (PublishedCodec.isHandled(message)) {
             PublishedCodec.write(message, out);
         } else {
@@ -213,7 +213,8 @@
             case STAGE_RELEASE -> StageCodec.readRelease(in);
             case PUBLISHED_FETCH -> PublishedCodec.readFetch(in);
             case PUBLISHED_CHANGES -> PublishedCodec.readChanges(in);
-            case CRASH_NOTICE -> CrashCodec.read(in);
+            case CRASH_NOTICE -> NoticeCodec.readCrashes(in);
+            case RATE_NOTICE -> NoticeCodec.readRates(in);
         };
     }
 
@@ -259,7 +260,8 @@
         STAGE_RELEASE(PeerMessage.StageRelease.class),
         PUBLISHED_FETCH(PeerMessage.PublishedFetch.class),
         PUBLISHED_CHANGES(PeerMessage.PublishedChanges.class),
-        CRASH_NOTICE(PeerMessage.CrashNotice.class);
+        CRASH_NOTICE(PeerMessage.CrashNotice.class),
+        RATE_NOTICE(PeerMessage.RateNotice.class);
 
         private final Class<? extends PeerMessage> mMessageClass;
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
 import org.bulrushvale.decision.forward.PublishedItems;
+import org.bulrushvale.decision.forward.StatedRate;
 import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.kernel.verdict.Verdict;
 import org.jspecify.annotations.Nullable;
@@ -307,6 +308,22 @@
         }
     }
 
+    /**
+     * The request rates that backend servers stated last.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record RateNotice(long digest, List<StatedRate> records) implements Notice<StatedRate> {
+        public RateNotice {
+            records = List.copyOf(records);
+        }
+
+        @Override
+        public @Nullable RateNotice answer(@Nullable PeerMessage message) {
+            return message instanceof RateNotice notice ? notice : null;
+        }
+    }
+
     /**
      * Announces that the sender shuts down.
      *
--- a/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
@@ -5,9 +5,14 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.bulrushvale.decision.forward.PublishedItem;
 import org.bulrushvale.decision.forward.PublishedItems;
+import org.bulrushvale.decision.forward.StatedRate;
+import org.bulrushvale.decision.retry.ContentFingerprint;
+import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.kernel.verdict.Verdict;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -66,9 +71,23 @@
             {new PeerMessage.MemberList(List.of(new PeerMessage.Member("m", "como", true, 5)))},
             {new PeerMessage.PublishedFetch(List.of(new PeerMessage.KnownRevision("op/", -1)))},
             {PUBLISHED_CHANGES},
+            {new PeerMessage.CrashNotice(7, List.of(CRASH_RECORD))},
+            {
+                new PeerMessage.RateNotice(
+                        9,
+                        List.of(
+                                new StatedRate("i-1/5", OptionalDouble.of(1.5), 20),
+                                new StatedRate("i-2/5", OptionalDouble.empty(), 0)))
+            },
         };
     }
 
+    private static final CrashRecord CRASH_RECORD =
+            new CrashRecord(
+                    new ContentFingerprint(1, -2),
+                    List.of(new CrashRecord.Crash("i-1/5", 3, 40)),
+                    OptionalLong.of(7));
+
     private static byte[] payload(PeerMessage message) throws PeerException {
         ByteBuffer frame = PeerCodec.encode(5, message);
         byte[] payload = new byte[frame.getInt()];
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -26,6 +26,8 @@
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.daemon.FleetNotices;
 import org.bulrushvale.decision.forward.MemberTable;
+import org.bulrushvale.decision.forward.StatedRate;
+import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
 import org.jspecify.annotations.Nullable;
@@ -80,6 +82,7 @@
     private BiConsumer<PeerMessage.PublishedFetch, PeerListener.Responder> mPublishedFetchHandler =
             (fetch, reply) -> {};
     private Function<PeerMessage.CrashNotice, PeerMessage> mCrashNoticeHandler = notice -> notice;
+    private Function<PeerMessage.RateNotice, PeerMessage> mRateNoticeHandler = notice -> notice;
 
     private FleetStageExecutor(
             ForwardSettings settings,
@@ -232,12 +235,20 @@
             mPublishedFetchHandler.accept(fetch, reply);
         } else if (message instanceof PeerMessage.CrashNotice notice) {
             reply.send(mCrashNoticeHandler.apply(notice));
+        } else if (message instanceof PeerMessage.RateNotice notice) {
+            reply.send(mRateNoticeHandler.apply(notice));
         }
     }
 
-    /** Sets what merges notices of crashes and answers them. */
-    void onCrashNotice(Function<PeerMessage.CrashNotice, PeerMessage> handler) {
-        mLoop.execute(() -> mCrashNoticeHandler = handler);
+    /** Begins to exchange notices with the other members. */
+    void exchangeNotices(FleetNotices<CrashRecord> crashes, FleetNotices<StatedRate> rates) {
+        mLoop.execute(
+                () -> {
+                    mCrashNoticeHandler = crashes::receive;
+                    mRateNoticeHandler = rates::receive;
+                });
+        crashes.start(mLoop, this);
+        rates.start(mLoop, this);
     }
 
     @Override
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -18,6 +18,7 @@
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
 import org.bulrushvale.decision.forward.ServerChoice;
+import org.bulrushvale.decision.forward.StatedRateLimits;
 import org.bulrushvale.decision.retry.CrashSuspects;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
@@ -93,6 +94,8 @@
         ColdServerRateLimit coldLimit = new ColdServerRateLimit(mClock, members);
         ForwardTelemetry telemetry = new ForwardTelemetry(mLog, metrics);
         CrashGuard crashGuard = newCrashGuard(telemetry);
+        StatedLimits statedLimits =
+                new StatedLimits(new StatedRateLimits(mClock, members), telemetry);
         ForwardServices services =
                 new ForwardServices(
                         mLoop,
@@ -100,7 +103,7 @@
                         mUpstreamClient,
                         mProtocol,
                         mPublishedState,
-                        new ServerChoice(mClock, coldLimit),
+                        new ServerChoice(mClock, coldLimit, statedLimits.limits()),
                         coldLimit,
                         new RepeatBudget(
                                 mClock,
@@ -109,18 +112,22 @@
                                 settings.limits().repeatWindow(),
                                 members::entryCount),
                         crashGuard,
-                        new StatedLimits(telemetry),
+                        statedLimits,
+                        members,
                         telemetry);
         mLocalExecutor = new LocalStageExecutor(services);
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
-        mFleet.onCrashNotice(crashGuard.notices()::receive);
-        crashGuard.notices().start(mLoop, mFleet);
+        mFleet.exchangeNotices(crashGuard.notices(), statedLimits.notices());
         mCore = new ForwardCore(services, mFleet);
         mServer = ForwardServer.start(settings, mWorker, mCore, metrics::scrape, mClock);
         mLoop.scheduleWithFixedDelay(DISPATCH_PERIOD, mLocalExecutor::dispatch);
+        startRelay(members);
+    }
+
+    private void startRelay(MemberTable members) {
         PublishedStateRelay relay =
                 new PublishedStateRelay(
-                        settings,
+                        mSettings,
                         mLoop,
                         mClock,
                         mLog,
@@ -129,7 +136,7 @@
                         mPublishedStateWatcher,
                         mPublishedState);
         mFleet.onPublishedFetch(relay::answer);
-        relay.start(settings, mUpstreamClient);
+        relay.start(mSettings, mUpstreamClient);
     }
 
     private CrashGuard newCrashGuard(ForwardTelemetry telemetry) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -4,6 +4,7 @@
 import org.bulrushvale.adapters.forward.UpstreamClient;
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.decision.forward.ColdServerRateLimit;
+import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
 import org.bulrushvale.decision.forward.ServerChoice;
 import org.bulrushvale.kernel.event.EventLoop;
@@ -27,6 +28,7 @@
         RepeatBudget repeatBudget,
         CrashGuard crashGuard,
         StatedLimits statedLimits,
+        MemberTable members,
         ForwardTelemetry telemetry) {
     /** Returns the failure domain that holds a stage result; empty when it is unknown. */
     String domainOf(String handle) {
@@ -37,6 +39,11 @@
         }
     }
 
+    /** Returns true when this entry makes the stage calls of all entries to a service. */
+    boolean isCollector(String service) {
+        return members.collector(service).equals(members.self());
+    }
+
     DecisionLog log() {
         return telemetry.log();
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -285,6 +285,7 @@
         if (server.isCold(mServices.clock().monotonicNanos())) {
             mServices.coldLimit().recordSent(server);
         }
+        mServices.statedLimits().limits().recordSent(server.published().processName());
         mServices
                 .log()
                 .line("send")
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -80,7 +80,16 @@
             expired.deliver(PieceResult.failed(PieceResult.Outcome.LATE));
         }
         List<Server> servers = mServices.publishedState().directory().eligibleServers(mService);
-        limits().ifPresent(limits -> mQueue.nextCalls(servers, limits).forEach(this::start));
+        limits().ifPresent(
+                        limits ->
+                                mQueue.nextCalls(servers, limits, this::permits)
+                                        .forEach(this::start));
+    }
+
+    private int permits(Server server) {
+        boolean onlySender = mServices.isCollector(mService);
+        String process = server.published().processName();
+        return mServices.statedLimits().limits().permits(process, onlySender);
     }
 
     private Optional<PieceLimits> limits() {
@@ -100,6 +109,7 @@
         HeaderMap headers = new HeaderMap();
         mServices.protocol().addExpectedServer(server, headers);
         PublishedBackend backend = call.server().published();
+        mServices.statedLimits().limits().recordSent(backend.processName());
         mServices
                 .upstreamClient()
                 .start(
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StatedLimits.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StatedLimits.java
@@ -1,39 +1,62 @@
 package org.bulrushvale.daemon.forward;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.List;
+import java.util.OptionalDouble;
 import org.bulrushvale.adapters.forward.BackendResponseMetadata;
+import org.bulrushvale.adapters.peer.PeerMessage;
+import org.bulrushvale.daemon.FleetNotices;
 import org.bulrushvale.decision.forward.PublishedBackend;
+import org.bulrushvale.decision.forward.StatedRate;
+import org.bulrushvale.decision.forward.StatedRateLimits;
 
 /**
- * The request rates that backend servers state in their answers.
+ * Reads the request rates that backend servers state in their answers, and shares them with the
+ * other entries.
  *
  * <p>Thread safety: used on the event loop.
  */
 final class StatedLimits {
+    private final StatedRateLimits mLimits;
     private final DecisionLog mLog;
-    private final Map<String, Double> mRates = new HashMap<>();
+    private final FleetNotices<StatedRate> mNotices;
 
-    StatedLimits(ForwardServices.ForwardTelemetry telemetry) {
+    StatedLimits(StatedRateLimits limits, ForwardServices.ForwardTelemetry telemetry) {
+        mLimits = limits;
         mLog = telemetry.log();
-        telemetry.metrics().gauge("bulrushvale.limited.servers", mRates::size);
+        mNotices =
+                new FleetNotices<>(
+                        limits, PeerMessage.RateNotice::new, changed -> log(changed, "peer"));
+        telemetry.metrics().gauge("bulrushvale.limited.servers", limits::count);
+    }
+
+    StatedRateLimits limits() {
+        return mLimits;
+    }
+
+    FleetNotices<StatedRate> notices() {
+        return mNotices;
     }
 
     /** Records what a server states in an answer. */
     void onAnswer(PublishedBackend server, BackendResponseMetadata metadata) {
-        String process = server.processName();
-        Double before = mRates.get(process);
-        if (metadata.requestsPerSecond().isPresent()) {
-            mRates.put(process, metadata.requestsPerSecond().getAsDouble());
-        } else if (metadata.signed()) {
-            mRates.remove(process);
+        OptionalDouble rate = metadata.requestsPerSecond();
+        // Only an answer of the server itself shows that it states no rate any more.
+        if (rate.isPresent() || metadata.signed()) {
+            List<StatedRate> changed = mLimits.onAnswer(server.processName(), rate);
+            log(changed, "own");
+            mNotices.push(changed);
         }
-        Double after = mRates.get(process);
-        if (before == null ? after != null : !before.equals(after)) {
+    }
+
+    private void log(List<StatedRate> changed, String source) {
+        for (StatedRate rate : changed) {
+            OptionalDouble value = rate.requestsPerSecond();
             mLog.line("server_limit")
-                    .with("server", server.id())
-                    .with("process", process)
-                    .with("requests_per_s", after == null ? "none" : after.toString())
+                    .with("process", rate.process())
+                    .with(
+                            "requests_per_s",
+                            value.isPresent() ? String.valueOf(value.getAsDouble()) : "none")
+                    .with("source", source)
                     .write();
         }
     }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ServerChoice.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ServerChoice.java
@@ -15,8 +15,9 @@
  * affinity, unless it is clearly busier than the next one. That order is the same at every entry.
  * Other requests go to the server with the fewest outstanding requests.
  *
- * <p>Invariant: a server in {@code tried} is never chosen; a suspect server only when all others
- * are suspect too. Thread safety: not safe; used by the event loop.
+ * <p>Invariant: a server in {@code tried}, or one whose limit is used up, is never chosen; a
+ * suspect server only when all others are suspect too. Thread safety: not safe; used by the event
+ * loop.
  */
 public final class ServerChoice {
     // The tokens of one long prompt. With an affinity, loads are compared in whole steps of this
@@ -25,11 +26,15 @@
 
     private final Clock mClock;
     private final ColdServerRateLimit mColdLimit;
+    private final StatedRateLimits mStatedLimits;
 
-    /** Creates a choice that applies the given limit to cold servers. */
-    public ServerChoice(Clock clock, ColdServerRateLimit coldLimit) {
+    /**
+     * Creates a choice that applies the given limits to cold servers and to those that state one.
+     */
+    public ServerChoice(Clock clock, ColdServerRateLimit coldLimit, StatedRateLimits statedLimits) {
         mClock = clock;
         mColdLimit = coldLimit;
+        mStatedLimits = statedLimits;
     }
 
     /**
@@ -62,6 +67,9 @@
                         server ->
                                 !server.isCold(now)
                                         || mColdLimit.allows(server, coldRequestsPerSecond))
+                .filter(
+                        server ->
+                                mStatedLimits.permits(server.published().processName(), false) > 0)
                 .min(order)
                 .orElse(null);
     }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.kernel.time.Clock;
@@ -82,6 +83,16 @@
 
     /** Forms the calls that can start now and counts them as running. */
     public List<Call<P>> nextCalls(List<Server> servers, PieceLimits limits) {
+        return nextCalls(servers, limits, server -> Integer.MAX_VALUE);
+    }
+
+    /**
+     * Forms the calls that can start now and counts them as running.
+     *
+     * @param permits returns the number of calls that may be sent to a server now
+     */
+    public List<Call<P>> nextCalls(
+            List<Server> servers, PieceLimits limits, ToIntFunction<Server> permits) {
         List<Call<P>> calls = new ArrayList<>();
         if (mQueued.isEmpty()) {
             return calls;
@@ -96,7 +107,8 @@
         usable.forEach(server -> domains.add(server.published().domain()));
         for (Server server : usable) {
             String id = server.published().id();
-            while (runningCalls(id) < limits.slots()) {
+            int permitted = permits.applyAsInt(server);
+            while (runningCalls(id) < limits.slots() && permitted-- > 0) {
                 List<P> batch = takeBatch(server, limits, domains, now);
                 if (batch.isEmpty()) {
                     break;
--- a/decision/src/test/java/org/bulrushvale/decision/forward/FleetLimitsTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/FleetLimitsTest.java
@@ -9,6 +9,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.bulrushvale.kernel.time.ManualClock;
@@ -103,6 +104,76 @@
         assertThat(maxSentInWindow).isGreaterThanOrEqualTo(10);
     }
 
+    @DataProvider
+    public Object[][] statedRates() {
+        // fleet size, stated requests per second, seed
+        return new Object[][] {
+            {8, 1.0, 1L},
+            {8, 40.0, 2L},
+            {95, 1.2, 3L},
+            {95, 40.0, 4L},
+            {333, 0.2, 5L},
+            {333, 40.0, 6L}
+        };
+    }
+
+    @Test(dataProvider = "statedRates")
+    public void requests_of_all_entries_together_stay_within_the_rate_that_a_server_states(
+            int size, double rate, long seed) {
+        // given entries that know at least nine tenths of the others, and one that was told a rate
+        SplittableRandom random = new SplittableRandom(seed);
+        List<StatedRateLimits> limits = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            limits.add(new StatedRateLimits(mClock, partialView(random, size, i, 0.2)));
+        }
+        limits.get(0).onAnswer("s/1", OptionalDouble.of(rate));
+        List<StatedRate> told = limits.get(0).records(10);
+        limits.forEach(limit -> limit.merge(told));
+        Deque<Long> sent = new ArrayDeque<>();
+        int maxSentInWindow = 0;
+        for (int step = 0; step < 20_000; step++) {
+            // when: a random entry, new at times, sends whenever its limit allows it
+            mClock.advance(Duration.ofMillis(1));
+            int entry = random.nextInt(size);
+            StatedRateLimits limit = limits.get(entry);
+            if (limit.permits("s/1", false) > 0) {
+                limit.recordSent("s/1");
+                sent.addLast(mClock.monotonicNanos());
+            }
+            while (!sent.isEmpty()
+                    && mClock.monotonicNanos() - sent.getFirst()
+                            >= StatedRateLimits.WINDOW.toNanos()) {
+                sent.removeFirst();
+            }
+            maxSentInWindow = Math.max(maxSentInWindow, sent.size());
+        }
+        // then
+        double allowed = rate * StatedRateLimits.WINDOW.toSeconds();
+        assertThat((double) maxSentInWindow).isLessThanOrEqualTo(1.5 * allowed + 5);
+        assertThat(maxSentInWindow).isGreaterThanOrEqualTo((int) Math.max(1, 0.7 * allowed));
+    }
+
+    @Test
+    public void a_rate_that_is_no_longer_stated_is_lifted_by_newer_records_only() {
+        StatedRateLimits first =
+                new StatedRateLimits(mClock, partialView(new SplittableRandom(1), 2, 0, 0));
+        StatedRateLimits second =
+                new StatedRateLimits(mClock, partialView(new SplittableRandom(1), 2, 1, 0));
+        // given
+        first.onAnswer("s/1", OptionalDouble.of(1));
+        List<StatedRate> old = first.records(1);
+        second.merge(old);
+        mClock.advance(Duration.ofSeconds(2));
+        // when
+        List<StatedRate> lifted = second.onAnswer("s/1", OptionalDouble.empty());
+        // then
+        assertThat(second.permits("s/1", false)).isEqualTo(Integer.MAX_VALUE);
+        assertThat(second.merge(first.records(1)).changed()).isEmpty();
+        assertThat(second.merge(first.records(1)).corrections()).isEqualTo(lifted);
+        first.merge(lifted);
+        assertThat(first.permits("s/1", false)).isEqualTo(Integer.MAX_VALUE);
+    }
+
     private ColdServerRateLimit.FleetView partialView(
             SplittableRandom random, int size, int self, double unknownShare) {
         MemberTable table =
--- a/decision/src/test/java/org/bulrushvale/decision/forward/ServerChoiceTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ServerChoiceTest.java
@@ -20,14 +20,16 @@
     private ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
     private BackendDirectory mDirectory = new BackendDirectory(mClock);
     private ColdServerRateLimit mColdLimit = new ColdServerRateLimit(mClock, new SingleEntry());
-    private ServerChoice mChoice = new ServerChoice(mClock, mColdLimit);
+    private StatedRateLimits mStatedLimits = new StatedRateLimits(mClock, new SingleEntry());
+    private ServerChoice mChoice = new ServerChoice(mClock, mColdLimit, mStatedLimits);
 
     @BeforeMethod
     public void startEmpty() {
         mClock = ManualClock.startingAt(Instant.EPOCH);
         mDirectory = new BackendDirectory(mClock);
         mColdLimit = new ColdServerRateLimit(mClock, new SingleEntry());
-        mChoice = new ServerChoice(mClock, mColdLimit);
+        mStatedLimits = new StatedRateLimits(mClock, new SingleEntry());
+        mChoice = new ServerChoice(mClock, mColdLimit, mStatedLimits);
     }
 
     private static final class SingleEntry implements ColdServerRateLimit.FleetView {
