Keep to the rate that a server states in load reports, at bulrushvaled too

Callers saw nothing; a backend server of the product's own interface had no way to state a rate, and entries would not have shared it. Change: load reports may state requests_per_s; BackendRouting divides it by StatedRateLimits among the listed VMs. Every entry reads the reports, so no notice is needed. Stand-ins state a rate on demand.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendLoadReport.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendLoadReport.java
@@ -1,6 +1,7 @@
 package org.bulrushvale.adapters.backend;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.OptionalDouble;
 import org.bulrushvale.decision.warmup.ReportedState;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
@@ -20,6 +21,8 @@
  * @param running number of running requests
  * @param queued number of waiting requests
  * @param ageMillis age of these figures in milliseconds
+ * @param requestsPerSecond rate that the server takes from all entries together; empty when it
+ *     states no limit
  */
 public record BackendLoadReport(
         String server,
@@ -29,7 +32,8 @@
         int coldConcurrency,
         int running,
         int queued,
-        long ageMillis) {
+        long ageMillis,
+        OptionalDouble requestsPerSecond) {
     static BackendLoadReport parse(JsonNode json) throws BulrushvaleException {
         if (!json.path("server").isTextual() || !json.hasNonNull("epoch")) {
             throw new BulrushvaleException(
@@ -45,7 +49,14 @@
                 json.path("bearable").asInt(0),
                 json.path("running").asInt(0),
                 json.path("queued").asInt(0),
-                json.path("age_ms").asLong(0));
+                json.path("age_ms").asLong(0),
+                parseRate(json.path("requests_per_s")));
+    }
+
+    private static OptionalDouble parseRate(JsonNode rate) {
+        return rate.isNumber() && rate.asDouble() >= 0
+                ? OptionalDouble.of(rate.asDouble())
+                : OptionalDouble.empty();
     }
 
     private static ReportedState parseState(String text) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/BackendRouting.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/BackendRouting.java
@@ -4,12 +4,15 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.bulrushvale.adapters.settings.EntrySettings;
 import org.bulrushvale.decision.config.BackendServer;
 import org.bulrushvale.decision.config.PublishedConfig;
 import org.bulrushvale.decision.config.Stage;
 import org.bulrushvale.decision.config.WorkClass;
+import org.bulrushvale.decision.forward.StatedRate;
+import org.bulrushvale.decision.forward.StatedRateLimits;
 import org.bulrushvale.decision.membership.ConfirmedValue;
 import org.bulrushvale.decision.membership.VmList;
 import org.bulrushvale.decision.retry.ContentFingerprint;
@@ -28,6 +31,7 @@
 import org.bulrushvale.decision.warmup.WarmupLimiter;
 import org.bulrushvale.decision.warmup.WarmupTiming;
 import org.bulrushvale.kernel.time.Clock;
+import org.jboss.logging.Logger;
 
 /**
  * Chooses servers by the routing policy within the concurrency limits of the warm-up rules.
@@ -37,11 +41,15 @@
  * safety: owned by the event loop.
  */
 final class BackendRouting implements ServerPicker {
+    private static final Logger LOG = Logger.getLogger(BackendRouting.class);
+
     private final BackendTable mTable = new BackendTable();
     private final WarmupLimiter mWarmupLimiter;
     private final PoisonTable mPoison;
     private final SuspectServers mSuspectServers;
     private final RoutingPolicy mPolicy;
+    private final ListedEntries mEntries;
+    private final StatedRateLimits mStatedLimits;
     private final ConcurrencyLimit mLimit;
     private final String mFailureDomain;
     private final Clock mClock;
@@ -59,10 +67,17 @@
         mPoison = poison;
         mSuspectServers = new SuspectServers(settings.entry().vm());
         mPolicy = policy(settings.routing().policy(), seed);
-        mLimit =
+        mEntries = new ListedEntries(settings.entry().vm());
+        mStatedLimits = new StatedRateLimits(clock, mEntries);
+        ConcurrencyLimit slotLimit =
                 settings.routing().warmup()
                         ? mWarmupLimiter::limit
                         : (server, now) -> slotsOf(server);
+        mLimit =
+                (server, now) ->
+                        mStatedLimits.permits(processName(server), false) > 0
+                                ? slotLimit.limit(server, now)
+                                : 0;
         mFailureDomain = settings.entry().failureDomain();
         mClock = clock;
     }
@@ -99,6 +114,24 @@
     void vmList(ConfirmedValue<VmList> view) {
         mWarmupLimiter.updateVmList(view, mClock.monotonicNanos());
         mSuspectServers.updateEntries(view.value().liveNames());
+        mEntries.update(view.value().liveNames());
+    }
+
+    /**
+     * Applies the rate that a server states for all entries together. Every entry reads the load
+     * reports, so entries need not tell each other.
+     */
+    void statedRate(String server, String epoch, OptionalDouble requestsPerSecond) {
+        List<StatedRate> changed = mStatedLimits.onAnswer(server + "/" + epoch, requestsPerSecond);
+        for (StatedRate rate : changed) {
+            LOG.infof(
+                    "server process %s states a limit of %s requests per second",
+                    rate.process(), rate.requestsPerSecond());
+        }
+    }
+
+    private String processName(String server) {
+        return server + "/" + epoch(server);
     }
 
     /** Applies a load report that was read in the given connection generation. */
@@ -150,6 +183,7 @@
 
     private void started(String server, ContentFingerprint content) {
         mTable.recordStart(server);
+        mStatedLimits.recordSent(processName(server));
         mWarmupLimiter.onAttemptStarted(server);
         mPoison.onStarted(content, server);
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/LoadPoller.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/LoadPoller.java
@@ -186,6 +186,7 @@
                         report.queued()),
                 generation,
                 measuredNanos);
+        mRouting.statedRate(report.server(), report.epoch(), report.requestsPerSecond());
         // A report measured before the connection was opened is not used. The server has a newer
         // report once untilUsableNanos have passed.
         long untilUsableNanos = polled.mConnectedNanos - measuredNanos;
--- a/standin/src/main/java/org/bulrushvale/standin/stage/FaultSettings.java
+++ b/standin/src/main/java/org/bulrushvale/standin/stage/FaultSettings.java
@@ -26,6 +26,7 @@
  * @param cacheLagMs delay until a cache event is visible to readers
  * @param cacheGapFraction fraction of cache events that are never visible
  * @param honorFence false: orders with an outdated fencing token are accepted
+ * @param requestsPerSecond rate that load reports state; 0: none. Calls beyond it are accepted
  */
 public record FaultSettings(
         @JsonProperty("silent") Silence silence,
@@ -43,7 +44,8 @@
         @JsonProperty("load_lag_ms") long loadLagMs,
         @JsonProperty("cache_lag_ms") long cacheLagMs,
         @JsonProperty("cache_gap_fraction") double cacheGapFraction,
-        @JsonProperty("honor_fence") boolean honorFence) {
+        @JsonProperty("honor_fence") boolean honorFence,
+        @JsonProperty("requests_per_s") double requestsPerSecond) {
 
     /** How an answer is shortened. */
     public enum Truncation {
@@ -86,6 +88,7 @@
                 100,
                 200,
                 0,
-                true);
+                true,
+                0);
     }
 }
--- a/standin/src/main/java/org/bulrushvale/standin/stage/StageEngine.java
+++ b/standin/src/main/java/org/bulrushvale/standin/stage/StageEngine.java
@@ -339,8 +339,11 @@
     ObjectNode loadJson() {
         LoadHistory.Sample reported =
                 mLoadHistory.delayedSample(mClock.monotonicNanos(), lagNanos());
-        return Json.object()
-                .put("server", mOptions.name())
+        ObjectNode json = Json.object();
+        if (mFaults.requestsPerSecond() > 0) {
+            json.put("requests_per_s", mFaults.requestsPerSecond());
+        }
+        return json.put("server", mOptions.name())
                 .put("epoch", mEpoch)
                 .put("state", reported.warm() ? "warm" : "cold")
                 .put("slots", mOptions.slots())
