--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -23,7 +23,6 @@
 import org.bulrushvale.decision.forward.RequestKind;
 import org.bulrushvale.decision.forward.Route;
 import org.bulrushvale.decision.forward.ServiceSpec;
-import org.bulrushvale.decision.retry.ContentFingerprint;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
@@ -52,9 +51,6 @@
 
     private static final Duration SERVER_RECHECK_PERIOD = Duration.ofMillis(20);
 
-    // A server that crashes on the answer to a request does so when it begins to write it.
-    private static final Duration ANSWER_BEGIN = Duration.ofSeconds(1);
-
     private final ForwardServices mServices;
     private final StageExecutor mStageExecutor;
     private final CallerExchange mCaller;
@@ -68,7 +64,7 @@
     private final EndListener mOnEnd;
     private final RequestTimeLimits mTimeLimits;
     private final AttemptStarter mStarter;
-    private final RequestContents mContents;
+    private final CrashWatch mCrashWatch;
     private final Set<String> mTriedServers = new HashSet<>();
     private StageScheduler mStageScheduler;
     private List<String> mInputs = List.of();
@@ -86,11 +82,6 @@
     private boolean mAnswered;
     private boolean mCallerDisconnected;
     private long mLastEventId;
-    private int mEventsReceived;
-    private long mFirstEventNanos;
-    private long mKnownCrashes;
-    private boolean mConnectionLost;
-    private boolean mAnswerRecorded;
 
     ForwardedRequest(
             ForwardServices services,
@@ -116,7 +107,11 @@
         mTimeLimits =
                 new RequestTimeLimits(services.clock(), caller.arrivedNanos(), metadata, route);
         mStarter = new AttemptStarter(services, caller, metadata, route, mWorkspace);
-        mContents = new RequestContents(caller, metadata, mService, mWorkspace);
+        mCrashWatch =
+                new CrashWatch(
+                        services.crashGuard(),
+                        services.clock(),
+                        new RequestContents(caller, metadata, mService, mWorkspace));
         mLastEventId = metadata.resumeAfter();
         mStageScheduler = newScheduler();
     }
@@ -244,18 +239,15 @@
     }
 
     private boolean refuseIfHeldBack() {
-        Optional<ContentFingerprint> content = mServices.crashGuard().findHeldBack(mContents);
+        Optional<String> content = mCrashWatch.findHeldBack();
         content.ifPresent(
-                found ->
-                        giveUp(
-                                ErrorCode.QUARANTINED,
-                                "backend servers crash on content " + mContents.nameOf(found)));
+                name -> giveUp(ErrorCode.QUARANTINED, "backend servers crash on content " + name));
         return content.isPresent();
     }
 
     private @Nullable Server chooseServer() {
         // A request that may have crashed a server keeps away from those that others prefer.
-        String affinity = mConnectionLost ? "" : mRequestMetadata.affinity();
+        String affinity = mCrashWatch.hasLostConnection() ? "" : mRequestMetadata.affinity();
         return mServices
                 .serverChoice()
                 .choose(
@@ -299,9 +291,7 @@
                 .write();
         mSplitter = new EventSplitter();
         mStreamHead = null;
-        mEventsReceived = 0;
-        mAnswerRecorded = false;
-        mKnownCrashes = mServices.crashGuard().onAttemptStarted(mContents);
+        mCrashWatch.onAttemptStarted();
         int attempt = mSentAttempts;
         mCall =
                 mStarter.start(
@@ -336,7 +326,9 @@
             }
         } else {
             server.recordSuccess();
-            recordAnswered();
+            if (status / 100 == 2) {
+                mCrashWatch.onAnswered();
+            }
         }
         deliver(head, body);
     }
@@ -383,10 +375,7 @@
     public void onStreamBytes(byte[] bytes) {
         ByteArrayOutputStream newEvents = new ByteArrayOutputStream();
         for (EventSplitter.Event event : mSplitter.add(bytes)) {
-            if (mEventsReceived == 0) {
-                mFirstEventNanos = mServices.clock().monotonicNanos();
-            }
-            mEventsReceived++;
+            mCrashWatch.onEvent();
             if (isNew(event)) {
                 newEvents.writeBytes(event.bytes());
             }
@@ -394,9 +383,6 @@
         if (newEvents.size() > 0) {
             forwardEvents(newEvents.toByteArray());
         }
-        if (isWellIntoAnswer()) {
-            recordAnswered();
-        }
         if (mSplitter.isTooLong()) {
             UpstreamClient.Call call = mCall;
             if (call != null) {
@@ -441,7 +427,7 @@
             return;
         }
         clearAttempt();
-        recordAnswered();
+        mCrashWatch.onAnswered();
         if (finish("streamed", 200)) {
             mCaller.endStream();
         }
@@ -458,7 +444,7 @@
                 .with("server", server.published().id())
                 .with("sent", String.valueOf(sent))
                 .with("head_received", String.valueOf(mStreamHead != null))
-                .with("events_received", mEventsReceived)
+                .with("events_received", mCrashWatch.eventsReceived())
                 .with("failure", failure.name())
                 .with("detail", detail)
                 .write();
@@ -470,34 +456,17 @@
         }
         boolean repeat = !sent || mayRepeat();
         Runnable next = repeat ? this::send : () -> giveUp(ErrorCode.BACKEND_FAILED, detail);
-        if (!sent || !failure.isConnectionLoss() || isWellIntoAnswer()) {
+        if (!sent || !mCrashWatch.mayBeCrash(failure)) {
             next.run();
-            return;
-        }
-        mConnectionLost = true;
-        // A repeat must know of the crash, so it waits for the check; a failure does not.
-        Runnable afterCheck = repeat ? next : () -> {};
-        mServices
-                .crashGuard()
-                .onConnectionLost(server.published(), mContents, mKnownCrashes, afterCheck);
-        if (!repeat) {
+        } else if (repeat) {
+            // A repeat must know of the crash, so it waits for the check; a failure does not.
+            mCrashWatch.onConnectionLost(server.published(), next);
+        } else {
+            mCrashWatch.onConnectionLost(server.published(), () -> {});
             next.run();
         }
     }
 
-    /** Returns true when the server wrote on for a while after the first event of its answer. */
-    private boolean isWellIntoAnswer() {
-        return mEventsReceived > 0
-                && mServices.clock().elapsedSince(mFirstEventNanos).compareTo(ANSWER_BEGIN) >= 0;
-    }
-
-    private void recordAnswered() {
-        if (!mAnswerRecorded) {
-            mAnswerRecorded = true;
-            mServices.crashGuard().onAnswered(mContents);
-        }
-    }
-
     private boolean mayRepeat() {
         return mRoute.mayRepeat() && mPossibleRuns < mRoute.maxAttempts() && !mCallerDisconnected;
     }
--- a/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
@@ -5,7 +5,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -32,9 +31,8 @@
  * releases the content, a crash shows that it is the cause.
  *
  * <p>Invariants: the order in which records of other entries arrive does not matter; an answer
- * refutes all crashes before it for good, because the time of a crash is set once, when this entry
- * first hears of it; the table holds at most {@value #MAX_HISTORIES} histories. Thread safety: not
- * safe; used by the event loop.
+ * refutes all crashes before it for good; the table holds at most {@value #MAX_HISTORIES}
+ * histories. Thread safety: not safe; used by the event loop.
  */
 public final class CrashSuspects implements SharedRecords<CrashRecord> {
     /** Time since its last crash after which content is no longer quarantined. */
@@ -52,10 +50,7 @@
     /** Crashes in a row after which content that was answered before is quarantined. */
     static final int CHAIN_OF_ANSWERED = 5;
 
-    private static final int MAX_CRASHES_PER_CONTENT = 16;
     private static final int MAX_PROCESS_NAME_LENGTH = 192;
-    private static final int MAX_ANSWERED_CONTENTS = 8_192;
-    private static final int MAX_CRASHES = 2_048;
 
     // How often the digest is computed anew, because histories expire.
     private static final Duration DIGEST_PERIOD = Duration.ofSeconds(1);
@@ -64,11 +59,9 @@
     private static final Duration TRIAL_TIME = Duration.ofSeconds(5);
 
     private final Clock mClock;
-    private final Map<ContentFingerprint, History> mHistories = new HashMap<>();
+    private final Map<ContentFingerprint, CrashHistory> mHistories = new HashMap<>();
     private final Map<ContentFingerprint, Trial> mTrials = new HashMap<>();
-    private final Map<ContentFingerprint, Long> mAnsweredNanos =
-            new LeastRecentlyUsedMap<>(MAX_ANSWERED_CONTENTS);
-    private final Map<String, Long> mCrashNanos = new LeastRecentlyUsedMap<>(MAX_CRASHES);
+    private final CrashTimes mTimes = new CrashTimes();
     private long mKnownCrashes;
     private long mRecordsCalls;
     private long mDigest;
@@ -88,8 +81,13 @@
 
     /** Returns true when the content is quarantined. */
     public boolean isQuarantined(ContentFingerprint content) {
-        History history = findUnexpired(content);
-        return history != null && history.isQuarantined();
+        CrashHistory history = findUnexpired(content);
+        return history != null && isQuarantined(content, history);
+    }
+
+    private boolean isQuarantined(ContentFingerprint content, CrashHistory history) {
+        int chain = mTimes.wasAnswered(content) ? CHAIN_OF_ANSWERED : CHAIN_OF_UNANSWERED;
+        return history.depth() >= chain;
     }
 
     /**
@@ -120,15 +118,15 @@
     /** Returns the other quarantined contents that were beside all crashes of a content. */
     private List<ContentFingerprint> rivals(ContentFingerprint content) {
         List<ContentFingerprint> rivals = new ArrayList<>();
-        History own = findUnexpired(content);
+        CrashHistory own = findUnexpired(content);
         if (own == null) {
             return rivals;
         }
         mHistories.forEach(
                 (other, history) -> {
                     if (!other.equals(content)
-                            && history.isQuarantined()
-                            && history.mCrashes.keySet().containsAll(own.mCrashes.keySet())) {
+                            && isQuarantined(other, history)
+                            && history.processes().containsAll(own.processes())) {
                         rivals.add(other);
                     }
                 });
@@ -160,13 +158,13 @@
         if (process.length() > MAX_PROCESS_NAME_LENGTH) {
             return List.of();
         }
-        mCrashNanos.putIfAbsent(process, mClock.monotonicNanos());
+        mTimes.onCrash(process, mClock.monotonicNanos());
         List<ContentFingerprint> blamed = contents.stream().filter(this::isQuarantined).toList();
         List<CrashRecord> changed = new ArrayList<>();
         for (ContentFingerprint content : blamed.isEmpty() ? contents : blamed) {
             mTrials.remove(content);
-            History history = findOrCreate(content);
-            if (history.add(process, history.depthAfter(process, knownAtStart))) {
+            CrashHistory history = findOrCreate(content);
+            if (add(history, process, history.depthAfter(process, knownAtStart))) {
                 changed.add(record(content));
             }
         }
@@ -189,31 +187,30 @@
         return changed;
     }
 
-    /**
-     * Records an answer; returns true when it is the first of suspect content or refutes a crash.
-     */
-    private boolean answer(ContentFingerprint content, long nanos) {
-        Long before = mAnsweredNanos.get(content);
-        if (before != null && before - nanos >= 0) {
+    /** Adds a crash; returns false when it is known with this depth or adds nothing. */
+    private boolean add(CrashHistory history, String process, int depth) {
+        if (!history.accepts(process, depth)) {
             return false;
         }
-        mAnsweredNanos.put(content, nanos);
-        History history = findUnexpired(content);
-        if (history == null) {
+        long nanos = mTimes.onCrash(process, mClock.monotonicNanos());
+        history.add(process, depth, ++mKnownCrashes, nanos);
+        mDigestIsCurrent = false;
+        return true;
+    }
+
+    /** Records an answer; true when it refutes a crash or is the first one of suspect content. */
+    private boolean answer(ContentFingerprint content, long nanos) {
+        boolean isFirst = !mTimes.wasAnswered(content);
+        CrashHistory history = findUnexpired(content);
+        if (!mTimes.onAnswered(content, nanos) || history == null) {
             return false;
         }
         mDigestIsCurrent = false;
-        boolean refuted = history.mCrashes.keySet().removeIf(p -> isRefuted(content, p));
-        if (history.mCrashes.isEmpty()) {
+        boolean refutes = history.removeIf(process -> mTimes.isRefuted(content, process));
+        if (history.isEmpty()) {
             mHistories.remove(content);
         }
-        return refuted || before == null;
-    }
-
-    private boolean isRefuted(ContentFingerprint content, String process) {
-        Long answered = mAnsweredNanos.get(content);
-        Long crashed = mCrashNanos.get(process);
-        return answered != null && crashed != null && answered - crashed >= 0;
+        return refutes || isFirst;
     }
 
     @Override
@@ -233,10 +230,10 @@
                 if (!isAcceptable(crash)) {
                     continue;
                 }
-                mCrashNanos.putIfAbsent(crash.process(), nanosAgo(crash.ageMillis()));
-                if (isRefuted(content, crash.process())) {
+                mTimes.onCrash(crash.process(), nanosAgo(crash.ageMillis()));
+                if (mTimes.isRefuted(content, crash.process())) {
                     corrections.add(content);
-                } else if (findOrCreate(content).add(crash.process(), crash.depth())) {
+                } else if (add(findOrCreate(content), crash.process(), crash.depth())) {
                     changed.add(content);
                 }
             }
@@ -265,8 +262,8 @@
     public List<CrashRecord> records(int limit) {
         removeExpired();
         LongHashFunction shuffle = LongHashFunction.xx(mRecordsCalls++);
-        Comparator<Map.Entry<ContentFingerprint, History>> order =
-                Comparator.comparing(entry -> !entry.getValue().isQuarantined());
+        Comparator<Map.Entry<ContentFingerprint, CrashHistory>> order =
+                Comparator.comparing(e -> !isQuarantined(e.getKey(), e.getValue()));
         return mHistories.entrySet().stream()
                 .sorted(order.thenComparingLong(e -> shuffle.hashLong(e.getKey().low())))
                 .limit(limit)
@@ -281,9 +278,11 @@
             removeExpired();
             mDigest = 0;
             mHistories.forEach(
-                    (content, history) ->
-                            mDigest +=
-                                    LongHashFunction.xx(content.low()).hashLong(history.digest()));
+                    (content, history) -> {
+                        long answered = mTimes.wasAnswered(content) ? 1 : 0;
+                        LongHashFunction hash = LongHashFunction.xx(content.low());
+                        mDigest += hash.hashLong(history.digest() + answered);
+                    });
             mDigestNanos = now;
             mDigestIsCurrent = true;
         }
@@ -293,35 +292,29 @@
     private CrashRecord record(ContentFingerprint content) {
         long now = mClock.monotonicNanos();
         List<CrashRecord.Crash> crashes = new ArrayList<>();
-        History history = mHistories.get(content);
+        CrashHistory history = mHistories.get(content);
         if (history != null) {
-            history.mCrashes.forEach(
-                    (process, crash) ->
-                            crashes.add(
-                                    new CrashRecord.Crash(
-                                            process,
-                                            crash.depth(),
-                                            millisSince(crashNanos(process), now))));
+            history.forEach(
+                    (process, depth) -> {
+                        long age = millisBetween(mTimes.onCrash(process, now), now);
+                        crashes.add(new CrashRecord.Crash(process, depth, age));
+                    });
         }
-        Long answered = mAnsweredNanos.get(content);
+        OptionalLong answered = mTimes.answeredNanos(content);
         return new CrashRecord(
                 content,
                 crashes,
-                answered == null
-                        ? OptionalLong.empty()
-                        : OptionalLong.of(millisSince(answered, now)));
+                answered.isPresent()
+                        ? OptionalLong.of(millisBetween(answered.getAsLong(), now))
+                        : answered);
     }
 
-    private static long millisSince(long nanos, long now) {
+    private static long millisBetween(long nanos, long now) {
         return Math.max(0, Duration.ofNanos(now - nanos).toMillis());
     }
 
-    private long crashNanos(String process) {
-        return mCrashNanos.computeIfAbsent(process, unknown -> mClock.monotonicNanos());
-    }
-
-    private @Nullable History findUnexpired(ContentFingerprint content) {
-        History history = mHistories.get(content);
+    private @Nullable CrashHistory findUnexpired(ContentFingerprint content) {
+        CrashHistory history = mHistories.get(content);
         if (history != null && isExpired(history)) {
             mHistories.remove(content);
             return null;
@@ -329,8 +322,8 @@
         return history;
     }
 
-    private History findOrCreate(ContentFingerprint content) {
-        History known = findUnexpired(content);
+    private CrashHistory findOrCreate(ContentFingerprint content) {
+        CrashHistory known = findUnexpired(content);
         if (known != null) {
             return known;
         }
@@ -338,13 +331,14 @@
             removeExpired();
             evictOne();
         }
-        History history = new History(content);
+        CrashHistory history = new CrashHistory(mClock.monotonicNanos());
         mHistories.put(content, history);
         return history;
     }
 
-    private boolean isExpired(History history) {
-        return mClock.elapsedSince(history.mLastCrashNanos).compareTo(history.lifetime()) >= 0;
+    private boolean isExpired(CrashHistory history) {
+        Duration lifetime = history.depth() > 1 ? LIFETIME : SINGLE_CRASH_LIFETIME;
+        return history.isOlderThan(lifetime, mClock.monotonicNanos());
     }
 
     private void removeExpired() {
@@ -355,119 +349,19 @@
     /** Makes room in a full table: content that is not quarantined goes first, then the oldest. */
     private void evictOne() {
         long now = mClock.monotonicNanos();
-        Comparator<Map.Entry<ContentFingerprint, History>> order =
-                Comparator.comparing(entry -> entry.getValue().isQuarantined());
+        Comparator<Map.Entry<ContentFingerprint, CrashHistory>> order =
+                Comparator.comparing(e -> isQuarantined(e.getKey(), e.getValue()));
         mHistories.entrySet().stream()
-                .min(order.thenComparingLong(e -> e.getValue().mLastCrashNanos - now))
+                .min(order.thenComparingLong(e -> e.getValue().lastCrashNanos() - now))
                 .filter(entry -> mHistories.size() >= MAX_HISTORIES)
                 .ifPresent(entry -> mHistories.remove(entry.getKey()));
         mDigestIsCurrent = false;
     }
 
-    /**
-     * The crashes beside one content that no answer has refuted.
-     *
-     * <p>Thread safety: not safe.
-     */
-    private final class History {
-        private final ContentFingerprint mContent;
-        private final Map<String, KnownCrash> mCrashes = new HashMap<>();
-        private long mLastCrashNanos = mClock.monotonicNanos();
-
-        private History(ContentFingerprint content) {
-            mContent = content;
-        }
-
-        private boolean isQuarantined() {
-            int chain = wasAnswered() ? CHAIN_OF_ANSWERED : CHAIN_OF_UNANSWERED;
-            return mCrashes.values().stream().anyMatch(crash -> crash.depth() >= chain);
-        }
-
-        private boolean wasAnswered() {
-            return mAnsweredNanos.containsKey(mContent);
-        }
-
-        /** Returns the depth of a crash of an attempt that began when some crashes were known. */
-        private int depthAfter(String process, long knownAtStart) {
-            int depth = 0;
-            for (Map.Entry<String, KnownCrash> entry : mCrashes.entrySet()) {
-                KnownCrash crash = entry.getValue();
-                if (crash.sequence() <= knownAtStart && !entry.getKey().equals(process)) {
-                    depth = Math.max(depth, crash.depth());
-                }
-            }
-            return depth + 1;
-        }
-
-        /** Adds a crash; returns false when it is known with this depth or adds nothing. */
-        private boolean add(String process, int depth) {
-            KnownCrash known = mCrashes.get(process);
-            if (known != null && known.depth() >= depth) {
-                return false;
-            }
-            if (known == null && mCrashes.size() >= MAX_CRASHES_PER_CONTENT && !replaces(depth)) {
-                return false;
-            }
-            mDigestIsCurrent = false;
-            long nanos = crashNanos(process);
-            mLastCrashNanos =
-                    mCrashes.isEmpty() || nanos - mLastCrashNanos > 0 ? nanos : mLastCrashNanos;
-            mCrashes.put(process, new KnownCrash(depth, ++mKnownCrashes));
-            return true;
-        }
-
-        /** Removes a crash of lower depth than all others may have; false when there is none. */
-        private boolean replaces(int depth) {
-            return mCrashes.entrySet().stream()
-                    .min(Comparator.comparingInt(entry -> entry.getValue().depth()))
-                    .filter(lowest -> lowest.getValue().depth() < depth)
-                    .map(lowest -> mCrashes.remove(lowest.getKey()) != null)
-                    .orElse(false);
-        }
-
-        private Duration lifetime() {
-            boolean repeated = mCrashes.values().stream().anyMatch(crash -> crash.depth() > 1);
-            return repeated ? LIFETIME : SINGLE_CRASH_LIFETIME;
-        }
-
-        private long digest() {
-            long sum = wasAnswered() ? 1 : 0;
-            for (Map.Entry<String, KnownCrash> entry : mCrashes.entrySet()) {
-                sum += LongHashFunction.xx(entry.getValue().depth()).hashChars(entry.getKey());
-            }
-            return sum;
-        }
-    }
-
-    /**
-     * A crash as this entry knows it.
-     *
-     * <p>Thread safety: immutable.
-     *
-     * @param sequence number of crashes that this entry knew, with this one
-     */
-    private record KnownCrash(int depth, long sequence) {}
-
     /**
      * A request that is sent although it holds quarantined content.
      *
      * <p>Thread safety: immutable.
      */
     private record Trial(Object request, long startNanos) {}
-
-    /** A map that forgets what was not used for longest. */
-    private static final class LeastRecentlyUsedMap<K, V> extends LinkedHashMap<K, V> {
-        private static final long serialVersionUID = 1;
-        private final int mCapacity;
-
-        LeastRecentlyUsedMap(int capacity) {
-            super(16, 0.75f, true);
-            mCapacity = capacity;
-        }
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
-            return size() > mCapacity;
-        }
-    }
 }
