Let a notice hold as many rates as a message of 20 KB

Cause: with many servers that state a rate, a restarted entry would learn 64 rates in each comparison. Change: the number of records in a notice depends on their kind.

--- a/daemon/src/main/java/org/bulrushvale/daemon/FleetNotices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/FleetNotices.java
@@ -31,11 +31,9 @@
     private static final Duration STARTUP_COMPARE_PERIOD = Duration.ofMillis(200);
     private static final int STARTUP_COMPARES = 6;
 
-    // About 10 KB at 150 bytes per record.
-    private static final int MAX_RECORDS_PER_NOTICE = 64;
-
     private final SharedRecords<R> mRecords;
     private final BiFunction<Long, List<R>, PeerMessage.Notice<R>> mNewNotice;
+    private final int mMaxRecordsPerNotice;
     private final Consumer<List<R>> mOnLearned;
     private Peers mPeers = new NoPeers();
 
@@ -43,14 +41,17 @@
      * Creates notices that keep the records of this entry up to date.
      *
      * @param newNotice creates a message from a digest and records
+     * @param maxRecordsPerNotice keeps a notice small; further records follow in other notices
      * @param onLearned called with the records that other entries changed
      */
     public FleetNotices(
             SharedRecords<R> records,
             BiFunction<Long, List<R>, PeerMessage.Notice<R>> newNotice,
+            int maxRecordsPerNotice,
             Consumer<List<R>> onLearned) {
         mRecords = records;
         mNewNotice = newNotice;
+        mMaxRecordsPerNotice = maxRecordsPerNotice;
         mOnLearned = onLearned;
     }
 
@@ -84,8 +85,8 @@
 
     /** Sends records that changed at this entry to other entries. */
     public void push(List<R> changed) {
-        for (int from = 0; from < changed.size(); from += MAX_RECORDS_PER_NOTICE) {
-            int to = Math.min(changed.size(), from + MAX_RECORDS_PER_NOTICE);
+        for (int from = 0; from < changed.size(); from += mMaxRecordsPerNotice) {
+            int to = Math.min(changed.size(), from + mMaxRecordsPerNotice);
             PeerMessage.Notice<R> notice = notice(changed.subList(from, to));
             for (String peer : mPeers.choose(PUSH_TARGETS)) {
                 mPeers.request(peer, notice, this::learn);
@@ -136,7 +137,7 @@
     }
 
     private PeerMessage.Notice<R> fullNotice() {
-        return notice(mRecords.records(MAX_RECORDS_PER_NOTICE));
+        return notice(mRecords.records(mMaxRecordsPerNotice));
     }
 
     private static final class NoPeers implements Peers {
--- a/daemon/src/main/java/org/bulrushvale/daemon/PoisonGuard.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/PoisonGuard.java
@@ -35,7 +35,12 @@
         mTable = table;
         mSuspects = suspects;
         mPicker = picker;
-        mNotices = new FleetNotices<>(suspects, PeerMessage.CrashNotice::new, this::logQuarantined);
+        mNotices =
+                new FleetNotices<>(
+                        suspects,
+                        PeerMessage.CrashNotice::new,
+                        CrashSuspects.MAX_RECORDS_PER_NOTICE,
+                        this::logQuarantined);
     }
 
     /**
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashGuard.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashGuard.java
@@ -35,6 +35,7 @@
                 new FleetNotices<>(
                         suspects,
                         PeerMessage.CrashNotice::new,
+                        CrashSuspects.MAX_RECORDS_PER_NOTICE,
                         changed -> changed.forEach(r -> logChange(r, "peer")));
         telemetry.metrics().gauge("bulrushvale.quarantined.contents", mLoggedQuarantines::size);
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StatedLimits.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StatedLimits.java
@@ -25,7 +25,10 @@
         mLog = telemetry.log();
         mNotices =
                 new FleetNotices<>(
-                        limits, PeerMessage.RateNotice::new, changed -> log(changed, "peer"));
+                        limits,
+                        PeerMessage.RateNotice::new,
+                        StatedRateLimits.MAX_RECORDS_PER_NOTICE,
+                        changed -> log(changed, "peer"));
         telemetry.metrics().gauge("bulrushvale.limited.servers", limits::count);
     }
 
--- a/daemon/src/test/java/org/bulrushvale/daemon/CrashNoticesFleetTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/CrashNoticesFleetTest.java
@@ -257,7 +257,11 @@
 
             private FleetNotices<CrashRecord> newNotices() {
                 FleetNotices<CrashRecord> notices =
-                        new FleetNotices<>(mSuspects, PeerMessage.CrashNotice::new, changed -> {});
+                        new FleetNotices<>(
+                                mSuspects,
+                                PeerMessage.CrashNotice::new,
+                                CrashSuspects.MAX_RECORDS_PER_NOTICE,
+                                changed -> {});
                 notices.connect(this);
                 return notices;
             }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StatedRateLimits.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StatedRateLimits.java
@@ -34,6 +34,9 @@
     /** Time over which the requests to a server are counted. */
     public static final Duration WINDOW = Duration.ofSeconds(4);
 
+    /** Records that entries exchange in one message: about 20 KB at 40 bytes per record. */
+    public static final int MAX_RECORDS_PER_NOTICE = 512;
+
     /** Exceeds the time for which a record is under way between entries. */
     static final Duration MIN_ADVANCE = Duration.ofMillis(500);
 
--- a/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
@@ -41,6 +41,9 @@
     /** Time after which a crash is forgotten that none of the next attempts repeated. */
     static final Duration SINGLE_CRASH_LIFETIME = Duration.ofMinutes(2);
 
+    /** Records that entries exchange in one message: about 10 KB at 150 bytes per record. */
+    public static final int MAX_RECORDS_PER_NOTICE = 64;
+
     /** Limits the memory of the table to about 1 MB. */
     public static final int MAX_HISTORIES = 2_048;
 
