Play the notices of rates over 8, 95 and 333 entries

Cause: the rates were tested with entries that all know the rate at once. Change: RateNoticesFleetTest plays entries of which few are told, with lost messages and restarts; VirtualNetwork is what it shares with CrashNoticesFleetTest, whose bounds are unchanged.

--- a/daemon/src/test/java/org/bulrushvale/daemon/CrashNoticesFleetTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/CrashNoticesFleetTest.java
@@ -2,23 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.bulrushvale.adapters.peer.PeerMessage;
 import org.bulrushvale.decision.retry.ContentFingerprint;
 import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.decision.retry.CrashSuspects;
-import org.bulrushvale.kernel.time.ManualClock;
-import org.jspecify.annotations.Nullable;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -31,7 +24,6 @@
     private static final ContentFingerprint DEADLY = ContentFingerprint.of("model", "deadly");
     private static final long STABLE_MILLIS = 3_000;
     private static final long DAY_MILLIS = 20_000;
-    private static final double MESSAGE_LOSS = 0.05;
 
     @DataProvider
     public Object[][] fleets() {
@@ -77,19 +69,11 @@
         }
     }
 
-    private record Event(long millis, long order, Runnable task) {}
-
     /** Entries, servers and callers on virtual time. */
     private static final class Fleet {
         private static final int SERVERS = 36;
 
-        private final ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
-        private final PriorityQueue<Event> mEvents =
-                new PriorityQueue<>(
-                        (a, b) ->
-                                a.millis() != b.millis()
-                                        ? Long.compare(a.millis(), b.millis())
-                                        : Long.compare(a.order(), b.order()));
+        private final VirtualNetwork mNetwork;
         private final SplittableRandom mRandom;
         private final List<Entry> mEntries = new ArrayList<>();
         private final double mDeadlyShare;
@@ -97,25 +81,25 @@
         private final int[] mLifetimes = new int[SERVERS];
         private final List<Long> mCrashMillis = new ArrayList<>();
         private final List<Long> mDeadlyStarts = new ArrayList<>();
-        private long mOrder;
         private int mOwnParts;
         private int mSound;
         private int mSoundRefused;
 
         Fleet(SplittableRandom random, int entries, double deadlyShare) {
             mRandom = random;
+            mNetwork = new VirtualNetwork(random.split());
             mDeadlyShare = deadlyShare;
             for (int i = 0; i < entries; i++) {
-                mEntries.add(new Entry(i));
+                mEntries.add(new Entry());
             }
         }
 
         long now() {
-            return mClock.monotonicNanos() / 1_000_000;
+            return mNetwork.now();
         }
 
         void at(long millis, Runnable task) {
-            mEvents.add(new Event(millis, mOrder++, task));
+            mNetwork.at(millis, task);
         }
 
         /** Kills, freezes or cuts off an eighth of the entries at random times. */
@@ -124,8 +108,7 @@
                 int index = mRandom.nextInt(mEntries.size());
                 long from = mRandom.nextLong(1_000, DAY_MILLIS - 6_000);
                 boolean kill = mRandom.nextBoolean();
-                at(from, () -> mEntries.get(index).mUnreachableUntil = from + 2_500);
-                at(from + 2_500, () -> mEntries.get(index).returnToFleet(kill));
+                at(from, () -> mEntries.get(index).disturb(from + 2_500, kill));
             }
         }
 
@@ -135,17 +118,7 @@
                     at(millis + mRandom.nextInt(1_000), this::newRequest);
                 }
             }
-            for (Entry entry : mEntries) {
-                long phase = mRandom.nextInt(1_000);
-                for (long millis = phase; millis < DAY_MILLIS; millis += 1_000) {
-                    at(millis, () -> entry.mNotices.compare());
-                }
-            }
-            while (!mEvents.isEmpty()) {
-                Event event = mEvents.poll();
-                mClock.advance(Duration.ofMillis(event.millis() - now()));
-                event.task().run();
-            }
+            mNetwork.play(DAY_MILLIS);
         }
 
         private void newRequest() {
@@ -225,14 +198,13 @@
 
             private void answer() {
                 if (mRunning.remove(this) && isSameProcess()) {
-                    mEntry.mNotices.push(mEntry.mSuspects.onAnswered(mContents));
+                    mEntry.push(mEntry.mSuspects.onAnswered(mContents));
                 }
             }
 
             private void lost(String process) {
                 if (isSameProcess()) {
-                    mEntry.mNotices.push(
-                            mEntry.mSuspects.onCrash(mContents, process, mKnownAtStart));
+                    mEntry.push(mEntry.mSuspects.onCrash(mContents, process, mKnownAtStart));
                     if (mNumber < 2) {
                         new Attempt(mEntry, mContents, mDeadly, mNumber + 1).start();
                     }
@@ -244,73 +216,33 @@
             }
         }
 
-        /** One entry, whose messages take up to 30 ms and get lost at times. */
-        private final class Entry implements FleetNotices.Peers {
-            private final int mIndex;
-            private CrashSuspects mSuspects = new CrashSuspects(mClock);
-            private FleetNotices<CrashRecord> mNotices = newNotices();
-            private long mUnreachableUntil = -STABLE_MILLIS;
-
-            Entry(int index) {
-                mIndex = index;
-            }
+        /** One entry; a new process of it begins with an empty table. */
+        private final class Entry {
+            private CrashSuspects mSuspects = new CrashSuspects(mNetwork.clock());
+            private final VirtualNetwork.Node<CrashRecord> mNode = mNetwork.join(newNotices());
 
             private FleetNotices<CrashRecord> newNotices() {
-                FleetNotices<CrashRecord> notices =
-                        new FleetNotices<>(
-                                mSuspects,
-                                PeerMessage.CrashNotice::new,
-                                CrashSuspects.MAX_RECORDS_PER_NOTICE,
-                                changed -> {});
-                notices.connect(this);
-                return notices;
+                return new FleetNotices<>(
+                        mSuspects,
+                        PeerMessage.CrashNotice::new,
+                        CrashSuspects.MAX_RECORDS_PER_NOTICE,
+                        changed -> {});
             }
 
-            void returnToFleet(boolean restarted) {
-                if (restarted) {
-                    mSuspects = new CrashSuspects(mClock);
-                    mNotices = newNotices();
+            void disturb(long untilMillis, boolean kill) {
+                if (kill) {
+                    mSuspects = new CrashSuspects(mNetwork.clock());
+                    mNode.restart(newNotices());
                 }
-                at(now() + 200, mNotices::compare);
+                mNode.disturbUntil(untilMillis);
             }
 
             boolean isDisturbed(long marginMillis) {
-                return now() < mUnreachableUntil + marginMillis;
+                return mNode.isDisturbed(marginMillis);
             }
 
-            @Override
-            public Collection<String> choose(int count) {
-                Set<String> chosen = new HashSet<>();
-                while (chosen.size() < Math.min(count, mEntries.size() - 1)) {
-                    int index = mRandom.nextInt(mEntries.size());
-                    if (index != mIndex) {
-                        chosen.add(String.valueOf(index));
-                    }
-                }
-                return chosen;
-            }
-
-            @Override
-            public <R> void request(
-                    String peer,
-                    PeerMessage.Notice<R> notice,
-                    Consumer<PeerMessage.@Nullable Notice<R>> onAnswer) {
-                Entry other = mEntries.get(Integer.parseInt(peer));
-                if (isDisturbed(0) || mRandom.nextDouble() < MESSAGE_LOSS) {
-                    return;
-                }
-                at(
-                        now() + 1 + mRandom.nextInt(30),
-                        () -> {
-                            if (other.isDisturbed(0)) {
-                                return;
-                            }
-                            PeerMessage answer =
-                                    other.mNotices.receive((PeerMessage.CrashNotice) notice);
-                            at(
-                                    now() + 1 + mRandom.nextInt(30),
-                                    () -> onAnswer.accept(notice.answer(answer)));
-                        });
+            void push(List<CrashRecord> changed) {
+                mNode.notices().push(changed);
             }
         }
     }
