Forget what lifted rates and expired quarantines leave behind

A lifted rate was confirmed by each answer without one, so the times of all later requests were kept; an expired quarantine stayed in the gauge; two gauges read tables of the event loop from the thread that serves the metrics. Change: a lifted rate keeps no times and expires; the gauges read counters.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashGuard.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashGuard.java
@@ -23,6 +23,8 @@
     private final DecisionLog mLog;
     private final Set<ContentFingerprint> mLoggedQuarantines = new HashSet<>();
     private final FleetNotices<CrashRecord> mNotices;
+    // Read by the thread that serves the metrics.
+    private volatile int mQuarantinedCount;
 
     CrashGuard(
             CrashSuspects suspects,
@@ -36,8 +38,8 @@
                         suspects,
                         PeerMessage.CrashNotice::new,
                         CrashSuspects.MAX_RECORDS_PER_NOTICE,
-                        changed -> changed.forEach(r -> logChange(r, "peer")));
-        telemetry.metrics().gauge("bulrushvale.quarantined.contents", mLoggedQuarantines::size);
+                        changed -> logChanges(changed, "peer"));
+        telemetry.metrics().gauge("bulrushvale.quarantined.contents", () -> mQuarantinedCount);
     }
 
     FleetNotices<CrashRecord> notices() {
@@ -92,10 +94,19 @@
     }
 
     private void publish(List<CrashRecord> changed) {
-        changed.forEach(record -> logChange(record, "own"));
+        logChanges(changed, "own");
         mNotices.push(changed);
     }
 
+    private void logChanges(List<CrashRecord> changed, String source) {
+        changed.forEach(record -> logChange(record, source));
+        if (!changed.isEmpty()) {
+            // Contents whose quarantine has expired leave no record of it.
+            mLoggedQuarantines.removeIf(content -> !mSuspects.isQuarantined(content));
+            mQuarantinedCount = mLoggedQuarantines.size();
+        }
+    }
+
     private void logChange(CrashRecord record, String source) {
         boolean quarantined = mSuspects.isQuarantined(record.content());
         if (quarantined == mLoggedQuarantines.contains(record.content())) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StatedLimits.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StatedLimits.java
@@ -19,6 +19,8 @@
     private final StatedRateLimits mLimits;
     private final DecisionLog mLog;
     private final FleetNotices<StatedRate> mNotices;
+    // Read by the thread that serves the metrics.
+    private volatile int mLimitedServers;
 
     StatedLimits(StatedRateLimits limits, ForwardServices.ForwardTelemetry telemetry) {
         mLimits = limits;
@@ -29,7 +31,7 @@
                         PeerMessage.RateNotice::new,
                         StatedRateLimits.MAX_RECORDS_PER_NOTICE,
                         changed -> log(changed, "peer"));
-        telemetry.metrics().gauge("bulrushvale.limited.servers", limits::count);
+        telemetry.metrics().gauge("bulrushvale.limited.servers", () -> mLimitedServers);
     }
 
     StatedRateLimits limits() {
@@ -52,6 +54,7 @@
     }
 
     private void log(List<StatedRate> changed, String source) {
+        mLimitedServers = changed.isEmpty() ? mLimitedServers : mLimits.count();
         for (StatedRate rate : changed) {
             OptionalDouble value = rate.requestsPerSecond();
             mLog.line("server_limit")
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StatedRateLimits.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StatedRateLimits.java
@@ -95,7 +95,8 @@
     /** Records a request that is sent to a process. */
     public void recordSent(String process) {
         Rate rate = mRates.get(process);
-        if (rate != null) {
+        if (rate != null && rate.mRequestsPerSecond.isPresent()) {
+            rate.recentSends();
             rate.mSentNanos.addLast(mClock.monotonicNanos());
         }
     }
@@ -119,12 +120,8 @@
      */
     public List<StatedRate> onAnswer(String process, OptionalDouble requestsPerSecond) {
         Rate rate = mRates.get(process);
-        if (rate == null && requestsPerSecond.isEmpty()) {
-            return List.of();
-        }
         long now = mClock.monotonicNanos();
-        boolean mayLift = rate != null && now - rate.mStatedNanos >= MIN_ADVANCE.toNanos();
-        if (requestsPerSecond.isEmpty() && !mayLift) {
+        if (requestsPerSecond.isEmpty() && (rate == null || !rate.mayBeLifted(now))) {
             return List.of();
         }
         return state(process, requestsPerSecond, now) ? List.of(record(process, now)) : List.of();
@@ -139,6 +136,9 @@
         boolean changed = !rate.mRequestsPerSecond.equals(requestsPerSecond);
         rate.mRequestsPerSecond = requestsPerSecond;
         rate.mStatedNanos = nanos;
+        if (requestsPerSecond.isEmpty()) {
+            rate.mSentNanos.clear();
+        }
         rate.mShare = changed ? -1 : rate.mShare;
         return changed;
     }
@@ -231,6 +231,11 @@
             return (int) Math.max(1, Math.min(allowed, Integer.MAX_VALUE / 2));
         }
 
+        private boolean mayBeLifted(long now) {
+            return mRequestsPerSecond.isPresent() && now - mStatedNanos >= MIN_ADVANCE.toNanos();
+        }
+
+        /** Forgets the requests before the window and returns the number of the others. */
         private int recentSends() {
             long start = mClock.monotonicNanos() - WINDOW.toNanos();
             while (!mSentNanos.isEmpty() && mSentNanos.peekFirst() - start < 0) {
--- a/decision/src/test/java/org/bulrushvale/decision/forward/FleetLimitsTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/FleetLimitsTest.java
@@ -174,6 +174,23 @@
         assertThat(first.permits("s/1", false)).isEqualTo(Integer.MAX_VALUE);
     }
 
+    @Test
+    public void a_lifted_rate_is_forgotten_although_its_server_goes_on_answering() {
+        StatedRateLimits limits =
+                new StatedRateLimits(mClock, partialView(new SplittableRandom(1), 2, 0, 0));
+        // given
+        limits.onAnswer("s/1", OptionalDouble.of(1));
+        mClock.advance(Duration.ofSeconds(1));
+        // when
+        for (int minute = 0; minute < 6; minute++) {
+            limits.onAnswer("s/1", OptionalDouble.empty());
+            mClock.advance(Duration.ofMinutes(1));
+        }
+        // then
+        assertThat(limits.records(1)).isEmpty();
+        assertThat(limits.isEmpty()).isTrue();
+    }
+
     private ColdServerRateLimit.FleetView partialView(
             SplittableRandom random, int size, int self, double unknownShare) {
         MemberTable table =
