Lose no request at the end of a stop of the forwarding entry

Callers saw requests lost that an entry accepted long after SIGTERM: they were forwarded, given up some ms later with 502, or ended with a closed connection and no answer.

Cause: whatever came until the end of the grace time was accepted, except streams; the check that nothing is in progress ran on the event loop while the I/O thread went on to read; and the last step ended the requests in progress and let the JVM halt before their answers were written.

GracePeriod now decides what a stop still admits: after the first quarter of the grace time only what ends by its own time limit before the final answers are due. The connections are closed in one step on the I/O thread once nothing is in progress there, so a request is either answered or never read. Answers to requests from before the stop close their connections, too, unless the next request was already read. The margins shrink with a short grace time. A log line says how many connections a stop closed.

ForwardStopTest failed before (55 requests answered 502, most within 100 ms after they were accepted) and passes now.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/ForwardServer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/ForwardServer.java
@@ -7,6 +7,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
@@ -15,8 +16,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.bulrushvale.adapters.caller.BodyReceiver;
+import org.bulrushvale.adapters.caller.OpenConnections;
 import org.bulrushvale.adapters.caller.Problem;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.kernel.time.Clock;
@@ -48,6 +51,7 @@
     private final Clock mClock;
     private final ByteBufferPool mBuffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final List<AcceptingChannel<StreamConnection>> mAcceptors = new ArrayList<>();
+    private final OpenConnections mConnections = new OpenConnections();
     private final AtomicInteger mActiveRequests = new AtomicInteger();
     private volatile boolean mDraining;
 
@@ -111,7 +115,9 @@
         listener.setRootHandler(handler);
         AcceptingChannel<StreamConnection> acceptor =
                 mWorker.createStreamConnectionServer(
-                        address, ChannelListeners.openListenerAdapter(listener), socketOptions);
+                        address,
+                        ChannelListeners.openListenerAdapter(mConnections.tracking(listener)),
+                        socketOptions);
         mAcceptors.add(acceptor);
         acceptor.resumeAccepts();
     }
@@ -133,6 +139,29 @@
         mDraining = true;
     }
 
+    /**
+     * Closes the listeners and all connections, unless a request is in progress.
+     *
+     * <p>This happens in one step on the I/O thread, so every request that was read completely
+     * before has its response, and none is read afterwards.
+     *
+     * @param evenInUse true to close connections whose requests are in progress, too
+     */
+    public void closeConnections(boolean evenInUse, Consumer<CloseResult> onResult) {
+        mWorker.getIoThread()
+                .execute(
+                        () -> {
+                            int inUse = mActiveRequests.get();
+                            if (inUse > 0 && !evenInUse) {
+                                onResult.accept(new CloseResult(false, 0, inUse));
+                                return;
+                            }
+                            close();
+                            onResult.accept(
+                                    new CloseResult(true, mConnections.closeAll() - inUse, inUse));
+                        });
+    }
+
     @Override
     public void close() {
         mAcceptors.forEach(IoUtils::safeClose);
@@ -148,9 +177,7 @@
 
     private void handleCallerRequest(HttpServerExchange exchange) {
         long arrivedNanos = mClock.monotonicNanos();
-        if (mDraining) {
-            exchange.setPersistent(false);
-        }
+        exchange.addResponseCommitListener(this::closeAfterResponseWhileDraining);
         if (BodyReceiver.headerBytes(exchange) > mSettings.limits().maxHeaderBytes()) {
             exchange.setPersistent(false);
             refuse(
@@ -172,6 +199,16 @@
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> receiveBody(exchange, arrivedNanos));
     }
 
+    /** A request that was pipelined behind this one and already read is served first. */
+    private void closeAfterResponseWhileDraining(HttpServerExchange exchange) {
+        boolean nextRequestRead =
+                exchange.getConnection() instanceof HttpServerConnection connection
+                        && connection.getExtraBytes() != null;
+        if (mDraining && !nextRequestRead) {
+            exchange.setPersistent(false);
+        }
+    }
+
     private void receiveBody(HttpServerExchange exchange, long arrivedNanos) {
         BodyReceiver.receive(
                 exchange,
@@ -201,4 +238,15 @@
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; charset=utf-8");
         exchange.getResponseSender().send(text);
     }
+
+    /**
+     * Result of an attempt to close the connections.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param closed false when requests in progress prevented it
+     * @param idle number of closed connections without a request in progress
+     * @param inUse number of requests that were in progress
+     */
+    public record CloseResult(boolean closed, int idle, int inUse) {}
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
@@ -8,6 +8,7 @@
 import org.bulrushvale.adapters.forward.CallerExchange;
 import org.bulrushvale.adapters.forward.CallerRequestMetadata;
 import org.bulrushvale.adapters.forward.ForwardRequestHandler;
+import org.bulrushvale.decision.drain.GracePeriod;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.ForwardConfig.Workspace;
 import org.bulrushvale.decision.forward.RequestKind;
@@ -25,14 +26,14 @@
 final class ForwardCore implements ForwardRequestHandler {
     private final ForwardServices mServices;
     private final StageExecutor mStageExecutor;
+    private final GracePeriod mGracePeriod;
     private final Set<ForwardedRequest> mRequestsInProgress = new HashSet<>();
     private volatile String mNotReadyReason = "no published configuration yet";
-    private boolean mDraining;
-    private boolean mRefuseStreams;
 
-    ForwardCore(ForwardServices services, StageExecutor stageExecutor) {
+    ForwardCore(ForwardServices services, StageExecutor stageExecutor, GracePeriod gracePeriod) {
         mServices = services;
         mStageExecutor = stageExecutor;
+        mGracePeriod = gracePeriod;
     }
 
     @Override
@@ -47,22 +48,16 @@
 
     /** Reports the entry as ready when the published state has become complete. */
     void onPublishedStateChange() {
-        if (!mDraining && mServices.publishedState().isComplete()) {
+        if (!mGracePeriod.hasBegun() && mServices.publishedState().isComplete()) {
             mNotReadyReason = "";
         }
     }
 
     /** Reports the entry as not ready from now on; it still serves requests on open connections. */
     void drain() {
-        mDraining = true;
         mNotReadyReason = "shutting down";
     }
 
-    /** Refuses new streams from now on, because they would not end within the grace time. */
-    void refuseStreams() {
-        mRefuseStreams = true;
-    }
-
     /** Ends every request in progress with a final answer. */
     void endAll() {
         List.copyOf(mRequestsInProgress).forEach(ForwardedRequest::endForShutdown);
@@ -100,8 +95,13 @@
             refuse(exchange, metadata.id(), ErrorCode.UNAUTHORIZED, "unknown API key");
             return;
         }
-        if (mRefuseStreams && route.get().kind() == RequestKind.STREAM) {
-            refuse(exchange, metadata.id(), ErrorCode.DRAINING, "the entry is shutting down");
+        if (!mGracePeriod.admits(
+                route.get().kind() == RequestKind.STREAM, timeLimit(metadata, route.get()))) {
+            refuse(
+                    exchange,
+                    metadata.id(),
+                    ErrorCode.DRAINING,
+                    "the entry has been shutting down for " + mGracePeriod.elapsed());
             return;
         }
         if (metadata.deadline().compareTo(Duration.ZERO) <= 0) {
@@ -122,6 +122,12 @@
         request.start();
     }
 
+    private static Duration timeLimit(CallerRequestMetadata metadata, Route route) {
+        return metadata.deadline().compareTo(route.timeout()) < 0
+                ? metadata.deadline()
+                : route.timeout();
+    }
+
     private void refuse(CallerExchange exchange, String id, ErrorCode code, String detail) {
         mServices
                 .log()
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -14,6 +14,7 @@
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.daemon.forward.ForwardServices.ForwardTelemetry;
+import org.bulrushvale.decision.drain.GracePeriod;
 import org.bulrushvale.decision.forward.ColdServerRateLimit;
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
@@ -47,16 +48,6 @@
     private static final Duration DISPATCH_PERIOD = Duration.ofMillis(50);
     private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
 
-    // Requests still in progress are answered this long before the end of the grace time.
-    private static final Duration FINAL_ANSWER_MARGIN = Duration.ofMillis(800);
-
-    // New streams are refused after the first quarter of the grace time; streams that begin earlier
-    // mostly end within it.
-    private static final int STREAM_GRACE_DIVISOR = 4;
-
-    // Time reserved at the end of the grace time for closing the process.
-    private static final Duration CLOSE_MARGIN = Duration.ofMillis(500);
-
     private final ForwardSettings mSettings;
     private final Clock mClock = Clock.system();
     private final EventLoop mLoop = EventLoop.start("forward", EVENT_LOOP_CAPACITY);
@@ -71,10 +62,13 @@
     private final FleetStageExecutor mFleet;
     private final ForwardServer mServer;
     private final CountDownLatch mDrained = new CountDownLatch(1);
-    private long mDrainStartedNanos;
+    private final GracePeriod mGracePeriod;
+    private boolean mClosingConnections;
 
     private ForwardDaemon(ForwardSettings settings) throws BulrushvaleException {
         mSettings = settings;
+        mGracePeriod =
+                new GracePeriod(mClock, settings.drain().unreadyDelay(), settings.drain().grace());
         mLog =
                 new DecisionLog(
                         mClock, System.out, settings.entry().vm(), settings.log().linesPerSecond());
@@ -118,7 +112,7 @@
         mLocalExecutor = new LocalStageExecutor(services);
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
         mFleet.exchangeNotices(crashGuard.notices(), statedLimits.notices());
-        mCore = new ForwardCore(services, mFleet);
+        mCore = new ForwardCore(services, mFleet, mGracePeriod);
         mServer = ForwardServer.start(settings, mWorker, mCore, metrics::scrape, mClock);
         mLoop.scheduleWithFixedDelay(DISPATCH_PERIOD, mLocalExecutor::dispatch);
         startRelay(members);
@@ -208,14 +202,17 @@
     }
 
     /**
-     * Starts a graceful shutdown: reports not ready, lets the requests in progress end, then
-     * completes {@link #awaitDrained}.
+     * Starts a graceful shutdown: reports not ready, lets the requests in progress end, closes the
+     * connections of callers, then completes {@link #awaitDrained}.
      */
     public void drain() {
         mLoop.execute(
                 () -> {
+                    if (mGracePeriod.hasBegun()) {
+                        return;
+                    }
                     mLog.line("stop").with("running", mCore.requestsInProgress()).writeAlways();
-                    mDrainStartedNanos = mClock.monotonicNanos();
+                    mGracePeriod.begin();
                     mCore.drain();
                     mFleet.drain();
                     mServer.drain();
@@ -224,24 +221,35 @@
     }
 
     private void checkDrained() {
-        Duration elapsed = mClock.elapsedSince(mDrainStartedNanos);
-        ForwardSettings.Drain limits = mSettings.drain();
-        boolean idle =
-                elapsed.compareTo(limits.unreadyDelay()) >= 0
-                        && mCore.requestsInProgress() == 0
-                        && mFleet.peerRequestCount() == 0
-                        && mServer.running() == 0;
-        if (elapsed.compareTo(limits.grace().dividedBy(STREAM_GRACE_DIVISOR)) >= 0) {
-            mCore.refuseStreams();
+        if (mClosingConnections) {
+            return;
         }
-        if (elapsed.compareTo(limits.grace().minus(FINAL_ANSWER_MARGIN)) >= 0) {
+        if (mGracePeriod.areFinalAnswersDue()) {
             mCore.endAll();
         }
-        if (idle || elapsed.compareTo(limits.grace().minus(CLOSE_MARGIN)) >= 0) {
-            mDrained.countDown();
+        boolean idle = mCore.requestsInProgress() == 0 && mFleet.peerRequestCount() == 0;
+        if (mGracePeriod.mustEnd() || (mGracePeriod.mayEndWhenIdle() && idle)) {
+            mClosingConnections = true;
+            mServer.closeConnections(mGracePeriod.mustEnd(), this::onConnectionsClosed);
         }
     }
 
+    private void onConnectionsClosed(ForwardServer.CloseResult result) {
+        mLoop.execute(
+                () -> {
+                    mClosingConnections = false;
+                    if (result.closed()) {
+                        mLog.line("connections_closed")
+                                .with("idle", result.idle())
+                                .with("in_use", result.inUse())
+                                .with("after_ms", mGracePeriod.elapsed().toMillis())
+                                .writeAlways();
+                        mClosingConnections = true;
+                        mDrained.countDown();
+                    }
+                });
+    }
+
     /** Waits for the end of a graceful shutdown; returns false when the limit elapsed first. */
     public boolean awaitDrained(Duration limit) throws InterruptedException {
         return mDrained.await(limit.toMillis(), TimeUnit.MILLISECONDS);
