Handle signals of the forwarding entry before its listeners open

SIGTERM ended a starting entry without a stop, and SIGHUP ended it instead of reloading, because the shutdown hook and the handler were installed after the listeners had opened; requests read until then were lost. Both are installed first now and wait for the start to end. Found by reading the code; the soak over real processes sends both signals during the start, but did not reproduce the loss before the change.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
@@ -4,6 +4,9 @@
 import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.daemon.LogSetup;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
@@ -68,10 +71,14 @@
     private static int runEntry(SettingsFile file, ForwardSettings settings, PrintWriter err)
             throws InterruptedException {
         LogSetup.configure(true, settings.log().level());
+        // A signal may arrive as soon as the listeners are open, which is before the start ends.
+        CompletableFuture<ForwardDaemon> started = new CompletableFuture<>();
+        Signal.handle(
+                new Signal("HUP"), signal -> started.thenAccept(daemon -> reload(daemon, file)));
+        Thread onSignal = new Thread(() -> drainOnSignal(started), "drain-on-signal");
+        Runtime.getRuntime().addShutdownHook(onSignal);
         try (ForwardDaemon daemon = ForwardDaemon.start(settings)) {
-            Signal.handle(new Signal("HUP"), signal -> reload(daemon, file));
-            Thread onSignal = new Thread(() -> drainOnSignal(daemon), "drain-on-signal");
-            Runtime.getRuntime().addShutdownHook(onSignal);
+            started.complete(daemon);
             while (!daemon.awaitDrained(SETTINGS_POLL_PERIOD)) {
                 file.readChanged().ifPresent(daemon::reload);
             }
@@ -79,6 +86,8 @@
         } catch (BulrushvaleException e) {
             err.println("cannot start: " + e.detail());
             return 1;
+        } finally {
+            started.cancel(false);
         }
     }
 
@@ -90,12 +99,16 @@
         }
     }
 
-    private static void drainOnSignal(ForwardDaemon daemon) {
-        daemon.drain();
+    private static void drainOnSignal(CompletableFuture<ForwardDaemon> started) {
         try {
+            ForwardDaemon daemon = started.get();
+            daemon.drain();
             daemon.awaitDrainedWithinGrace();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } catch (ExecutionException | CancellationException e) {
+            // The entry did not start, so there is nothing to drain.
+            return;
         }
     }
 }
