Add a seeded soak of planned stops over forwarding entries

The soak starts three entries over the store stand-in and scripted backend servers, and sends SIGTERM (also twice), SIGHUP and restarts from one seed, in series or overlapping, while callers use each connection until the process is gone: kept, pipelined, in pieces, new. It checks complete answers, true refusals, at most once, no mixed-up or falsely complete answer, and the grace time, and prints the history of each broken case.

The test fails until the shutdown is fixed.

--- a/system-tests/src/test/java/org/bulrushvale/systemtests/harness/JavaProcess.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/harness/JavaProcess.java
@@ -118,8 +118,13 @@
     }
 
     /** Asks the process to shut down gracefully (SIGTERM). */
-    public void terminate() throws IOException, InterruptedException {
-        sendSignal("TERM");
+    public void terminate() {
+        mProcess.toHandle().destroy();
+    }
+
+    /** Tells the process that its settings have changed (SIGHUP). */
+    public void hangUp() throws IOException, InterruptedException {
+        sendSignal("HUP");
     }
 
     /** Kills the process at once (SIGKILL). */
@@ -127,6 +132,16 @@
         mProcess.destroyForcibly();
     }
 
+    /** Returns true until the process has ended. */
+    public boolean isAlive() {
+        return mProcess.isAlive();
+    }
+
+    /** Runs a task when the process has ended. */
+    public void onExit(Runnable task) {
+        mProcess.onExit().thenRun(task);
+    }
+
     /** Waits until the process has ended and returns its exit code. */
     public int awaitExit(Duration limit) throws InterruptedException {
         if (!mProcess.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS)) {
