Log how late the event loop runs and how many pieces wait

Nothing showed whether a collector keeps up: a loop that runs its tasks late delays every request of an entry, and the stage calls' own times do not contain it.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -46,6 +46,8 @@
     // How often the queues are checked for calls that waited for the memory of a server or for a
     // server that was busy.
     private static final Duration DISPATCH_PERIOD = Duration.ofMillis(50);
+    // A loop that runs its tasks this late delays every request of the entry.
+    private static final Duration LOOP_DELAY_LIMIT = Duration.ofMillis(250);
     private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
 
     private final ForwardSettings mSettings;
@@ -64,6 +66,7 @@
     private final CountDownLatch mDrained = new CountDownLatch(1);
     private final GracePeriod mGracePeriod;
     private boolean mClosingConnections;
+    private long mLastDispatchNanos;
 
     private ForwardDaemon(ForwardSettings settings) throws BulrushvaleException {
         mSettings = settings;
@@ -114,10 +117,24 @@
         mFleet.exchangeNotices(crashGuard.notices(), statedLimits.notices());
         mCore = new ForwardCore(services, mFleet, mGracePeriod);
         mServer = ForwardServer.start(settings, mWorker, mCore, metrics::scrape, mClock);
-        mLoop.scheduleWithFixedDelay(DISPATCH_PERIOD, mLocalExecutor::dispatch);
+        mLastDispatchNanos = mClock.monotonicNanos();
+        mLoop.scheduleWithFixedDelay(DISPATCH_PERIOD, this::dispatchPeriodically);
         startRelay(members);
     }
 
+    private void dispatchPeriodically() {
+        Duration delay = mClock.elapsedSince(mLastDispatchNanos).minus(DISPATCH_PERIOD);
+        if (delay.compareTo(LOOP_DELAY_LIMIT) > 0) {
+            mLog.line("loop_delayed")
+                    .with("delay_ms", delay.toMillis())
+                    .with("waiting_pieces", mLocalExecutor.waitingPieces())
+                    .with("running", mCore.requestsInProgress())
+                    .write();
+        }
+        mLocalExecutor.dispatch();
+        mLastDispatchNanos = mClock.monotonicNanos();
+    }
+
     private void startRelay(MemberTable members) {
         PublishedStateRelay relay =
                 new PublishedStateRelay(
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
@@ -53,6 +53,11 @@
         mDispatchers.values().forEach(StageDispatcher::dispatch);
     }
 
+    /** Returns the number of pieces that wait for a call. */
+    int waitingPieces() {
+        return mDispatchers.values().stream().mapToInt(StageDispatcher::waiting).sum();
+    }
+
     private StageDispatcher dispatcher(String service) {
         return mDispatchers.computeIfAbsent(service, name -> new StageDispatcher(mServices, name));
     }
