Keep the work of a collector independent of its backlog

Suspected cause: all pieces of a stage service go through one entry, and each event there cost as much as pieces waited (the queue was sorted and grouped whenever a job arrived, comparing strings built for each comparison) and as results occupied memory (each release scanned all reservations). Work for each event that grows with the backlog turns an overload into a lasting one.

The queue is now sorted only when a server has a free slot, batches stop at the groups that fill them, names are built once, and reservations are found by name and expire from the oldest. The calls that are formed stay the same (StageQueueTest, unchanged).

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
@@ -21,6 +21,9 @@
     private final long mStartByNanos;
     private final long mGiveUpNanos;
     private final Consumer<PieceResult> mOnResult;
+    // The queue compares both often.
+    private final String mName;
+    private final String mGroup;
     private final Set<String> mAvoided = new HashSet<>();
     private boolean mDelivered;
 
@@ -30,6 +33,8 @@
         mStartByNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(job.startByMillis());
         mGiveUpNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(job.giveUpMillis());
         mOnResult = onResult;
+        mName = name(order.requestId(), order.stage(), order.piece());
+        mGroup = order.requestId() + "/" + order.stage();
     }
 
     PieceOrder order() {
@@ -57,7 +62,7 @@
 
     @Override
     public String name() {
-        return name(mOrder.requestId(), mOrder.stage(), mOrder.piece());
+        return mName;
     }
 
     static String name(String requestId, int stage, int piece) {
@@ -66,7 +71,7 @@
 
     @Override
     public String group() {
-        return mOrder.requestId() + "/" + mOrder.stage();
+        return mGroup;
     }
 
     @Override
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -1,11 +1,12 @@
 package org.bulrushvale.decision.forward;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -44,8 +45,8 @@
     private final long mResultLifetimeNanos;
     private final List<QueuedPiece<P>> mQueued = new ArrayList<>();
     private final Map<String, Integer> mRunningCalls = new HashMap<>();
-    private final Map<String, List<Reservation>> mReservations = new HashMap<>();
-    private final Map<String, Reservation> mForeignReservations = new HashMap<>();
+    private final Map<String, ReservedMemory> mReservations = new HashMap<>();
+    private final Map<String, ForeignMemory> mForeignMemory = new HashMap<>();
 
     /**
      * Creates an empty queue.
@@ -94,32 +95,41 @@
     public List<Call<P>> nextCalls(
             List<Server> servers, PieceLimits limits, ToIntFunction<Server> permits) {
         List<Call<P>> calls = new ArrayList<>();
-        if (mQueued.isEmpty()) {
+        long now = mClock.monotonicNanos();
+        List<Server> usable = mQueued.isEmpty() ? List.of() : usableServers(servers, now, limits);
+        // Sorting a long queue each time that a piece arrives would cost more than all calls.
+        if (usable.stream().noneMatch(server -> hasFreeSlot(server, limits))) {
             return calls;
         }
-        long now = mClock.monotonicNanos();
-        mQueued.sort(
-                Comparator.comparingInt((QueuedPiece<P> queued) -> sortRank(queued.piece(), now))
-                        .thenComparingLong(queued -> queued.piece().latestStartNanos() - now)
-                        .thenComparing(queued -> queued.piece().group()));
-        List<Server> usable = usableServers(servers, now, limits);
+        sortQueue(now);
         Set<String> domains = new HashSet<>();
         usable.forEach(server -> domains.add(server.published().domain()));
         for (Server server : usable) {
-            String id = server.published().id();
-            int permitted = permits.applyAsInt(server);
-            while (runningCalls(id) < limits.slots() && permitted-- > 0) {
+            int permitted = hasFreeSlot(server, limits) ? permits.applyAsInt(server) : 0;
+            while (hasFreeSlot(server, limits) && permitted-- > 0) {
                 List<P> batch = takeBatch(server, limits, domains, now);
                 if (batch.isEmpty()) {
                     break;
                 }
-                mRunningCalls.merge(id, 1, Integer::sum);
+                mRunningCalls.merge(server.published().id(), 1, Integer::sum);
                 calls.add(new Call<>(server, batch));
             }
         }
         return calls;
     }
 
+    private boolean hasFreeSlot(Server server, PieceLimits limits) {
+        return runningCalls(server.published().id()) < limits.slots();
+    }
+
+    /** Sorts the queue so that the pieces of a group are adjacent. */
+    private void sortQueue(long now) {
+        mQueued.sort(
+                Comparator.comparingInt((QueuedPiece<P> queued) -> sortRank(queued.piece(), now))
+                        .thenComparingLong(queued -> queued.piece().latestStartNanos() - now)
+                        .thenComparing(queued -> queued.piece().group()));
+    }
+
     /** Returns -1 for a piece that can meet its target, otherwise the rank of its request. */
     private int sortRank(P piece, long now) {
         return piece.latestStartNanos() - now > 0 ? -1 : piece.rank();
@@ -144,50 +154,70 @@
      */
     private List<P> takeBatch(Server server, PieceLimits limits, Set<String> domains, long now) {
         String id = server.published().id();
-        Map<String, List<QueuedPiece<P>>> groups = new LinkedHashMap<>();
-        for (QueuedPiece<P> queued : mQueued) {
-            P piece = queued.piece();
-            if (!piece.avoids(id)
-                    && !waitsForDomain(queued, server.published().domain(), domains, now)) {
-                groups.computeIfAbsent(piece.group(), key -> new ArrayList<>()).add(queued);
-            }
-        }
         long freeBytes =
                 limits.resultMemoryBytes() - reservedBytes(id, now) - foreignBytes(id, now);
         List<QueuedPiece<P>> taken = new ArrayList<>();
-        for (List<QueuedPiece<P>> group : groups.values()) {
-            long bytesPerPiece = group.get(0).piece().resultBytes();
-            int freePlaces = limits.maxBatch() - taken.size();
-            long fitting =
-                    bytesPerPiece == 0
-                            ? freePlaces
-                            : Math.min(freePlaces, Math.max(0, freeBytes) / bytesPerPiece);
-            boolean maySplit =
-                    taken.isEmpty()
-                            && (group.size() > limits.maxBatch()
-                                    || bytesPerPiece * group.size() > limits.resultMemoryBytes());
-            if (fitting >= group.size() || (maySplit && fitting > 0)) {
-                List<QueuedPiece<P>> part = group.subList(0, (int) Math.min(fitting, group.size()));
-                taken.addAll(part);
-                freeBytes -= bytesPerPiece * part.size();
+        int next = 0;
+        while (next < mQueued.size() && taken.size() < limits.maxBatch()) {
+            int end = endOfGroup(next);
+            List<QueuedPiece<P>> group =
+                    mQueued.subList(next, end).stream()
+                            .filter(queued -> !queued.piece().avoids(id))
+                            .filter(queued -> !waitsForDomain(queued, server, domains, now))
+                            .toList();
+            next = end;
+            if (!group.isEmpty()) {
+                int fitting = fittingPieces(group, taken.size(), freeBytes, limits);
+                taken.addAll(group.subList(0, fitting));
+                freeBytes -= group.get(0).piece().resultBytes() * fitting;
             }
         }
-        mQueued.removeAll(taken);
+        Set<QueuedPiece<P>> takenSet = Collections.newSetFromMap(new IdentityHashMap<>());
+        takenSet.addAll(taken);
+        mQueued.removeIf(takenSet::contains);
         List<P> batch = taken.stream().map(QueuedPiece::piece).toList();
         batch.forEach(piece -> reserve(id, piece, now));
         return batch;
     }
 
+    /** Returns the index after the last piece of the group that begins at an index. */
+    private int endOfGroup(int begin) {
+        String group = mQueued.get(begin).piece().group();
+        int end = begin + 1;
+        while (end < mQueued.size() && mQueued.get(end).piece().group().equals(group)) {
+            end++;
+        }
+        return end;
+    }
+
+    /** Returns how many pieces of a group a call with {@code taken} pieces can take. */
+    private int fittingPieces(
+            List<QueuedPiece<P>> group, int taken, long freeBytes, PieceLimits limits) {
+        long bytesPerPiece = group.get(0).piece().resultBytes();
+        int freePlaces = limits.maxBatch() - taken;
+        long fitting =
+                bytesPerPiece == 0
+                        ? freePlaces
+                        : Math.min(freePlaces, Math.max(0, freeBytes) / bytesPerPiece);
+        boolean maySplit =
+                taken == 0
+                        && (group.size() > limits.maxBatch()
+                                || bytesPerPiece * group.size() > limits.resultMemoryBytes());
+        if (fitting >= group.size()) {
+            return group.size();
+        }
+        return maySplit ? (int) fitting : 0;
+    }
+
     private void reserve(String server, P piece, long now) {
         mReservations
-                .computeIfAbsent(server, id -> new ArrayList<>())
-                .add(
-                        new Reservation(
-                                piece.name(), piece.resultBytes(), now + mResultLifetimeNanos));
+                .computeIfAbsent(server, id -> new ReservedMemory())
+                .add(piece.name(), piece.resultBytes(), now + mResultLifetimeNanos);
     }
 
     private boolean waitsForDomain(
-            QueuedPiece<P> queued, String domain, Set<String> domains, long now) {
+            QueuedPiece<P> queued, Server server, Set<String> domains, long now) {
+        String domain = server.published().domain();
         String preferred = queued.piece().preferredDomain();
         return !preferred.isEmpty()
                 && !preferred.equals(domain)
@@ -200,10 +230,8 @@
     }
 
     private long reservedBytes(String server, long now) {
-        List<Reservation> reservations =
-                mReservations.computeIfAbsent(server, id -> new ArrayList<>());
-        reservations.removeIf(reservation -> reservation.endNanos() - now <= 0);
-        return reservations.stream().mapToLong(Reservation::bytes).sum();
+        ReservedMemory reserved = mReservations.get(server);
+        return reserved == null ? 0 : reserved.bytes(now);
     }
 
     /** Records the end of a call to a server. */
@@ -220,11 +248,11 @@
         long now = mClock.monotonicNanos();
         long bytes = Math.max(0, limits.resultMemoryBytes() - reservedBytes(server, now));
         long end = now + mResultLifetimeNanos / FOREIGN_LIFETIME_DIVISOR;
-        mForeignReservations.put(server, new Reservation(server, bytes, end));
+        mForeignMemory.put(server, new ForeignMemory(bytes, end));
     }
 
     private long foreignBytes(String server, long now) {
-        Reservation foreign = mForeignReservations.get(server);
+        ForeignMemory foreign = mForeignMemory.get(server);
         if (foreign == null || foreign.endNanos() - now <= 0) {
             return 0;
         }
@@ -237,9 +265,7 @@
 
     /** Releases the memory that is reserved for the result of a piece, at whichever server. */
     public void releaseResult(String piece) {
-        for (List<Reservation> reservations : mReservations.values()) {
-            reservations.removeIf(reservation -> reservation.piece().equals(piece));
-        }
+        mReservations.values().forEach(reserved -> reserved.remove(piece));
     }
 
     /** A piece that waits in the queue. */
@@ -291,13 +317,11 @@
     private record QueuedPiece<P>(P piece, long addedNanos) {}
 
     /**
-     * Memory that is occupied at a server.
+     * Memory that others than this queue occupy at a server.
      *
      * <p>Thread safety: immutable.
      *
-     * @param piece name of the piece whose result occupies it; the server's id for memory that this
-     *     queue did not reserve
      * @param endNanos monotonic time at which the memory is free again at the latest
      */
-    private record Reservation(String piece, long bytes, long endNanos) {}
+    private record ForeignMemory(long bytes, long endNanos) {}
 }
--- /dev/null
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueBacklogTest.java
@@ -0,0 +1,146 @@
+package org.bulrushvale.decision.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.bulrushvale.decision.forward.BackendDirectory.Server;
+import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a collector whose processor time for each event grows with its backlog, so that it
+ * falls behind for good after an overload.
+ */
+public class StageQueueBacklogTest {
+    private static final String SERVICE = "rerankers";
+    private static final int PIECES_PER_JOB = 10;
+    private static final int BATCH = 90;
+    private static final PieceLimits LIMITS =
+            new PieceLimits(
+                    1, BATCH, Duration.ofMillis(200), Duration.ofMillis(2), Long.MAX_VALUE / 2);
+
+    // Jobs and answers that reach a collector of the grown fleets within a second.
+    private static final int EVENTS = 500;
+
+    // A tenth of a core.
+    private static final Duration EVENTS_LIMIT = Duration.ofMillis(100);
+
+    private final ManualClock mClock = ManualClock.startingAt(Instant.EPOCH);
+
+    private record TestPiece(String name, String group, long latestStartNanos)
+            implements StageQueue.Piece {
+        @Override
+        public int rank() {
+            return 1;
+        }
+
+        @Override
+        public long giveUpNanos() {
+            return latestStartNanos + Duration.ofSeconds(60).toNanos();
+        }
+
+        @Override
+        public long resultBytes() {
+            return 1;
+        }
+
+        @Override
+        public String preferredDomain() {
+            return "";
+        }
+
+        @Override
+        public boolean isAbandoned() {
+            return false;
+        }
+
+        @Override
+        public boolean avoids(String server) {
+            return false;
+        }
+    }
+
+    @DataProvider
+    public Object[][] backlogs() {
+        return new Object[][] {{10}, {400}, {1_600}};
+    }
+
+    @Test(dataProvider = "backlogs")
+    public void a_job_that_meets_busy_servers_costs_little_whatever_waits(int waitingJobs) {
+        // given: every server is busy
+        StageQueue<TestPiece> queue = new StageQueue<>(mClock, Duration.ofSeconds(5).toNanos());
+        List<Server> servers = servers(18);
+        addJobs(queue, 0, 18 * BATCH / PIECES_PER_JOB + waitingJobs);
+        assertThat(queue.nextCalls(servers, LIMITS)).hasSize(18);
+        // when
+        Duration needed =
+                fastestOf(
+                        3,
+                        () -> {
+                            for (int i = 0; i < EVENTS; i++) {
+                                queue.nextCalls(servers, LIMITS);
+                            }
+                        });
+        // then
+        assertThat(needed).isLessThan(EVENTS_LIMIT);
+    }
+
+    @Test(dataProvider = "backlogs")
+    public void releasing_a_result_costs_little_whatever_is_reserved(int jobs) {
+        // given: results of many calls occupy memory
+        StageQueue<TestPiece> queue = new StageQueue<>(mClock, Duration.ofSeconds(5).toNanos());
+        List<Server> servers = servers(18);
+        List<TestPiece> made = new ArrayList<>();
+        addJobs(queue, 0, jobs);
+        while (queue.waitingCount() > 0) {
+            for (StageQueue.Call<TestPiece> call : queue.nextCalls(servers, LIMITS)) {
+                made.addAll(call.pieces());
+                queue.recordCallEnd(call.server().published().id());
+            }
+        }
+        // when
+        Duration needed =
+                fastestOf(
+                        1,
+                        () -> {
+                            for (int i = 0; i < EVENTS; i++) {
+                                queue.releaseResult(made.get(i % made.size()).name());
+                            }
+                        });
+        // then
+        assertThat(needed).isLessThan(EVENTS_LIMIT.dividedBy(10));
+    }
+
+    private List<Server> servers(int count) {
+        BackendDirectory directory = new BackendDirectory(mClock);
+        for (int i = 0; i < count; i++) {
+            directory.put(TestServers.warm("s" + i, SERVICE, "a"));
+        }
+        return directory.eligibleServers(SERVICE);
+    }
+
+    private void addJobs(StageQueue<TestPiece> queue, int first, int count) {
+        for (int job = first; job < first + count; job++) {
+            String group = "request-" + job + "/2";
+            for (int piece = 0; piece < PIECES_PER_JOB; piece++) {
+                queue.add(new TestPiece(group + "/" + piece, group, 1_000_000L * (job % 997)));
+            }
+        }
+    }
+
+    private static Duration fastestOf(int runs, Runnable task) {
+        Duration fastest = Duration.ofDays(1);
+        for (int i = 0; i < runs; i++) {
+            long begin = System.nanoTime();
+            task.run();
+            Duration needed = Duration.ofNanos(System.nanoTime() - begin);
+            fastest = needed.compareTo(fastest) < 0 ? needed : fastest;
+        }
+        return fastest;
+    }
+}
