--- a/system-tests/src/test/java/org/bulrushvale/systemtests/soak/SoakChecks.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/soak/SoakChecks.java
@@ -19,6 +19,7 @@
     private final SoakBackends mBackends;
     private final Map<String, List<String>> mBroken = new TreeMap<>();
     private final Map<String, Integer> mCounts = new TreeMap<>();
+    private double mCutStreamSent;
 
     SoakChecks(SoakBackends backends) {
         mBackends = backends;
@@ -63,6 +64,10 @@
     private void judgeUnanswered(Outcome outcome) {
         if (outcome.end() - outcome.sent() <= LOSS_SLACK) {
             count("crossed the close");
+        } else if (outcome.behind() && outcome.sent() == mCutStreamSent) {
+            // Pipelined behind a stream that outlived the grace time; no answer may precede its
+            // end.
+            count("behind a stream that outlived the grace time");
         } else {
             report(true, outcome.behind() ? "PIPELINED_UNANSWERED" : "UNANSWERED", outcome);
         }
@@ -78,6 +83,7 @@
                         && arrival + outcome.request().runMillis() / 1e3 >= lastSixth;
         if (outlivesGrace && outcome.end() >= lastSixth) {
             count("outlived the grace time");
+            mCutStreamSent = outcome.sent();
         } else {
             report(true, outlivesGrace ? "STREAM_CUT_EARLY" : "LOST", outcome);
         }
