Stop an entry only when every request that was read is answered

Callers saw: connections that ended in the middle of an answer, or without one, at a planned stop of bulrushvaled. Cause: the shutdown counted a request as ended when its answer was passed to the responder, not when it was written, and ended the process in the same step: unwritten answers were lost, and requests on open connections that were still read got neither an answer nor a refusal. Change: a new last state closes each connection on its own I/O thread while no byte of an unanswered request was read from it, after a last attempt to read; the process stops when no connection is left, at the latest after the read timeout and the grace time. While pipelined requests are left, an answer does not announce the close.

--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerPlugin.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerPlugin.java
@@ -45,6 +45,16 @@
         }
     }
 
+    @Override
+    public void finish(Runnable onFinished) {
+        CallerServer server = mServer;
+        if (server == null) {
+            onFinished.run();
+        } else {
+            server.finish(onFinished);
+        }
+    }
+
     @Override
     public void stop() {
         CallerServer server = mServer;
--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
@@ -53,6 +53,7 @@
     private final EntryMetrics mMetrics;
     private final AtomicInteger mActiveRequests = new AtomicInteger();
     private final AtomicInteger mActiveStreams = new AtomicInteger();
+    private final CallerConnections mConnections = new CallerConnections();
     private volatile @Nullable XnioWorker mWorker;
     private volatile @Nullable AcceptingChannel<StreamConnection> mAcceptor;
     private volatile int mBoundPort;
@@ -116,7 +117,7 @@
         AcceptingChannel<StreamConnection> acceptor =
                 worker.createStreamConnectionServer(
                         new InetSocketAddress(mSettings.address(), mSettings.port()),
-                        ChannelListeners.openListenerAdapter(listener),
+                        ChannelListeners.openListenerAdapter(mConnections.tracked(listener)),
                         socketOptions);
         mAcceptor = acceptor;
         mBoundPort = acceptor.getLocalAddress(InetSocketAddress.class).getPort();
@@ -128,20 +129,24 @@
         return mBoundPort;
     }
 
-    /** Returns the number of requests in progress. */
-    public int running() {
-        return mActiveRequests.get();
-    }
-
     /**
-     * Accepts no new connections; open connections close after their next response. The daemon
-     * still accepts or refuses the requests on these connections.
+     * Accepts no new connections; open connections close after their next response, or after the
+     * last one when further requests have already arrived. The daemon still accepts or refuses the
+     * requests on these connections.
      */
     public void drain() {
         mDraining = true;
         IoUtils.safeClose(mAcceptor);
     }
 
+    /**
+     * Closes the idle connections and answers the requests on the others; runs {@code onFinished}
+     * when no request is left.
+     */
+    public void finish(Runnable onFinished) {
+        mConnections.closeWhenIdle(onFinished);
+    }
+
     /** Closes the listener and all connections. */
     public void stop() {
         IoUtils.safeClose(mAcceptor);
@@ -152,9 +157,8 @@
     }
 
     private void routeRequest(HttpServerExchange exchange) {
-        if (mDraining) {
-            exchange.setPersistent(false);
-        }
+        mConnections.exchangeStarted(exchange);
+        exchange.addResponseCommitListener(this::announceClose);
         String route = exchange.getRequestMethod() + " " + exchange.getRequestPath();
         switch (route) {
             case "POST /v1/requests" -> readBody(exchange, this::submitRequest);
@@ -166,6 +170,12 @@
         }
     }
 
+    private void announceClose(HttpServerExchange exchange) {
+        if (mDraining && !CallerConnections.hasPipelinedBytes(exchange)) {
+            exchange.setPersistent(false);
+        }
+    }
+
     private void answerReadinessCheck(HttpServerExchange exchange) {
         String reason = mDaemon.notReadyReason();
         sendText(
--- a/daemon/src/main/java/org/bulrushvale/daemon/DrainDriver.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/DrainDriver.java
@@ -26,19 +26,17 @@
     private final Consumer<DrainState> mOnState;
     private final CountDownLatch mStopped = new CountDownLatch(1);
 
-    DrainDriver(
-            EntrySettings.Drain settings,
-            Clock clock,
-            EventLoop loop,
-            Consumer<DrainState> onState) {
+    DrainDriver(EntrySettings settings, Clock clock, EventLoop loop, Consumer<DrainState> onState) {
+        EntrySettings.Drain drain = settings.drain();
         mSequence =
                 new DrainSequence(
                         clock,
                         new DrainTimeouts(
-                                settings.readinessDelay(),
-                                settings.settle(),
-                                settings.grace(),
-                                settings.handover()));
+                                drain.readinessDelay(),
+                                drain.settle(),
+                                drain.grace(),
+                                drain.handover(),
+                                settings.caller().readTimeout().plus(drain.grace())));
         mLoop = loop;
         mOnState = onState;
     }
@@ -69,6 +67,9 @@
                         "shutdown abandoned %d requests that had not ended",
                         mSequence.abandonedRequests());
             }
+            if (!mSequence.connectionsClosed()) {
+                LOG.warn("shutdown cuts connections whose requests were not answered in time");
+            }
             mStopped.countDown();
         }
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryDaemon.java
@@ -126,7 +126,7 @@
                         settings.backend().loadInterval(),
                         random.split(),
                         this::onReport);
-        mDrain = new DrainDriver(settings.drain(), clock, mLoop, this::onDrainState);
+        mDrain = new DrainDriver(settings, clock, mLoop, this::onDrainState);
         mCore =
                 new EntryCore(
                         services,
@@ -263,6 +263,8 @@
             }
             case LISTENERS_CLOSED -> mPlugins.drain();
             case HANDING_OVER -> mFleet.handOver(mDrain.sequence()::onHandedOver);
+            case CLOSING_CONNECTIONS ->
+                    mPlugins.finish(() -> mLoop.execute(mDrain.sequence()::onConnectionsClosed));
             default -> {}
         }
     }
--- a/decision/src/main/java/org/bulrushvale/decision/drain/DrainSequence.java
+++ b/decision/src/main/java/org/bulrushvale/decision/drain/DrainSequence.java
@@ -16,8 +16,9 @@
  *
  * <p>Invariants: an accepted request keeps its own deadline; the sequence leaves {@code FINISHING}
  * only when all accepted requests have ended, or when the grace time after their latest deadline
- * has passed. Each state is entered once, in order. After a pause of the process, one tick may
- * enter several states.
+ * has passed. It stops only when no connection has a request in progress, or when the time for
+ * closing them has passed. Each state is entered once, in order. After a pause of the process, one
+ * tick may enter several states.
  *
  * <p>Thread safety: not safe; owned by the event loop.
  */
@@ -29,6 +30,7 @@
     private long mLatestDeadlineNanos;
     private int mInFlight;
     private boolean mHandoverDone;
+    private boolean mConnectionsClosed;
     private int mAbandonedRequests;
 
     /** Creates a sequence in the state {@code SERVING}. */
@@ -73,6 +75,11 @@
         mHandoverDone = true;
     }
 
+    /** Records that every connection was closed or has ended with its last answer. */
+    public void onConnectionsClosed() {
+        mConnectionsClosed = true;
+    }
+
     /**
      * Enters the next states as far as time and requests permit; returns the entered states in
      * order.
@@ -104,6 +111,11 @@
         return mAbandonedRequests;
     }
 
+    /** Returns true once no connection has a request in progress. */
+    public boolean connectionsClosed() {
+        return mConnectionsClosed;
+    }
+
     private boolean mayEnterNext() {
         long now = mClock.monotonicNanos();
         Duration timeInState = mClock.elapsedSince(mEnteredNanos);
@@ -116,6 +128,8 @@
                 return mInFlight == 0 || now - mLatestDeadlineNanos >= mTimeouts.grace().toNanos();
             case HANDING_OVER:
                 return mHandoverDone || timeInState.compareTo(mTimeouts.handover()) >= 0;
+            case CLOSING_CONNECTIONS:
+                return mConnectionsClosed || timeInState.compareTo(mTimeouts.closing()) >= 0;
             case SERVING:
             case STOPPED:
             default:
--- a/decision/src/main/java/org/bulrushvale/decision/drain/DrainState.java
+++ b/decision/src/main/java/org/bulrushvale/decision/drain/DrainState.java
@@ -17,6 +17,8 @@
     FINISHING,
     /** Key spaces are handed over to a successor. */
     HANDING_OVER,
+    /** Requests that were read are answered; connections close as they become idle. */
+    CLOSING_CONNECTIONS,
     /** The process may exit. */
     STOPPED;
 
--- a/decision/src/main/java/org/bulrushvale/decision/drain/DrainTimeouts.java
+++ b/decision/src/main/java/org/bulrushvale/decision/drain/DrainTimeouts.java
@@ -13,13 +13,17 @@
  * @param grace time after the latest deadline of an accepted request for which the entry still
  *     waits for requests to end
  * @param handover maximum time for handing over the key spaces
+ * @param closing maximum time after that for reading and answering requests that have begun to
+ *     arrive on open connections
  */
-public record DrainTimeouts(Duration unready, Duration settle, Duration grace, Duration handover) {
+public record DrainTimeouts(
+        Duration unready, Duration settle, Duration grace, Duration handover, Duration closing) {
     /** For a load balancer that checks every second and needs three failures. */
     public static final DrainTimeouts DEFAULT =
             new DrainTimeouts(
                     Duration.ofSeconds(4),
                     Duration.ofMillis(500),
                     Duration.ofSeconds(2),
-                    Duration.ofSeconds(5));
+                    Duration.ofSeconds(5),
+                    Duration.ofSeconds(7));
 }
--- a/kernel/src/main/java/org/bulrushvale/kernel/plugin/Plugin.java
+++ b/kernel/src/main/java/org/bulrushvale/kernel/plugin/Plugin.java
@@ -5,8 +5,8 @@
 /**
  * A part of a daemon that is found through {@link java.util.ServiceLoader}.
  *
- * <p>Invariant: {@link #start} is called once, then {@link #drain} at most once, then {@link #stop}
- * once. Thread safety: the three methods are called by one thread.
+ * <p>Invariant: {@link #start} is called once, then {@link #drain} and {@link #finish} at most once
+ * each, then {@link #stop} once. Thread safety: the methods are called one at a time.
  *
  * @param <C> the context that the daemon hands to its plug-ins
  */
@@ -23,6 +23,14 @@
     /** Stops taking new work; returns at once and leaves work in progress running. */
     default void drain() {}
 
+    /**
+     * Ends the work in progress in order; returns at once and runs {@code onFinished} when none is
+     * left.
+     */
+    default void finish(Runnable onFinished) {
+        onFinished.run();
+    }
+
     /** Stops the plug-in and releases its resources. */
     void stop();
 }
--- a/kernel/src/main/java/org/bulrushvale/kernel/plugin/PluginRegistry.java
+++ b/kernel/src/main/java/org/bulrushvale/kernel/plugin/PluginRegistry.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.jboss.logging.Logger;
 
@@ -62,6 +63,22 @@
         mStarted.forEach(Plugin::drain);
     }
 
+    /** Asks every started plug-in to finish; runs {@code onFinished} when all have. */
+    public void finish(Runnable onFinished) {
+        AtomicInteger unfinished = new AtomicInteger(1);
+        Runnable onOneFinished =
+                () -> {
+                    if (unfinished.decrementAndGet() == 0) {
+                        onFinished.run();
+                    }
+                };
+        for (Plugin<C> plugin : mStarted) {
+            unfinished.incrementAndGet();
+            plugin.finish(onOneFinished);
+        }
+        onOneFinished.run();
+    }
+
     /** Stops every started plug-in, the last started first. */
     public void stop() {
         while (!mStarted.isEmpty()) {
