Accept the established connections before the listener closes

Callers saw: a reset of connections on which they had sent a request, when an entry closed its listener. Cause: XNIO accepts connections on a thread of its own and queues them for the I/O threads; closing the listener resets what is queued there or waits in the operating system. Change: the listener stays open for 100 ms after the state is entered, in which established connections are accepted as usual; then each I/O thread empties its queue before the close.

--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerConnections.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerConnections.java
@@ -9,11 +9,13 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.channels.AcceptingChannel;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.ConduitReadableByteChannel;
@@ -29,6 +31,8 @@
  * a connection is used on its I/O thread only.
  */
 final class CallerConnections {
+    private static final Logger LOG = Logger.getLogger(CallerConnections.class);
+
     private final Set<Source> mOpen = ConcurrentHashMap.newKeySet();
     private final AtomicReference<@Nullable Runnable> mOnAllClosed = new AtomicReference<>();
     private volatile boolean mClosing;
@@ -55,6 +59,21 @@
         };
     }
 
+    /** Accepts the connections that wait; called on an I/O thread. */
+    static void acceptWaiting(
+            AcceptingChannel<StreamConnection> acceptor,
+            ChannelListener<StreamConnection> onAccepted) {
+        try {
+            for (StreamConnection next = acceptor.accept();
+                    next != null;
+                    next = acceptor.accept()) {
+                ChannelListeners.invokeChannelListener(next, onAccepted);
+            }
+        } catch (IOException e) {
+            LOG.warn("waiting connections could not be accepted", e);
+        }
+    }
+
     /** Must be called for every exchange before it is handled. */
     void exchangeStarted(HttpServerExchange exchange) {
         if (source(exchange) != null) {
--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.settings.EntrySettings;
@@ -20,6 +21,7 @@
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
 import org.jspecify.annotations.Nullable;
+import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -47,6 +49,8 @@
     private static final int IDLE_TIMEOUT_MS = 60_000;
     private static final int BUFFER_BYTES = 16_384;
     private static final int BACKLOG = 1_024;
+    // Connections that the operating system has established are accepted in this time.
+    private static final int LISTENER_CLOSE_DELAY_MS = 100;
 
     private final EntrySettings.Caller mSettings;
     private final CallerRequestHandler mDaemon;
@@ -56,6 +60,7 @@
     private final CallerConnections mConnections = new CallerConnections();
     private volatile @Nullable XnioWorker mWorker;
     private volatile @Nullable AcceptingChannel<StreamConnection> mAcceptor;
+    private volatile @Nullable ChannelListener<StreamConnection> mOnAccepted;
     private volatile int mBoundPort;
     private volatile boolean mDraining;
 
@@ -114,10 +119,12 @@
         HttpOpenListener listener =
                 new HttpOpenListener(new DefaultByteBufferPool(true, BUFFER_BYTES), httpOptions);
         listener.setRootHandler(Handlers.path().addPrefixPath("/", this::routeRequest));
+        ChannelListener<StreamConnection> onAccepted = mConnections.tracked(listener);
+        mOnAccepted = onAccepted;
         AcceptingChannel<StreamConnection> acceptor =
                 worker.createStreamConnectionServer(
                         new InetSocketAddress(mSettings.address(), mSettings.port()),
-                        ChannelListeners.openListenerAdapter(mConnections.tracked(listener)),
+                        ChannelListeners.openListenerAdapter(onAccepted),
                         socketOptions);
         mAcceptor = acceptor;
         mBoundPort = acceptor.getLocalAddress(InetSocketAddress.class).getPort();
@@ -130,13 +137,37 @@
     }
 
     /**
-     * Accepts no new connections; open connections close after their next response, or after the
-     * last one when further requests have already arrived. The daemon still accepts or refuses the
-     * requests on these connections.
+     * Accepts no new connections after those that wait; open connections close after their next
+     * response, or after the last one when further requests have already arrived. The daemon still
+     * accepts or refuses the requests on these connections.
      */
     public void drain() {
         mDraining = true;
-        IoUtils.safeClose(mAcceptor);
+        XnioWorker worker = mWorker;
+        if (worker != null) {
+            worker.getIoThread(0)
+                    .executeAfter(
+                            () -> closeListener(worker, 0),
+                            LISTENER_CLOSE_DELAY_MS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /**
+     * Closes the listener after each I/O thread has taken its queue of accepted connections, which
+     * the close would reset.
+     */
+    private void closeListener(XnioWorker worker, int ioThread) {
+        AcceptingChannel<StreamConnection> acceptor = mAcceptor;
+        ChannelListener<StreamConnection> onAccepted = mOnAccepted;
+        if (acceptor != null && onAccepted != null) {
+            CallerConnections.acceptWaiting(acceptor, onAccepted);
+            if (ioThread + 1 < IO_THREADS) {
+                worker.getIoThread(ioThread + 1).execute(() -> closeListener(worker, ioThread + 1));
+            } else {
+                IoUtils.safeClose(acceptor);
+            }
+        }
     }
 
     /**
--- a/system-tests/src/test/java/org/bulrushvale/systemtests/GracefulExitProcessTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/GracefulExitProcessTest.java
@@ -164,6 +164,33 @@
         mEntry.process().awaitExit(EXIT_LIMIT);
     }
 
+    @Test
+    public void connections_made_during_a_pause_of_the_shutdown_are_answered() throws Exception {
+        List<RawCaller> callers = new ArrayList<>();
+        try {
+            // given connections that the entry has not accepted when its listener is to close
+            mEntry.process().terminate();
+            awaitState("UNREADY");
+            mEntry.process().pause();
+            for (int i = 0; i < 300; i++) {
+                RawCaller caller = RawCaller.connect(mEntry.callerUri());
+                callers.add(caller);
+                caller.send(RawCaller.request(DRAFT, "during the pause", 4));
+            }
+            RawCaller.idle(Duration.ofMillis(1_000));
+            // when
+            mEntry.process().resume();
+            // then
+            List<Answer> answers = callers.stream().map(RawCaller::readAnswer).toList();
+            assertThat(answers).allMatch(Answer::isWholeOrNotRun);
+        } finally {
+            for (RawCaller caller : callers) {
+                caller.close();
+            }
+        }
+        mEntry.process().awaitExit(EXIT_LIMIT);
+    }
+
     /** Publishes a class whose long answers are not streamed by the model runners. */
     private void publishLongClass() throws Exception {
         ArrayNode pipelines = mFleet.publishedValue("pipelines");
