Stop in order on a SIGTERM during the start of an entry

Callers saw: a reset of a request that an entry had begun to read. Cause: the shutdown hook was registered after the listeners had opened; a SIGTERM before that ended the process at once. Evidence, on: SIGTERM sent when the caller port accepts the first connection reset the half-read request in 3 of 3 runs of the test. Change: the hook is registered first and waits until the daemon has started or failed to start.

--- a/daemon/src/main/java/org/bulrushvale/daemon/BulrushvaledMain.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/BulrushvaledMain.java
@@ -5,6 +5,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import org.bulrushvale.adapters.settings.EntrySettings;
 import org.bulrushvale.adapters.settings.SettingsCheck;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
@@ -63,21 +66,29 @@
 
     private static int run(EntrySettings settings, PrintWriter err) throws InterruptedException {
         LogSetup.configure(settings.log());
+        CompletableFuture<EntryDaemon> started = new CompletableFuture<>();
+        // Registered before the listeners open, because a signal may arrive during the start.
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> drainOnSignal(started), "drain-on-signal"));
         try (EntryDaemon daemon = EntryDaemon.start(settings)) {
-            Thread onSignal = new Thread(() -> drainOnSignal(daemon), "drain-on-signal");
-            Runtime.getRuntime().addShutdownHook(onSignal);
+            started.complete(daemon);
             daemon.awaitDrained();
             return 0;
         } catch (BulrushvaleException e) {
             err.println("cannot start: " + e.detail());
             return 1;
+        } finally {
+            started.cancel(false);
         }
     }
 
-    private static void drainOnSignal(EntryDaemon daemon) {
-        daemon.drain();
+    private static void drainOnSignal(CompletableFuture<EntryDaemon> started) {
         try {
+            EntryDaemon daemon = started.get();
+            daemon.drain();
             daemon.awaitDrained();
+        } catch (CancellationException | ExecutionException e) {
+            // The daemon could not start and serves nobody.
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/system-tests/src/test/java/org/bulrushvale/systemtests/GracefulExitProcessTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/GracefulExitProcessTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -191,6 +192,27 @@
         mEntry.process().awaitExit(EXIT_LIMIT);
     }
 
+    @Test
+    public void a_termination_signal_during_the_start_interrupts_no_request() throws Exception {
+        String request = RawCaller.request(DRAFT, "early", 4);
+        int cut = request.length() - 10;
+        for (int i = 0; i < 3; i++) {
+            // given
+            mEntry.restart();
+            try (RawCaller caller = connectAtOnce()) {
+                caller.send(request.substring(0, cut));
+                // when
+                mEntry.process().terminate();
+                RawCaller.idle(Duration.ofMillis(200));
+                sendIfOpen(caller, request.substring(cut));
+                // then
+                Answer answer = caller.readAnswer();
+                assertThat(answer.isWholeOrNotRun()).as(answer.toString()).isTrue();
+            }
+            mEntry.process().awaitExit(EXIT_LIMIT);
+        }
+    }
+
     /** Publishes a class whose long answers are not streamed by the model runners. */
     private void publishLongClass() throws Exception {
         ArrayNode pipelines = mFleet.publishedValue("pipelines");
@@ -239,6 +261,19 @@
                 });
     }
 
+    private RawCaller connectAtOnce() throws Exception {
+        RawCaller[] caller = new RawCaller[1];
+        long deadline = System.nanoTime() + FleetProcesses.START_TIMEOUT.toNanos();
+        while (caller[0] == null && System.nanoTime() - deadline < 0) {
+            try {
+                caller[0] = RawCaller.connect(mEntry.callerUri());
+            } catch (ConnectException expected) {
+                Thread.onSpinWait();
+            }
+        }
+        return caller[0];
+    }
+
     private static void sendIfOpen(RawCaller caller, String bytes) {
         try {
             caller.send(bytes);
