Keep serving after SIGHUP

Operators saw: SIGHUP, which tells other daemons to read their settings, stopped bulrushvaled. Cause: no handler; the default of the JVM is a shutdown. Evidence, on: the entry was not ready at the first probe after the signal, in 3 of 3 runs of the test. Measured: ready for the 2 s that the test watches, in each run since.

--- a/daemon/src/main/java/org/bulrushvale/daemon/BulrushvaledMain.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/BulrushvaledMain.java
@@ -11,12 +11,14 @@
 import org.bulrushvale.adapters.settings.EntrySettings;
 import org.bulrushvale.adapters.settings.SettingsCheck;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
+import sun.misc.Signal;
 
 /**
  * Entry point of the entry daemon.
@@ -41,9 +43,16 @@
     /** Runs the daemon until it is drained. */
     public static void main(String[] args) {
         LogSetup.selectManager();
+        // The JVM would shut down on SIGHUP, which tells other daemons to read their settings.
+        Signal.handle(new Signal("HUP"), signal -> logIgnoredHangUp());
         System.exit(new CommandLine(new BulrushvaledMain()).execute(args));
     }
 
+    private static void logIgnoredHangUp() {
+        Logger.getLogger(BulrushvaledMain.class)
+                .info("SIGHUP has no effect: the settings are read at the start only");
+    }
+
     @Override
     public Integer call() throws InterruptedException {
         if (mSettings == null || mSpec == null) {
--- a/system-tests/src/test/java/org/bulrushvale/systemtests/GracefulExitProcessTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/GracefulExitProcessTest.java
@@ -192,6 +192,14 @@
         mEntry.process().awaitExit(EXIT_LIMIT);
     }
 
+    @Test
+    public void a_hangup_signal_does_not_end_an_entry() throws Exception {
+        // when
+        mEntry.process().hangUp();
+        // then
+        Await.holdsFor("ready", Duration.ofSeconds(2), mEntry::isReady);
+    }
+
     @Test
     public void a_termination_signal_during_the_start_interrupts_no_request() throws Exception {
         String request = RawCaller.request(DRAFT, "early", 4);
--- a/system-tests/src/test/java/org/bulrushvale/systemtests/harness/JavaProcess.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/harness/JavaProcess.java
@@ -123,6 +123,11 @@
         mProcess.toHandle().destroy();
     }
 
+    /** Tells the process that its settings have changed (SIGHUP). */
+    public void hangUp() throws IOException, InterruptedException {
+        sendSignal("HUP");
+    }
+
     /** Kills the process at once (SIGKILL). */
     public void kill() {
         mProcess.destroyForcibly();
