Guard further signals during a shutdown with tests

A second SIGTERM, a SIGHUP and a SIGTERM after POST /v1/drain were suspected to interrupt requests. The tests stay as guards.

--- a/system-tests/src/test/java/org/bulrushvale/systemtests/GracefulExitProcessTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/GracefulExitProcessTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.bulrushvale.systemtests.harness.Await;
@@ -16,6 +17,7 @@
 import org.bulrushvale.systemtests.harness.FleetProcesses;
 import org.bulrushvale.systemtests.harness.RawCaller;
 import org.bulrushvale.systemtests.harness.RawCaller.Answer;
+import org.bulrushvale.systemtests.harness.RequestResult;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
@@ -63,6 +65,9 @@
 
     @BeforeMethod
     public void restartEntry() throws Exception {
+        for (String pool : List.of("generate", "office")) {
+            delayAnswers(pool, 0);
+        }
         mEntry = mFleet.entry(0);
         mEntry.restart();
         mEntry.awaitReady();
@@ -221,6 +226,75 @@
         }
     }
 
+    @Test
+    public void further_signals_during_a_shutdown_interrupt_no_request() throws Exception {
+        // given
+        List<CompletableFuture<RequestResult>> running = startSlowRequests();
+        // when
+        mEntry.process().terminate();
+        awaitState("UNREADY");
+        mEntry.process().terminate();
+        mEntry.process().hangUp();
+        awaitState("FINISHING");
+        mEntry.process().terminate();
+        // then
+        for (CompletableFuture<RequestResult> result : running) {
+            assertThat(result.get().isWhole()).as(result.get().toString()).isTrue();
+        }
+        mEntry.process().awaitExit(EXIT_LIMIT);
+    }
+
+    @Test
+    public void a_termination_signal_after_an_order_to_drain_interrupts_no_request()
+            throws Exception {
+        // given
+        List<CompletableFuture<RequestResult>> running = startSlowRequests();
+        // when
+        mEntry.drain();
+        awaitState("FINISHING");
+        mEntry.process().terminate();
+        // then
+        for (CompletableFuture<RequestResult> result : running) {
+            assertThat(result.get().isWhole()).as(result.get().toString()).isTrue();
+        }
+        mEntry.process().awaitExit(EXIT_LIMIT);
+    }
+
+    /** Starts requests of all kinds that last until after the entry has closed its listeners. */
+    private List<CompletableFuture<RequestResult>> startSlowRequests() throws Exception {
+        EntryProcess peer = mFleet.entry(1);
+        CallerClient client = new CallerClient();
+        Await.until(
+                "keys are known to both entries",
+                FleetProcesses.START_TIMEOUT,
+                () -> sendOrder(mEntry, peer).isWhole() && sendOrder(peer, mEntry).isWhole());
+        String ownKey = client.obtainKey(mEntry.callerUri(), FleetProcesses.ORDER_CLASS);
+        String peerKey = client.obtainKey(peer.callerUri(), FleetProcesses.ORDER_CLASS);
+        delayAnswers("generate", 2_000);
+        delayAnswers("office", 2_000);
+        List<CompletableFuture<RequestResult>> running =
+                List.of(
+                        send(mEntry, TestRequest.of(DRAFT, "slow")),
+                        send(mEntry, TestRequest.of(DRAFT, "slow stream").streamed()),
+                        send(
+                                mEntry,
+                                TestRequest.keyed(FleetProcesses.ORDER_CLASS, "to peer", peerKey)),
+                        send(
+                                peer,
+                                TestRequest.keyed(
+                                        FleetProcesses.ORDER_CLASS, "from peer", ownKey)));
+        Await.until(
+                "requests in progress",
+                FleetProcesses.START_TIMEOUT,
+                () -> mEntry.report("status").path("active_requests").asInt() == 3);
+        return running;
+    }
+
+    private static CompletableFuture<RequestResult> send(EntryProcess entry, TestRequest request) {
+        return CompletableFuture.supplyAsync(
+                () -> new CallerClient().send(entry.callerUri(), request));
+    }
+
     /** Publishes a class whose long answers are not streamed by the model runners. */
     private void publishLongClass() throws Exception {
         ArrayNode pipelines = mFleet.publishedValue("pipelines");
@@ -245,6 +319,20 @@
         mFleet.publish("classes", classes);
     }
 
+    private static RequestResult sendOrder(EntryProcess holder, EntryProcess entry) {
+        CallerClient client = new CallerClient();
+        String key = client.obtainKey(holder.callerUri(), FleetProcesses.ORDER_CLASS);
+        return client.send(
+                entry.callerUri(),
+                TestRequest.keyed(FleetProcesses.ORDER_CLASS, "order " + key, key));
+    }
+
+    private void delayAnswers(String pool, int millis) throws Exception {
+        for (var server : mFleet.serversOfPool(pool)) {
+            server.control("{\"delay_ms\":" + millis + "}");
+        }
+    }
+
     private void awaitState(String state) throws InterruptedException {
         mEntry.process().awaitLine(Pattern.compile("shutdown: (" + state + ")"));
     }
--- a/system-tests/src/test/java/org/bulrushvale/systemtests/harness/EntryProcess.java
+++ b/system-tests/src/test/java/org/bulrushvale/systemtests/harness/EntryProcess.java
@@ -77,6 +77,11 @@
         return JsonHttpClient.fetchJson(mOperatorUri.resolve("/v1/" + name));
     }
 
+    /** Orders a graceful shutdown through the operator listener. */
+    public void drain() throws IOException, InterruptedException {
+        JsonHttpClient.postJson(mOperatorUri.resolve("/v1/drain"), "{}");
+    }
+
     /** Returns the configuration revision in force, -1 while the entry does not answer. */
     public long revision() throws InterruptedException {
         try {
