Log lost backend connections and failed exchanges at debug level

Cause: an entry's log does not say when a load report timed out on a silent connection or when the loss of one connection retired the idle ones. The known failing test of BrokenAnswerProcessTest could not be traced with it. Change: ConnectionPool logs each lost connection, HttpExchange each failed exchange with its path and its cause, both at debug level.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ConnectionPool.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.function.Consumer;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -19,6 +20,8 @@
  * methods may be called from any thread.
  */
 final class ConnectionPool {
+    private static final Logger LOG = Logger.getLogger(ConnectionPool.class);
+
     // Covers the slots of one server; more idle connections would only use memory.
     private static final int MAX_IDLE = 64;
 
@@ -146,6 +149,7 @@
             }
         }
         if (lost) {
+            LOG.debugf("connection to %s lost, older connections are not used again", mServer);
             closeIdle();
             mOnConnectionLost.accept(mServer);
         }
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
@@ -27,6 +28,7 @@
  * from any thread; the request is written and the response is read on the connection's I/O thread.
  */
 final class HttpExchange {
+    private static final Logger LOG = Logger.getLogger(HttpExchange.class);
     private static final HttpString NOT_RUN_HEADER = new HttpString("X-Not-Run");
 
     private final ConnectionPool mPool;
@@ -240,6 +242,9 @@
         if (!mEnded.compareAndSet(false, true)) {
             return;
         }
+        LOG.debugf(
+                "%s %s at %s failed: %s: %s",
+                mRequest.getMethod(), mRequest.getPath(), mAddress.name(), failure, detail);
         ConnectionPool.PooledConnection pooled = mPooledConnection;
         if (pooled != null) {
             mPool.discard(pooled);
