--- a/standin/src/main/java/org/bulrushvale/standin/http/HttpEndpoint.java
+++ b/standin/src/main/java/org/bulrushvale/standin/http/HttpEndpoint.java
@@ -56,6 +56,8 @@
          * arrives; that call gets no answer.
          */
         EXISTING_AT_NEXT_STAGE_CALL,
+        /** Load reports get no answer; other calls do. */
+        LOAD_REPORTS,
         /** No connection is answered. */
         ALL
     }
@@ -262,8 +264,11 @@
         }
     }
 
-    boolean isSilent(SocketAddress peerAddress) {
-        return mSilence == Silence.ALL || mSilentPeers.contains(peerAddress);
+    boolean isSilent(IncomingCall call) {
+        SocketAddress peerAddress = call.peerAddress();
+        return mSilence == Silence.ALL
+                || (mSilence == Silence.LOAD_REPORTS && call.isLoadReport())
+                || mSilentPeers.contains(peerAddress);
     }
 
     /** Closes every connection, refuses new ones for the given time, then binds the port again. */
--- a/standin/src/main/java/org/bulrushvale/standin/http/IncomingCall.java
+++ b/standin/src/main/java/org/bulrushvale/standin/http/IncomingCall.java
@@ -51,8 +51,12 @@
         return path().startsWith("/v1/stages/");
     }
 
+    boolean isLoadReport() {
+        return path().equals("/v1/load");
+    }
+
     boolean isSilenced() {
-        return mEndpoint.isSilent(mPeerAddress) && !isControl();
+        return mEndpoint.isSilent(this) && !isControl();
     }
 
     /** Returns the method in upper case. */
