Poll a server at the normal interval after a late load report

Callers saw refusals, or a smaller pool, for long after a server had recovered: an entry whose connection to the server was new and that read a report with an age of 60 s did not poll the server again for 60 s, although its next reports were current. The wait had no bound; the server's figure alone set it. Cause: after a report measured before the connection was opened, LoadPoller waited for that report's age, on the assumption that reports stay as late. Change: the wait is used only when it is shorter than the polling interval.

--- a/daemon/src/main/java/org/bulrushvale/daemon/LoadPoller.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/LoadPoller.java
@@ -188,11 +188,14 @@
                 measuredNanos);
         mRouting.statedRate(report.server(), report.epoch(), report.requestsPerSecond());
         // A report measured before the connection was opened is not used. The server has a newer
-        // report once untilUsableNanos have passed.
+        // report once untilUsableNanos have passed, or earlier if its reports are late no more.
         long untilUsableNanos = polled.mConnectedNanos - measuredNanos;
         polled.mHasResult |= untilUsableNanos <= 0;
-        onCallEnded(
-                polled, untilUsableNanos > 0 ? Duration.ofNanos(untilUsableNanos) : nextInterval());
+        Duration next = nextInterval();
+        if (untilUsableNanos > 0 && untilUsableNanos < next.toNanos()) {
+            next = Duration.ofNanos(untilUsableNanos);
+        }
+        onCallEnded(polled, next);
         mOnReport.accept(polled.mServer.pool());
     }
 
--- a/system-tests/src/test/java/org/bulrushvale/system/LateLoadReportsTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/LateLoadReportsTest.java
@@ -13,7 +13,8 @@
 
 /**
  * Guards against calls that are given up or started again on another server because their server
- * does not report its load, although it answers them.
+ * does not report its load, although it answers them. Also guards against a server that stays
+ * unused after such a time.
  */
 public class LateLoadReportsTest {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -71,6 +72,25 @@
         }
     }
 
+    @Test(dataProvider = "faults")
+    public void a_server_is_used_again_when_its_load_reports_are_current_again(String fault)
+            throws Exception {
+        // given
+        try (SingleStageCluster cluster =
+                new SingleStageCluster().server(SERVERS.get(0), "a", 8, 8, 0).start(1, 1_000, "")) {
+            cluster.controlAll(fault);
+            SingleStageCluster.await(
+                    "the last usable report has expired",
+                    () -> cluster.send(0, "ask", "during the fault").get().statusCode() != 200);
+            // when
+            cluster.controlAll("{\"reset\":true}");
+            // then
+            SingleStageCluster.await(
+                    "the server is used again",
+                    () -> cluster.send(0, "ask", "after the fault").get().statusCode() == 200);
+        }
+    }
+
     @Test(dataProvider = "faults")
     public void an_entry_becomes_ready_although_a_server_does_not_report_its_load(String fault)
             throws Exception {
