Poll a server again after a load report that cannot be applied

Callers saw refusals or a smaller pool until the entry restarted: one load report with an age beyond the range of a clock (age_ms 10^16) ended the polling of that server for good. 16 such servers would end all polling, because each kept one of the 16 concurrent calls (read in the code, not run). Cause: the conversion of the age threw in LoadPoller.onReport before the call was marked as ended, so that the poll counted as running for ever. The class of fault is a callback that ends its work only if nothing before it fails.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendLoadReport.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendLoadReport.java
@@ -1,6 +1,7 @@
 package org.bulrushvale.adapters.backend;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
 import java.util.OptionalDouble;
 import org.bulrushvale.decision.warmup.ReportedState;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
@@ -34,6 +35,9 @@
         int queued,
         long ageMillis,
         OptionalDouble requestsPerSecond) {
+    /** A higher age is read as this one; both are far too old to be used. */
+    private static final Duration MAX_AGE = Duration.ofDays(1);
+
     static BackendLoadReport parse(JsonNode json) throws BulrushvaleException {
         if (!json.path("server").isTextual() || !json.hasNonNull("epoch")) {
             throw new BulrushvaleException(
@@ -49,10 +53,14 @@
                 json.path("bearable").asInt(0),
                 json.path("running").asInt(0),
                 json.path("queued").asInt(0),
-                json.path("age_ms").asLong(0),
+                parseAgeMillis(json.path("age_ms")),
                 parseRate(json.path("requests_per_s")));
     }
 
+    private static long parseAgeMillis(JsonNode age) {
+        return Math.min(Math.max(0, age.asLong(0)), MAX_AGE.toMillis());
+    }
+
     private static OptionalDouble parseRate(JsonNode rate) {
         return rate.isNumber() && rate.asDouble() >= 0
                 ? OptionalDouble.of(rate.asDouble())
--- a/daemon/src/main/java/org/bulrushvale/daemon/LoadPoller.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/LoadPoller.java
@@ -168,12 +168,27 @@
 
     private void onReport(
             PolledServer polled, BackendLoadReport report, int generation, long polledNanos) {
-        long measuredNanos =
-                polledNanos - Duration.ofMillis(Math.max(0, report.ageMillis())).toNanos();
+        Duration next = nextInterval();
+        try {
+            next = applyReport(polled, report, generation, polledNanos, next);
+        } finally {
+            // After an unexpected error the server must still be polled again.
+            onCallEnded(polled, next);
+        }
+        mOnReport.accept(polled.mServer.pool());
+    }
+
+    /** Applies a report and returns the time until the next poll, at most the given interval. */
+    private Duration applyReport(
+            PolledServer polled,
+            BackendLoadReport report,
+            int generation,
+            long polledNanos,
+            Duration interval) {
+        long measuredNanos = polledNanos - Duration.ofMillis(report.ageMillis()).toNanos();
         boolean current = polled.mConnected && generation == polled.mGeneration;
         if (polled.mRemoved || !current || !report.server().equals(polled.mServer.name())) {
-            onCallEnded(polled, nextInterval());
-            return;
+            return interval;
         }
         mRouting.report(
                 new org.bulrushvale.decision.warmup.ReportedLoad(
@@ -191,12 +206,8 @@
         // report once untilUsableNanos have passed, or earlier if its reports are late no more.
         long untilUsableNanos = polled.mConnectedNanos - measuredNanos;
         polled.mHasResult |= untilUsableNanos <= 0;
-        Duration next = nextInterval();
-        if (untilUsableNanos > 0 && untilUsableNanos < next.toNanos()) {
-            next = Duration.ofNanos(untilUsableNanos);
-        }
-        onCallEnded(polled, next);
-        mOnReport.accept(polled.mServer.pool());
+        boolean usableSooner = untilUsableNanos > 0 && untilUsableNanos < interval.toNanos();
+        return usableSooner ? Duration.ofNanos(untilUsableNanos) : interval;
     }
 
     private void onCallFailed(PolledServer polled) {
--- a/system-tests/src/test/java/org/bulrushvale/system/LateLoadReportsTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/LateLoadReportsTest.java
@@ -27,7 +27,9 @@
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
-            {"{\"silent\":\"LOAD_REPORTS\"}"}, {"{\"load_lag_ms\":60000}"},
+            {"{\"silent\":\"LOAD_REPORTS\"}"},
+            {"{\"load_lag_ms\":60000}"},
+            {"{\"load_lag_ms\":10000000000000000}"},
         };
     }
 
