--- a/daemon/src/main/java/org/bulrushvale/daemon/LoadPoller.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/LoadPoller.java
@@ -168,12 +168,27 @@
 
     private void onReport(
             PolledServer polled, BackendLoadReport report, int generation, long polledNanos) {
-        long measuredNanos =
-                polledNanos - Duration.ofMillis(Math.max(0, report.ageMillis())).toNanos();
+        Duration next = nextInterval();
+        try {
+            next = applyReport(polled, report, generation, polledNanos, next);
+        } finally {
+            // After an unexpected error the server must still be polled again.
+            onCallEnded(polled, next);
+        }
+        mOnReport.accept(polled.mServer.pool());
+    }
+
+    /** Applies a report and returns the time until the next poll, at most the given interval. */
+    private Duration applyReport(
+            PolledServer polled,
+            BackendLoadReport report,
+            int generation,
+            long polledNanos,
+            Duration interval) {
+        long measuredNanos = polledNanos - Duration.ofMillis(report.ageMillis()).toNanos();
         boolean current = polled.mConnected && generation == polled.mGeneration;
         if (polled.mRemoved || !current || !report.server().equals(polled.mServer.name())) {
-            onCallEnded(polled, nextInterval());
-            return;
+            return interval;
         }
         mRouting.report(
                 new org.bulrushvale.decision.warmup.ReportedLoad(
@@ -188,12 +203,11 @@
                 measuredNanos);
         mRouting.statedRate(report.server(), report.epoch(), report.requestsPerSecond());
         // A report measured before the connection was opened is not used. The server has a newer
-        // report once untilUsableNanos have passed.
+        // report once untilUsableNanos have passed, or earlier if its reports are late no more.
         long untilUsableNanos = polled.mConnectedNanos - measuredNanos;
         polled.mHasResult |= untilUsableNanos <= 0;
-        onCallEnded(
-                polled, untilUsableNanos > 0 ? Duration.ofNanos(untilUsableNanos) : nextInterval());
-        mOnReport.accept(polled.mServer.pool());
+        boolean usableSooner = untilUsableNanos > 0 && untilUsableNanos < interval.toNanos();
+        return usableSooner ? Duration.ofNanos(untilUsableNanos) : interval;
     }
 
     private void onCallFailed(PolledServer polled) {
