Reject unidentified answers on reused connections

Callers of safe requests and of resumable streams could get the answer to another request: when a backend server sent a second copy of an answer without its id, late, the copy was taken as the answer to the next request on that connection. A late copy of a refusal without an id was passed on as "not run" although the server ran the request.

Cause: ForwardAttempt compared the id of an answer only when the answer had one. Without an id, a copy and the answer that is due cannot be told apart on a connection that carried another exchange before.

Copies that arrive between two requests were harmless: the HTTP client closes a connection on which unexpected bytes arrive.

Change: on a reused connection an answer must carry the id of the request; an answer without an id is accepted only on a connection that carried no other exchange. A rejected answer closes its connection.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -42,6 +42,7 @@
     private XnioExecutor.@Nullable Key mTimer;
     private long mLastProgressNanos;
     private boolean mEnded;
+    private boolean mReused;
     private boolean mMayHaveSent;
     private boolean mRequestWritten;
     private boolean mHeadersReceived;
@@ -71,6 +72,7 @@
                         ? mClient.idleConnections().take(mAddress, System.nanoTime())
                         : null;
         if (idleConnection != null) {
+            mReused = true;
             send(idleConnection);
             return;
         }
@@ -168,7 +170,7 @@
         mLastProgressNanos = System.nanoTime();
         ClientResponse response = exchange.getResponse();
         readKeepAlive(response.getResponseHeaders());
-        if (!mListener.head(response.getResponseCode(), response.getResponseHeaders())) {
+        if (!mListener.head(response.getResponseCode(), response.getResponseHeaders(), mReused)) {
             fail(BackendFailure.MALFORMED, "response headers were rejected");
             return;
         }
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
@@ -53,8 +53,13 @@
      * <p>Thread safety: called on the I/O thread.
      */
     interface Listener {
-        /** Called with the status and the headers; returns false to abort the call. */
-        boolean head(int status, HeaderMap headers);
+        /**
+         * Called with the status and the headers; returns false to abort the call.
+         *
+         * @param reused true when the connection was used before, so that the response may be a
+         *     late copy of an earlier one
+         */
+        boolean head(int status, HeaderMap headers, boolean reused);
 
         /** Called with the next part of the body; returns false to abort the call. */
         boolean body(byte[] bytes);
@@ -94,7 +99,7 @@
         }
 
         @Override
-        public boolean head(int status, HeaderMap headers) {
+        public boolean head(int status, HeaderMap headers, boolean reused) {
             mStatus = status;
             mHeaders = headers;
             return true;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
@@ -15,9 +15,10 @@
  * One attempt of a request at one backend server: converts the events of the HTTP call into events
  * of the request.
  *
- * <p>Invariant: the request receives only answers that carry its id and are the unaltered bytes of
- * the server; it receives an answer that is not a stream only when it is complete. Thread safety:
- * listener methods run on the I/O thread, the handler is called on the event loop.
+ * <p>Invariant: the request receives only answers that carry its id, or none on a connection that
+ * carried no other request, and are the unaltered bytes of the server; it receives an answer that
+ * is not a stream only when it is complete. Thread safety: listener methods run on the I/O thread,
+ * the handler is called on the event loop.
  */
 final class ForwardAttempt implements UpstreamClient.Listener {
     private static final int MAX_ANSWER_BYTES = 16 << 20;
@@ -48,9 +49,10 @@
     }
 
     @Override
-    public boolean head(int status, HeaderMap headers) {
+    public boolean head(int status, HeaderMap headers, boolean reused) {
         BackendResponseMetadata metadata = mProtocol.parseResponse(headers);
-        if (!metadata.requestId().isEmpty() && !metadata.requestId().equals(mRequestId)) {
+        boolean unidentified = metadata.requestId().isEmpty() && !reused;
+        if (!unidentified && !metadata.requestId().equals(mRequestId)) {
             return false;
         }
         if (headers.contains(Headers.CONTENT_ENCODING)) {
