Accept a refusal only for the attempt that it names

Cause: StageResponseHandler looked at X-Not-Run before it compared ids, and counted a refusal even when its body broke off.

Change: a refusal counts only when its complete body names the attempt; otherwise the attempt may have run.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/StageResponseHandler.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/StageResponseHandler.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -12,9 +13,9 @@
  * Decodes the response to one attempt and reports it to the attempt's listener.
  *
  * <p>Invariant: a result is reported as complete only when the engine says so for this attempt id:
- * by {@code "complete":true} in a whole response or by the {@code end} event of a stream. Thread
- * safety: used by one I/O thread at a time, except {@code mEnded}, which is atomic and prevents a
- * second end.
+ * by {@code "complete":true} in a whole response or by the {@code end} event of a stream; a refusal
+ * counts only when it names this attempt. Thread safety: used by one I/O thread at a time, except
+ * {@code mEnded}, which is atomic and prevents a second end.
  */
 final class StageResponseHandler implements ExchangeHandler {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -123,9 +124,7 @@
     @Override
     public void end() {
         if (mNotRun) {
-            if (mEnded.compareAndSet(false, true)) {
-                mListener.refused(mStatus);
-            }
+            endRefused();
         } else if (mStatus != OK) {
             fail(BackendFailure.STATUS, "response has status " + mStatus);
         } else if (mEventStream) {
@@ -135,11 +134,29 @@
         }
     }
 
-    private void completeWholeResponse() {
-        JsonNode json;
+    /** A late copy of the refusal of an earlier attempt says nothing about this one. */
+    private void endRefused() {
+        String id = wholeResponse().path("attempt_id").asText();
+        if (!id.equals(mAttemptId)) {
+            mListener.foreignResponse(id);
+            fail(BackendFailure.FOREIGN, "refusal does not name this attempt");
+        } else if (mEnded.compareAndSet(false, true)) {
+            mListener.refused(mStatus);
+        }
+    }
+
+    /** Returns the whole body as JSON; a missing node when it is not valid JSON. */
+    private JsonNode wholeResponse() {
         try {
-            json = JSON.readTree(mPendingBytes.toByteArray());
+            return JSON.readTree(mPendingBytes.toByteArray());
         } catch (java.io.IOException e) {
+            return MissingNode.getInstance();
+        }
+    }
+
+    private void completeWholeResponse() {
+        JsonNode json = wholeResponse();
+        if (json.isMissingNode()) {
             fail(BackendFailure.TRUNCATED, "response body is not complete JSON");
             return;
         }
@@ -158,10 +175,6 @@
 
     @Override
     public void failed(BackendFailure failure, String detail) {
-        if (mNotRun) {
-            end();
-            return;
-        }
         fail(failure, detail);
     }
 
--- a/standin/src/main/java/org/bulrushvale/standin/http/IncomingCall.java
+++ b/standin/src/main/java/org/bulrushvale/standin/http/IncomingCall.java
@@ -85,8 +85,8 @@
     }
 
     /** Refuses the call, with a header that says that no work was done. */
-    public void refuse(int status, String reason) {
-        respond(status, Json.object().put("error", reason), Map.of(NOT_RUN_HEADER, "true"));
+    public void refuse(int status, Object body) {
+        respond(status, body, Map.of(NOT_RUN_HEADER, "true"));
     }
 
     /** Answers with a JSON body and further headers. */
--- a/standin/src/main/java/org/bulrushvale/standin/stage/StageEngine.java
+++ b/standin/src/main/java/org/bulrushvale/standin/stage/StageEngine.java
@@ -87,7 +87,7 @@
         mCounters.mCalls++;
         int load = mRunningCount + mQueue.size() + 1;
         if (occursWithProbability(mFaults.refuseFraction())) {
-            refuse(incoming, 503, "refused by fault setting");
+            refuse(call, incoming, 503, "refused by fault setting");
             return;
         }
         if (!isWarm()) {
@@ -99,7 +99,7 @@
             }
         }
         if (mRunningCount >= mOptions.slots() && mQueue.size() >= mOptions.queueLimit()) {
-            refuse(incoming, 429, "queue is full");
+            refuse(call, incoming, 429, "queue is full");
             return;
         }
         mCounters.mPeakLoad = Math.max(mCounters.mPeakLoad, load);
@@ -114,9 +114,13 @@
         recordLoad();
     }
 
-    private void refuse(IncomingCall incoming, int status, String reason) {
+    private void refuse(StageCall call, IncomingCall incoming, int status, String reason) {
         mCounters.mRefused++;
-        incoming.refuse(status, reason);
+        incoming.refuse(status, errorJson(call, reason));
+    }
+
+    private static ObjectNode errorJson(StageCall call, String reason) {
+        return Json.object().put("attempt_id", call.attemptId()).put("error", reason);
     }
 
     private boolean occursWithProbability(double fraction) {
@@ -231,7 +235,7 @@
         if (occursWithProbability(mFaults.errorFraction())) {
             mCounters.mErrors++;
             run.mIncoming.respond(
-                    mFaults.errorStatus(), Json.object().put("error", "failed by fault setting"));
+                    mFaults.errorStatus(), errorJson(run.mCall, "failed by fault setting"));
             return;
         }
         String attemptId = reportedAttemptId(run);
@@ -299,7 +303,7 @@
         release(run);
         EventStream stream = run.mStream;
         if (stream == null) {
-            run.mIncoming.respond(409, Json.object().put("error", "cancelled"));
+            run.mIncoming.respond(409, errorJson(run.mCall, "cancelled"));
         } else {
             stream.cut();
         }
