Close a connection that carried the answer to another attempt

After one late second copy of an answer on a backend connection, every later attempt on that connection failed: it received the answer to the attempt before it and rejected it as foreign. Callers got 502 with MAY_HAVE_RUN for requests whose answers were on the wire.

Cause: HttpExchange returned the connection to the pool after each complete response, also after one that did not answer the exchange. The true answer then met the next attempt.

Evidence: LateBackendCopyTest plays answers, streams, errors and refusals, each with and without an id, at five points of a connection, then sends four attempts.

Change: a response that does not name the attempt closes its connection instead of returning it to the pool.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ExchangeHandler.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ExchangeHandler.java
@@ -29,6 +29,14 @@
         return "";
     }
 
+    /**
+     * Returns false when the complete response does not show that it answers this exchange. The
+     * connection is then closed, because the next response on it may be the one to this exchange.
+     */
+    default boolean isIdentified() {
+        return true;
+    }
+
     /** The complete body arrived. */
     void end();
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
@@ -23,8 +23,9 @@
  * One HTTP exchange with a backend server on a connection of the server's pool.
  *
  * <p>Invariant: the handler is notified of exactly one end or failure; a connection returns to the
- * pool only after a complete response. Thread safety: the package-private methods may be called
- * from any thread; the request is written and the response is read on the connection's I/O thread.
+ * pool only after a complete response to this exchange. Thread safety: the package-private methods
+ * may be called from any thread; the request is written and the response is read on the
+ * connection's I/O thread.
  */
 final class HttpExchange {
     private static final HttpString NOT_RUN_HEADER = new HttpString("X-Not-Run");
@@ -231,7 +232,11 @@
             if (!epoch.isEmpty()) {
                 pooled.setVerifiedEpoch(epoch);
             }
-            mPool.release(pooled);
+            if (mHandler.isIdentified()) {
+                mPool.release(pooled);
+            } else {
+                mPool.close(pooled);
+            }
             mHandler.end();
         }
     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/StageResponseHandler.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/StageResponseHandler.java
@@ -30,6 +30,7 @@
     private int mStatus;
     private boolean mNotRun;
     private boolean mEventStream;
+    private boolean mOwnEventReceived;
     private String mEventName = "";
     private final StringBuilder mEventData = new StringBuilder();
 
@@ -108,6 +109,7 @@
             mListener.foreignResponse(id);
             return true;
         }
+        mOwnEventReceived = true;
         if (eventName.equals("end")) {
             if (mEnded.compareAndSet(false, true)) {
                 mListener.streamEnded(json.path("tokens").asLong(0));
@@ -121,6 +123,13 @@
         return true;
     }
 
+    @Override
+    public boolean isIdentified() {
+        return mEventStream
+                ? mOwnEventReceived
+                : wholeResponse().path("attempt_id").asText().equals(mAttemptId);
+    }
+
     @Override
     public void end() {
         if (mNotRun) {
--- a/system-tests/src/test/java/org/bulrushvale/system/LateBackendCopyTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/LateBackendCopyTest.java
@@ -100,6 +100,12 @@
                 .isSubsetOf("FOREIGN", "STATUS", "TRUNCATED", "RESET", "CUT");
     }
 
+    @Test(dataProvider = "copies")
+    public void a_late_copy_of_an_answer_costs_at_most_one_later_attempt_its_result(
+            Kind kind, Placement placement, boolean withId) throws Exception {
+        assertThat(outcomesAfterCopy(kind, placement, withId)).hasSizeLessThan(2);
+    }
+
     /** Returns the outcomes of the later attempts that did not end with their own result. */
     private static List<String> outcomesAfterCopy(Kind kind, Placement placement, boolean withId)
             throws Exception {
