Recognise late copies of answers to stage calls

A request could run with the stage results of another request: when a backend server sent a second copy of its answer to a stage call, late, the entry took it as the answer to the next stage call on the connection, and every later answer on that connection reached the call after its own.

Cause: an answer to a stage call does not name its call, and a connection was used again after every complete answer.

Evidence: LateStageCopyTest answers the first stage call on a connection twice. Before the change 3 of 3 cases failed (copies of results, of answers without room and of refusals): a request reached the model server with the handles of the request before it.

Change: only a handle that was never received before shows that an answer is no copy. An answer without such a handle closes its connection; one with a handle that was received for another piece fails the call, whose pieces are then made again.

Cost: a stage call that is refused, or whose pieces all fail, closes its connection, so the next call opens a new one.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -238,7 +238,8 @@
         stopTimer();
         LimitedConnection connection = mConnection;
         if (connection != null) {
-            if (mRequestWritten && mKeepAliveNanos > 0 && connection.isOpen()) {
+            boolean identified = mListener.isIdentified();
+            if (identified && mRequestWritten && mKeepAliveNanos > 0 && connection.isOpen()) {
                 long usableUntilNanos = System.nanoTime() + mKeepAliveNanos;
                 mClient.idleConnections().put(mAddress, connection, usableUntilNanos);
             } else {
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
@@ -64,6 +64,15 @@
         /** Called with the next part of the body; returns false to abort the call. */
         boolean body(byte[] bytes);
 
+        /**
+         * Called with the complete response, before {@link #end}; returns false when it does not
+         * show that it answers this call. The connection is then closed, because the next response
+         * on it may be the one to this call.
+         */
+        default boolean isIdentified() {
+            return true;
+        }
+
         /** Called when the response is complete. */
         void end();
 
@@ -114,6 +123,16 @@
             return true;
         }
 
+        @Override
+        public final boolean isIdentified() {
+            return isIdentified(mStatus, mBody.toByteArray());
+        }
+
+        /** Returns false when the response does not show that it answers this call. */
+        protected boolean isIdentified(int status, byte[] body) {
+            return true;
+        }
+
         @Override
         public void end() {
             complete(mStatus, mHeaders, mBody.toByteArray());
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -53,6 +53,7 @@
     private final ForwardServices mServices;
     private final String mService;
     private final StageQueue<QueuedPiece> mQueue;
+    private final ReceivedHandles mReceivedHandles = new ReceivedHandles();
     private final List<CompletedPiece> mPendingReleases = new ArrayList<>();
 
     StageDispatcher(ForwardServices services, String service) {
@@ -119,38 +120,34 @@
                                 message,
                                 CALL_SILENCE_LIMIT,
                                 headers),
-                        new UpstreamClient.BufferedResponseListener(MAX_ANSWER_BYTES) {
-                            @Override
-                            protected void complete(int status, HeaderMap answer, byte[] body) {
-                                BackendResponseMetadata metadata =
-                                        mServices.protocol().parseResponse(answer);
-                                mServices
-                                        .loop()
-                                        .execute(
-                                                () ->
-                                                        onAnswer(
-                                                                call,
-                                                                status,
-                                                                metadata,
-                                                                body,
-                                                                startedNanos));
-                            }
+                        new StageCallResponse(
+                                mServices,
+                                mReceivedHandles,
+                                call.pieces().stream().map(QueuedPiece::name).toList(),
+                                responseHandler(call, startedNanos)));
+    }
+
+    private StageCallResponse.Handler responseHandler(
+            StageQueue.Call<QueuedPiece> call, long startedNanos) {
+        return new StageCallResponse.Handler() {
+            @Override
+            public void onAnswer(
+                    int status, BackendResponseMetadata metadata, List<PieceResult> results) {
+                StageDispatcher.this.onAnswer(call, status, metadata, results, startedNanos);
+            }
 
-                            @Override
-                            public void failed(
-                                    boolean sent, BackendFailure failure, String detail) {
-                                mServices
-                                        .loop()
-                                        .execute(() -> onCallFailed(call, detail, startedNanos));
-                            }
-                        });
+            @Override
+            public void onFailed(String detail) {
+                onCallFailed(call, detail, startedNanos);
+            }
+        };
     }
 
     private void onAnswer(
             StageQueue.Call<QueuedPiece> call,
             int status,
             BackendResponseMetadata metadata,
-            byte[] body,
+            List<PieceResult> results,
             long startedNanos) {
         Server server = call.server();
         mServices.statedLimits().onAnswer(server.published(), metadata);
@@ -166,13 +163,6 @@
             repeat(call, !metadata.notRun());
             return;
         }
-        List<PieceResult> results;
-        try {
-            results = mServices.protocol().parsePieceResults(body, call.pieces().size());
-        } catch (BulrushvaleException e) {
-            onCallFailed(call, e.detail(), startedNanos);
-            return;
-        }
         long now = mServices.clock().monotonicNanos();
         server.recordSuccess();
         limits().map(limits -> limits.callTime(call.pieces().size()))
