Close connections of callers that do not read their response

A caller that read its response at a byte a second held the response in memory and a place among the concurrent requests without end, on both interfaces. With answers of up to 16 MB, some tens of such callers fill the memory of a VM.

Cause: reading a request was limited in time, writing a response was not; a pending write has no timeout once the answer of the server is complete.

Evidence: before the change, SlowCallerTest (forwarding entry, 12 MB) received 12,583,007 bytes, the whole rest of the response, after 11 s of reading a byte a second (read timeout 10 s); SlowReaderTest (caller listener, 12 MB) still counted 1 request in progress after 2.5 s (read timeout 1.5 s), expected 0. Heads and bodies sent byte by byte ended in time without a change; their tests stay as guards.

Change: ResponseReadLimit closes the connection when a complete response is not read within the read timeout of the listener, the time that a caller has to send a request.

--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/ChunkWriter.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/ChunkWriter.java
@@ -63,6 +63,7 @@
     public void end() {
         mEnded = true;
         flush();
+        ResponseReadLimit.start(mExchange);
     }
 
     /** Closes the connection, so that the response does not look complete. */
--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/HttpResponder.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/HttpResponder.java
@@ -92,6 +92,7 @@
         mExchange
                 .getResponseSender()
                 .send(json.toString(), StandardCharsets.UTF_8, IoCallback.END_EXCHANGE);
+        ResponseReadLimit.start(mExchange);
     }
 
     private void endStream(int status) {
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/CallerExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/CallerExchange.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import org.bulrushvale.adapters.caller.ChunkWriter;
 import org.bulrushvale.adapters.caller.DisconnectWatcher;
+import org.bulrushvale.adapters.caller.ResponseReadLimit;
 import org.jboss.logging.Logger;
 
 /**
@@ -88,6 +89,7 @@
                     }
                     setStatusAndHeaders(status, headers);
                     mExchange.getResponseSender().send(ByteBuffer.wrap(body));
+                    ResponseReadLimit.start(mExchange);
                 });
     }
 
