--- a/system-tests/src/test/java/org/bulrushvale/system/LateBackendCopyTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/LateBackendCopyTest.java
@@ -9,15 +9,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.bulrushvale.adapters.backend.AttemptListener;
 import org.bulrushvale.adapters.backend.BackendAddress;
 import org.bulrushvale.adapters.backend.BackendClient;
-import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.adapters.backend.StageAttemptRequest;
 import org.bulrushvale.adapters.settings.EntrySettings;
 import org.testng.annotations.DataProvider;
@@ -153,7 +150,7 @@
                         Duration.ofSeconds(2));
         OutcomeRecorder outcome = new OutcomeRecorder();
         var unused = client.sendAttempt(address, call, RawBackend.EPOCH, outcome);
-        return outcome.mOutcome.get(10, TimeUnit.SECONDS);
+        return outcome.await();
     }
 
     /**
@@ -223,50 +220,4 @@
             }
         }
     }
-
-    /**
-     * Records how an attempt ends.
-     *
-     * <p>Thread safety: called by one I/O thread at a time.
-     */
-    private static final class OutcomeRecorder implements AttemptListener {
-        private final CompletableFuture<String> mOutcome = new CompletableFuture<>();
-        private final StringBuilder mText = new StringBuilder();
-
-        @Override
-        public void connecting() {}
-
-        @Override
-        public boolean beforeSend() {
-            return true;
-        }
-
-        @Override
-        public void text(long offset, String text) {
-            mText.append(text);
-        }
-
-        @Override
-        public void foreignResponse(String attemptId) {}
-
-        @Override
-        public void completed(String output, long tokens) {
-            mOutcome.complete(output);
-        }
-
-        @Override
-        public void streamEnded(long tokens) {
-            mOutcome.complete(mText.toString());
-        }
-
-        @Override
-        public void refused(int status) {
-            mOutcome.complete("refused");
-        }
-
-        @Override
-        public void failed(BackendFailure failure, String detail) {
-            mOutcome.complete(failure.name());
-        }
-    }
 }
--- a/system-tests/src/test/java/org/bulrushvale/system/RawBackend.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/RawBackend.java
@@ -14,8 +14,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * A backend server whose answers to stage calls are raw bytes, so that a test can send what the
- * HTTP library of the stand-ins does not produce. It answers load reports as a warm server.
+ * A backend server whose answers are raw bytes, so that a test can send what the HTTP library of
+ * the stand-ins does not produce.
  *
  * <p>Thread safety: safe for use by any thread.
  */
@@ -24,17 +24,29 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final ServerSocket mSocket;
-    private final StageScript mScript;
+    private final Script mScript;
+    private final Script mReports;
     private final List<Socket> mConnections = new CopyOnWriteArrayList<>();
 
-    private RawBackend(ServerSocket socket, StageScript script) {
+    private RawBackend(ServerSocket socket, Script script, Script reports) {
         mSocket = socket;
         mScript = script;
+        mReports = reports;
     }
 
-    static RawBackend start(StageScript script) throws IOException {
-        RawBackend server =
-                new RawBackend(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()), script);
+    /** Starts a server that answers load reports as a warm one. */
+    static RawBackend start(Script script) throws IOException {
+        return start(
+                script,
+                (call, connection) -> {
+                    write(connection, response(200, "", loadReport()));
+                    return true;
+                });
+    }
+
+    static RawBackend start(Script script, Script reports) throws IOException {
+        ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        RawBackend server = new RawBackend(socket, script, reports);
         startDaemonThread(server::acceptConnections);
         return server;
     }
@@ -68,7 +80,9 @@
             for (String request = readLine(in); request != null; request = readLine(in)) {
                 JsonNode body = JSON.readTree(readBody(in));
                 if (request.startsWith("GET /v1/load ")) {
-                    write(socket, response(200, "", loadReport()));
+                    if (!mReports.answer(body, socket)) {
+                        return;
+                    }
                 } else if (!mScript.answer(body, socket)) {
                     return;
                 }
@@ -131,10 +145,10 @@
         }
     }
 
-    /** Decides what the server sends for each stage call. */
+    /** Decides what the server sends for each call. */
     @FunctionalInterface
-    interface StageScript {
-        /** Answers a stage call; returns false to close the connection. */
+    interface Script {
+        /** Answers a call; returns false to close the connection. */
         boolean answer(JsonNode call, Socket connection) throws IOException;
     }
 }
