Do not let stalled responses extend their time limit without end

A backend server that sent its load report a byte at a time was never polled again, since a poll waits for the end of the one before; a server that sent comments after the end of a stream held the connection of the finished attempt, without end.

Cause: HttpExchange took every byte of a body as progress, also where the result was complete or the whole response is small.

Change: the handler of an exchange says whether bytes extend its time limit.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/BackendClient.java
@@ -305,6 +305,12 @@
             mEpochParser = epochParser;
         }
 
+        /** The time limit covers the whole response, which is small. */
+        @Override
+        public boolean extendsTimeLimit() {
+            return false;
+        }
+
         @Override
         public String epoch() {
             return mStatus == OK ? mEpochParser.apply(mBody.toByteArray()) : "";
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ExchangeHandler.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ExchangeHandler.java
@@ -29,6 +29,14 @@
         return "";
     }
 
+    /**
+     * Returns true while bytes of the body extend the time limit of the exchange; otherwise a
+     * server that sends a few bytes now and then would hold the exchange without end.
+     */
+    default boolean extendsTimeLimit() {
+        return true;
+    }
+
     /**
      * Returns false when the complete response does not show that it answers this exchange. The
      * connection is then closed, because the next response on it may be the one to this exchange.
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
@@ -205,7 +205,9 @@
                     channel.resumeReads();
                     return;
                 }
-                mLastProgressNanos = System.nanoTime();
+                if (mHandler.extendsTimeLimit()) {
+                    mLastProgressNanos = System.nanoTime();
+                }
                 resetLimit();
                 buffer.flip();
                 if (!mHandler.body(buffer)) {
@@ -263,7 +265,7 @@
                     long idleNanos = System.nanoTime() - mLastProgressNanos;
                     long remainingNanos = mProgressTimeout.toNanos() - idleNanos;
                     if (remainingNanos <= 0) {
-                        fail(BackendFailure.SILENT, "no byte received within " + mProgressTimeout);
+                        fail(BackendFailure.SILENT, "no progress within " + mProgressTimeout);
                     } else {
                         scheduleProgressCheck(executor, remainingNanos);
                     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/StageResponseHandler.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/StageResponseHandler.java
@@ -123,6 +123,12 @@
         return true;
     }
 
+    /** After the end of a stream only the rest of the framing is due. */
+    @Override
+    public boolean extendsTimeLimit() {
+        return !mEnded.get();
+    }
+
     @Override
     public boolean isIdentified() {
         return mEventStream
