Give up stage calls whose answers stall

A server that answered a stage call with a byte now and then occupied its slot in the queue of the collector without end: the entry sent it no further calls, although the requests of the call had ended long before.

Cause: UpstreamCall took every byte of a body as progress, so the time limit of the call never passed.

Evidence: StalledStageTest: before the change the connection of the call was still open 3.5 s after its request had ended (limit of a call 2.5 s).

Change: the listener of a call says whether bytes extend its time limit. For stage and release calls the limit covers the whole response.

After: the test passes; StagesTest, LateStageCopyTest and StoreReadsTest pass (12).

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -212,7 +212,9 @@
                     channel.resumeReads();
                     return;
                 }
-                mLastProgressNanos = System.nanoTime();
+                if (mListener.extendsTimeLimit()) {
+                    mLastProgressNanos = System.nanoTime();
+                }
                 resetLimit();
                 byte[] bytes = new byte[count];
                 buffer.flip().get(bytes);
@@ -280,7 +282,7 @@
                                     if (remainingNanos <= 0) {
                                         fail(
                                                 BackendFailure.SILENT,
-                                                "no byte received within the timeout");
+                                                "no progress within the timeout");
                                     } else if (!mEnded) {
                                         scheduleProgressCheck(remainingNanos);
                                     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
@@ -64,6 +64,14 @@
         /** Called with the next part of the body; returns false to abort the call. */
         boolean body(byte[] bytes);
 
+        /**
+         * Returns true while bytes of the body extend the time limit of the call; otherwise a
+         * server that sends a few bytes now and then would hold the call without end.
+         */
+        default boolean extendsTimeLimit() {
+            return true;
+        }
+
         /**
          * Called with the complete response, before {@link #end}; returns false when it does not
          * show that it answers this call. The connection is then closed, because the next response
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageCallResponse.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageCallResponse.java
@@ -59,6 +59,12 @@
         void onFailed(String detail);
     }
 
+    /** The time limit covers the whole response, which is small. */
+    @Override
+    public boolean extendsTimeLimit() {
+        return false;
+    }
+
     @Override
     protected boolean isIdentified(int status, byte[] body) {
         if (status != OK) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -34,9 +34,9 @@
  * on the event loop.
  */
 final class StageDispatcher {
-    // A call takes well under a second; a call is given up when its server sends no byte for this
-    // long.
-    private static final Duration CALL_SILENCE_LIMIT = Duration.ofMillis(2_500);
+    // A call takes well under a second; a call that has no complete response after this time is
+    // given up.
+    private static final Duration CALL_TIME_LIMIT = Duration.ofMillis(2_500);
 
     // Servers drop unreleased results after some seconds; until then their memory counts as in
     // use.
@@ -45,7 +45,7 @@
 
     // Results released within this time share one release call.
     private static final Duration RELEASE_DELAY = Duration.ofMillis(5);
-    private static final Duration RELEASE_SILENCE_LIMIT = Duration.ofMillis(1_000);
+    private static final Duration RELEASE_TIME_LIMIT = Duration.ofMillis(1_000);
     private static final int MAX_FAILED_SERVERS = 2;
     private static final int MAX_ANSWER_BYTES = 1 << 20;
     private static final String JSON = "application/json";
@@ -114,12 +114,7 @@
         mServices
                 .upstreamClient()
                 .start(
-                        request(
-                                backend.host(),
-                                backend.port(),
-                                message,
-                                CALL_SILENCE_LIMIT,
-                                headers),
+                        request(backend.host(), backend.port(), message, CALL_TIME_LIMIT, headers),
                         new StageCallResponse(
                                 mServices,
                                 mReceivedHandles,
@@ -293,12 +288,7 @@
                         .protocol()
                         .releaseRequest(pieces.stream().map(CompletedPiece::handle).toList());
         UpstreamClient.Request request =
-                request(
-                        server.host(),
-                        server.port(),
-                        message,
-                        RELEASE_SILENCE_LIMIT,
-                        new HeaderMap());
+                request(server.host(), server.port(), message, RELEASE_TIME_LIMIT, new HeaderMap());
         mServices.upstreamClient().start(request, new ReleaseResponse(pieces));
     }
 
@@ -310,19 +300,12 @@
     }
 
     private static UpstreamClient.Request request(
-            String host, int port, StageRequest message, Duration silenceLimit, HeaderMap headers) {
+            String host, int port, StageRequest message, Duration timeLimit, HeaderMap headers) {
         headers.put(Headers.HOST, host + ":" + port);
         headers.put(Headers.CONTENT_TYPE, JSON);
         headers.put(Headers.CONTENT_LENGTH, message.body().length);
         return new UpstreamClient.Request(
-                host,
-                port,
-                Methods.POST,
-                message.path(),
-                headers,
-                message.body(),
-                silenceLimit,
-                true);
+                host, port, Methods.POST, message.path(), headers, message.body(), timeLimit, true);
     }
 
     /**
@@ -339,6 +322,12 @@
             mPieces = pieces;
         }
 
+        /** The time limit covers the whole response, which is small. */
+        @Override
+        public boolean extendsTimeLimit() {
+            return false;
+        }
+
         @Override
         protected void complete(int status, HeaderMap headers, byte[] body) {
             if (status == 200) {
