--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
@@ -24,8 +24,9 @@
  * One HTTP exchange with a backend server on a connection of the server's pool.
  *
  * <p>Invariant: the handler is notified of exactly one end or failure; a connection returns to the
- * pool only after a complete response. Thread safety: the package-private methods may be called
- * from any thread; the request is written and the response is read on the connection's I/O thread.
+ * pool only after a complete response to this exchange. Thread safety: the package-private methods
+ * may be called from any thread; the request is written and the response is read on the
+ * connection's I/O thread.
  */
 final class HttpExchange {
     private static final Logger LOG = Logger.getLogger(HttpExchange.class);
@@ -206,7 +207,9 @@
                     channel.resumeReads();
                     return;
                 }
-                mLastProgressNanos = System.nanoTime();
+                if (mHandler.extendsTimeLimit()) {
+                    mLastProgressNanos = System.nanoTime();
+                }
                 resetLimit();
                 buffer.flip();
                 if (!mHandler.body(buffer)) {
@@ -233,7 +236,11 @@
             if (!epoch.isEmpty()) {
                 pooled.setVerifiedEpoch(epoch);
             }
-            mPool.release(pooled);
+            if (mHandler.isIdentified()) {
+                mPool.release(pooled);
+            } else {
+                mPool.close(pooled);
+            }
             mHandler.end();
         }
     }
@@ -263,7 +270,7 @@
                     long idleNanos = System.nanoTime() - mLastProgressNanos;
                     long remainingNanos = mProgressTimeout.toNanos() - idleNanos;
                     if (remainingNanos <= 0) {
-                        fail(BackendFailure.SILENT, "no byte received within " + mProgressTimeout);
+                        fail(BackendFailure.SILENT, "no progress within " + mProgressTimeout);
                     } else {
                         scheduleProgressCheck(executor, remainingNanos);
                     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -42,6 +42,7 @@
     private XnioExecutor.@Nullable Key mTimer;
     private long mLastProgressNanos;
     private boolean mEnded;
+    private boolean mReused;
     private boolean mMayHaveSent;
     private boolean mRequestWritten;
     private boolean mHeadersReceived;
@@ -71,6 +72,7 @@
                         ? mClient.idleConnections().take(mAddress, System.nanoTime())
                         : null;
         if (idleConnection != null) {
+            mReused = true;
             send(idleConnection);
             return;
         }
@@ -168,7 +170,7 @@
         mLastProgressNanos = System.nanoTime();
         ClientResponse response = exchange.getResponse();
         readKeepAlive(response.getResponseHeaders());
-        if (!mListener.head(response.getResponseCode(), response.getResponseHeaders())) {
+        if (!mListener.head(response.getResponseCode(), response.getResponseHeaders(), mReused)) {
             fail(BackendFailure.MALFORMED, "response headers were rejected");
             return;
         }
@@ -210,7 +212,9 @@
                     channel.resumeReads();
                     return;
                 }
-                mLastProgressNanos = System.nanoTime();
+                if (mListener.extendsTimeLimit()) {
+                    mLastProgressNanos = System.nanoTime();
+                }
                 resetLimit();
                 byte[] bytes = new byte[count];
                 buffer.flip().get(bytes);
@@ -236,7 +240,8 @@
         stopTimer();
         LimitedConnection connection = mConnection;
         if (connection != null) {
-            if (mRequestWritten && mKeepAliveNanos > 0 && connection.isOpen()) {
+            boolean identified = mListener.isIdentified();
+            if (identified && mRequestWritten && mKeepAliveNanos > 0 && connection.isOpen()) {
                 long usableUntilNanos = System.nanoTime() + mKeepAliveNanos;
                 mClient.idleConnections().put(mAddress, connection, usableUntilNanos);
             } else {
@@ -277,7 +282,7 @@
                                     if (remainingNanos <= 0) {
                                         fail(
                                                 BackendFailure.SILENT,
-                                                "no byte received within the timeout");
+                                                "no progress within the timeout");
                                     } else if (!mEnded) {
                                         scheduleProgressCheck(remainingNanos);
                                     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
@@ -53,12 +53,34 @@
      * <p>Thread safety: called on the I/O thread.
      */
     interface Listener {
-        /** Called with the status and the headers; returns false to abort the call. */
-        boolean head(int status, HeaderMap headers);
+        /**
+         * Called with the status and the headers; returns false to abort the call.
+         *
+         * @param reused true when the connection was used before, so that the response may be a
+         *     late copy of an earlier one
+         */
+        boolean head(int status, HeaderMap headers, boolean reused);
 
         /** Called with the next part of the body; returns false to abort the call. */
         boolean body(byte[] bytes);
 
+        /**
+         * Returns true while bytes of the body extend the time limit of the call; otherwise a
+         * server that sends a few bytes now and then would hold the call without end.
+         */
+        default boolean extendsTimeLimit() {
+            return true;
+        }
+
+        /**
+         * Called with the complete response, before {@link #end}; returns false when it does not
+         * show that it answers this call. The connection is then closed, because the next response
+         * on it may be the one to this call.
+         */
+        default boolean isIdentified() {
+            return true;
+        }
+
         /** Called when the response is complete. */
         void end();
 
@@ -94,7 +116,7 @@
         }
 
         @Override
-        public boolean head(int status, HeaderMap headers) {
+        public boolean head(int status, HeaderMap headers, boolean reused) {
             mStatus = status;
             mHeaders = headers;
             return true;
@@ -109,6 +131,16 @@
             return true;
         }
 
+        @Override
+        public final boolean isIdentified() {
+            return isIdentified(mStatus, mBody.toByteArray());
+        }
+
+        /** Returns false when the response does not show that it answers this call. */
+        protected boolean isIdentified(int status, byte[] body) {
+            return true;
+        }
+
         @Override
         public void end() {
             complete(mStatus, mHeaders, mBody.toByteArray());
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -34,9 +34,9 @@
  * on the event loop.
  */
 final class StageDispatcher {
-    // A call takes well under a second; a call is given up when its server sends no byte for this
-    // long.
-    private static final Duration CALL_SILENCE_LIMIT = Duration.ofMillis(2_500);
+    // A call takes well under a second; a call that has no complete response after this time is
+    // given up.
+    private static final Duration CALL_TIME_LIMIT = Duration.ofMillis(2_500);
 
     // Servers drop unreleased results after some seconds; until then their memory counts as in
     // use.
@@ -45,7 +45,7 @@
 
     // Results released within this time share one release call.
     private static final Duration RELEASE_DELAY = Duration.ofMillis(5);
-    private static final Duration RELEASE_SILENCE_LIMIT = Duration.ofMillis(1_000);
+    private static final Duration RELEASE_TIME_LIMIT = Duration.ofMillis(1_000);
     private static final int MAX_FAILED_SERVERS = 2;
     private static final int MAX_ANSWER_BYTES = 1 << 20;
     private static final String JSON = "application/json";
@@ -53,6 +53,7 @@
     private final ForwardServices mServices;
     private final String mService;
     private final StageQueue<QueuedPiece> mQueue;
+    private final ReceivedHandles mReceivedHandles = new ReceivedHandles();
     private final List<CompletedPiece> mPendingReleases = new ArrayList<>();
 
     StageDispatcher(ForwardServices services, String service) {
@@ -113,44 +114,35 @@
         mServices
                 .upstreamClient()
                 .start(
-                        request(
-                                backend.host(),
-                                backend.port(),
-                                message,
-                                CALL_SILENCE_LIMIT,
-                                headers),
-                        new UpstreamClient.BufferedResponseListener(MAX_ANSWER_BYTES) {
-                            @Override
-                            protected void complete(int status, HeaderMap answer, byte[] body) {
-                                BackendResponseMetadata metadata =
-                                        mServices.protocol().parseResponse(answer);
-                                mServices
-                                        .loop()
-                                        .execute(
-                                                () ->
-                                                        onAnswer(
-                                                                call,
-                                                                status,
-                                                                metadata,
-                                                                body,
-                                                                startedNanos));
-                            }
+                        request(backend.host(), backend.port(), message, CALL_TIME_LIMIT, headers),
+                        new StageCallResponse(
+                                mServices,
+                                mReceivedHandles,
+                                call.pieces().stream().map(QueuedPiece::name).toList(),
+                                responseHandler(call, startedNanos)));
+    }
+
+    private StageCallResponse.Handler responseHandler(
+            StageQueue.Call<QueuedPiece> call, long startedNanos) {
+        return new StageCallResponse.Handler() {
+            @Override
+            public void onAnswer(
+                    int status, BackendResponseMetadata metadata, List<PieceResult> results) {
+                StageDispatcher.this.onAnswer(call, status, metadata, results, startedNanos);
+            }
 
-                            @Override
-                            public void failed(
-                                    boolean sent, BackendFailure failure, String detail) {
-                                mServices
-                                        .loop()
-                                        .execute(() -> onCallFailed(call, detail, startedNanos));
-                            }
-                        });
+            @Override
+            public void onFailed(String detail) {
+                onCallFailed(call, detail, startedNanos);
+            }
+        };
     }
 
     private void onAnswer(
             StageQueue.Call<QueuedPiece> call,
             int status,
             BackendResponseMetadata metadata,
-            byte[] body,
+            List<PieceResult> results,
             long startedNanos) {
         Server server = call.server();
         mServices.statedLimits().onAnswer(server.published(), metadata);
@@ -166,13 +158,6 @@
             repeat(call, !metadata.notRun());
             return;
         }
-        List<PieceResult> results;
-        try {
-            results = mServices.protocol().parsePieceResults(body, call.pieces().size());
-        } catch (BulrushvaleException e) {
-            onCallFailed(call, e.detail(), startedNanos);
-            return;
-        }
         long now = mServices.clock().monotonicNanos();
         server.recordSuccess();
         limits().map(limits -> limits.callTime(call.pieces().size()))
@@ -303,12 +288,7 @@
                         .protocol()
                         .releaseRequest(pieces.stream().map(CompletedPiece::handle).toList());
         UpstreamClient.Request request =
-                request(
-                        server.host(),
-                        server.port(),
-                        message,
-                        RELEASE_SILENCE_LIMIT,
-                        new HeaderMap());
+                request(server.host(), server.port(), message, RELEASE_TIME_LIMIT, new HeaderMap());
         mServices.upstreamClient().start(request, new ReleaseResponse(pieces));
     }
 
@@ -320,19 +300,12 @@
     }
 
     private static UpstreamClient.Request request(
-            String host, int port, StageRequest message, Duration silenceLimit, HeaderMap headers) {
+            String host, int port, StageRequest message, Duration timeLimit, HeaderMap headers) {
         headers.put(Headers.HOST, host + ":" + port);
         headers.put(Headers.CONTENT_TYPE, JSON);
         headers.put(Headers.CONTENT_LENGTH, message.body().length);
         return new UpstreamClient.Request(
-                host,
-                port,
-                Methods.POST,
-                message.path(),
-                headers,
-                message.body(),
-                silenceLimit,
-                true);
+                host, port, Methods.POST, message.path(), headers, message.body(), timeLimit, true);
     }
 
     /**
@@ -349,6 +322,12 @@
             mPieces = pieces;
         }
 
+        /** The time limit covers the whole response, which is small. */
+        @Override
+        public boolean extendsTimeLimit() {
+            return false;
+        }
+
         @Override
         protected void complete(int status, HeaderMap headers, byte[] body) {
             if (status == 200) {
