--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerServer.java
@@ -136,6 +136,11 @@
         return mBoundPort;
     }
 
+    /** Returns the number of requests in progress. */
+    public int running() {
+        return mActiveRequests.get();
+    }
+
     /**
      * Accepts no new connections after those that wait; open connections close after their next
      * response, or after the last one when further requests have already arrived. The daemon still
