Let a stop not wait for stage jobs that ended at once

A job of another entry that is refused while it is added, which is common in an overload, was registered after its end and stayed registered, so a collector that stops never counted as idle and ran to the limit of its grace time. Found by the review, by reading; jobs are registered before they are executed now, as in StageScheduler. No test of its own.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -287,6 +287,8 @@
         }
         String request = job.pieces().get(0).requestId();
         PeerJob peerJob = new PeerJob();
+        // Registers the job first, because execute() may deliver the results before it returns.
+        mPeerJobs.computeIfAbsent(request, id -> new HashSet<>()).add(peerJob);
         peerJob.mCancel =
                 mLocalExecutor.execute(
                         job,
@@ -294,7 +296,6 @@
                             removePeerJob(request, peerJob);
                             reply.send(new PeerMessage.StageResults(results));
                         });
-        mPeerJobs.computeIfAbsent(request, id -> new HashSet<>()).add(peerJob);
     }
 
     private void removePeerJob(String request, Runnable job) {
