--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerConnections.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerConnections.java
@@ -30,7 +30,7 @@
  * not been answered. Thread safety: the public methods may be called from any thread; the state of
  * a connection is used on its I/O thread only.
  */
-final class CallerConnections {
+public final class CallerConnections {
     private static final Logger LOG = Logger.getLogger(CallerConnections.class);
 
     private final Set<Source> mOpen = ConcurrentHashMap.newKeySet();
@@ -38,7 +38,7 @@
     private volatile boolean mClosing;
 
     /** Returns a listener that passes accepted connections on to {@code next}. */
-    ChannelListener<StreamConnection> tracked(ChannelListener<StreamConnection> next) {
+    public ChannelListener<StreamConnection> tracked(ChannelListener<StreamConnection> next) {
         return connection -> {
             ConduitStreamSourceChannel channel = connection.getSourceChannel();
             Source source = new Source(channel.getConduit(), connection);
@@ -60,7 +60,7 @@
     }
 
     /** Accepts the connections that wait; called on an I/O thread. */
-    static void acceptWaiting(
+    public static void acceptWaiting(
             AcceptingChannel<StreamConnection> acceptor,
             ChannelListener<StreamConnection> onAccepted) {
         try {
@@ -75,14 +75,14 @@
     }
 
     /** Must be called for every exchange before it is handled. */
-    void exchangeStarted(HttpServerExchange exchange) {
+    public void exchangeStarted(HttpServerExchange exchange) {
         if (source(exchange) != null) {
             exchange.addExchangeCompleteListener(this::exchangeEnded);
         }
     }
 
     /** Returns true when bytes of a further request were read from the connection. */
-    static boolean hasPipelinedBytes(HttpServerExchange exchange) {
+    public static boolean hasPipelinedBytes(HttpServerExchange exchange) {
         return exchange.getConnection() instanceof HttpServerConnection http
                 && http.getExtraBytes() != null;
     }
@@ -91,7 +91,7 @@
      * Closes the idle connections, and the others after their last answer; runs {@code onAllClosed}
      * when none is left.
      */
-    void closeWhenIdle(Runnable onAllClosed) {
+    public void closeWhenIdle(Runnable onAllClosed) {
         mOnAllClosed.set(onAllClosed);
         mClosing = true;
         for (Source source : mOpen) {
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/ForwardServer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/ForwardServer.java
@@ -7,7 +7,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
-import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
@@ -16,16 +15,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.bulrushvale.adapters.caller.BodyReceiver;
-import org.bulrushvale.adapters.caller.OpenConnections;
+import org.bulrushvale.adapters.caller.CallerConnections;
 import org.bulrushvale.adapters.caller.Problem;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.kernel.time.Clock;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
+import org.jspecify.annotations.Nullable;
+import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -45,13 +45,17 @@
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final int BACKLOG = 1024;
 
+    // Position of the caller listener in the order in which the listeners are opened.
+    private static final int CALLER_LISTENER_INDEX = 2;
+
     private final ForwardSettings mSettings;
     private final XnioWorker mWorker;
     private final ForwardRequestHandler mDaemon;
     private final Clock mClock;
     private final ByteBufferPool mBuffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final List<AcceptingChannel<StreamConnection>> mAcceptors = new ArrayList<>();
-    private final OpenConnections mConnections = new OpenConnections();
+    private final CallerConnections mConnections = new CallerConnections();
+    private volatile @Nullable ChannelListener<StreamConnection> mOnCallerAccepted;
     private final AtomicInteger mActiveRequests = new AtomicInteger();
     private volatile boolean mDraining;
 
@@ -113,11 +117,14 @@
                         .getMap();
         HttpOpenListener listener = new HttpOpenListener(mBuffers, httpOptions);
         listener.setRootHandler(handler);
+        ChannelListener<StreamConnection> onAccepted = listener;
+        if (mAcceptors.size() == CALLER_LISTENER_INDEX) {
+            onAccepted = mConnections.tracked(listener);
+            mOnCallerAccepted = onAccepted;
+        }
         AcceptingChannel<StreamConnection> acceptor =
                 mWorker.createStreamConnectionServer(
-                        address,
-                        ChannelListeners.openListenerAdapter(mConnections.tracking(listener)),
-                        socketOptions);
+                        address, ChannelListeners.openListenerAdapter(onAccepted), socketOptions);
         mAcceptors.add(acceptor);
         acceptor.resumeAccepts();
     }
@@ -140,28 +147,28 @@
     }
 
     /**
-     * Closes the listeners and all connections, unless a request is in progress.
-     *
-     * <p>This happens in one step on the I/O thread, so every request that was read completely
-     * before has its response, and none is read afterwards.
-     *
-     * @param evenInUse true to close connections whose requests are in progress, too
+     * Accepts no further callers, closes the idle connections and the others after their last
+     * response; runs {@code onAllClosed} when none is left.
      */
-    public void closeConnections(boolean evenInUse, Consumer<CloseResult> onResult) {
+    public void closeConnections(Runnable onAllClosed) {
         mWorker.getIoThread()
                 .execute(
                         () -> {
-                            int inUse = mActiveRequests.get();
-                            if (inUse > 0 && !evenInUse) {
-                                onResult.accept(new CloseResult(false, 0, inUse));
-                                return;
-                            }
-                            close();
-                            onResult.accept(
-                                    new CloseResult(true, mConnections.closeAll() - inUse, inUse));
+                            closeCallerListener();
+                            mConnections.closeWhenIdle(onAllClosed);
                         });
     }
 
+    private void closeCallerListener() {
+        AcceptingChannel<StreamConnection> acceptor = mAcceptors.get(CALLER_LISTENER_INDEX);
+        ChannelListener<StreamConnection> onAccepted = mOnCallerAccepted;
+        if (onAccepted != null) {
+            // The close would reset them.
+            CallerConnections.acceptWaiting(acceptor, onAccepted);
+        }
+        IoUtils.safeClose(acceptor);
+    }
+
     @Override
     public void close() {
         mAcceptors.forEach(IoUtils::safeClose);
@@ -177,6 +184,7 @@
 
     private void handleCallerRequest(HttpServerExchange exchange) {
         long arrivedNanos = mClock.monotonicNanos();
+        mConnections.exchangeStarted(exchange);
         exchange.addResponseCommitListener(this::closeAfterResponseWhileDraining);
         if (BodyReceiver.headerBytes(exchange) > mSettings.limits().maxHeaderBytes()) {
             exchange.setPersistent(false);
@@ -201,10 +209,7 @@
 
     /** A request that was pipelined behind this one and already read is served first. */
     private void closeAfterResponseWhileDraining(HttpServerExchange exchange) {
-        boolean nextRequestRead =
-                exchange.getConnection() instanceof HttpServerConnection connection
-                        && connection.getExtraBytes() != null;
-        if (mDraining && !nextRequestRead) {
+        if (mDraining && !CallerConnections.hasPipelinedBytes(exchange)) {
             exchange.setPersistent(false);
         }
     }
@@ -238,15 +243,4 @@
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; charset=utf-8");
         exchange.getResponseSender().send(text);
     }
-
-    /**
-     * Result of an attempt to close the connections.
-     *
-     * <p>Thread safety: immutable.
-     *
-     * @param closed false when requests in progress prevented it
-     * @param idle number of closed connections without a request in progress
-     * @param inUse number of requests that were in progress
-     */
-    public record CloseResult(boolean closed, int idle, int inUse) {}
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -131,8 +131,8 @@
                     .with("running", mCore.requestsInProgress())
                     .write();
         }
-        mLocalExecutor.dispatch();
         mLastDispatchNanos = mClock.monotonicNanos();
+        mLocalExecutor.dispatch();
     }
 
     private void startRelay(MemberTable members) {
@@ -223,13 +223,22 @@
      * connections of callers, then completes {@link #awaitDrained}.
      */
     public void drain() {
+        drain(mClock.monotonicNanos());
+    }
+
+    /**
+     * Starts a graceful shutdown.
+     *
+     * @param requestedNanos monotonic time of the request to stop, from which the grace time counts
+     */
+    void drain(long requestedNanos) {
         mLoop.execute(
                 () -> {
                     if (mGracePeriod.hasBegun()) {
                         return;
                     }
                     mLog.line("stop").with("running", mCore.requestsInProgress()).writeAlways();
-                    mGracePeriod.begin();
+                    mGracePeriod.begin(requestedNanos);
                     mCore.drain();
                     mFleet.drain();
                     mServer.drain();
@@ -238,33 +247,32 @@
     }
 
     private void checkDrained() {
-        if (mClosingConnections) {
-            return;
-        }
-        if (mGracePeriod.areFinalAnswersDue()) {
+        boolean finalAnswersDue = mGracePeriod.areFinalAnswersDue();
+        if (finalAnswersDue) {
             mCore.endAll();
         }
-        boolean idle = mCore.requestsInProgress() == 0 && mFleet.peerRequestCount() == 0;
-        if (mGracePeriod.mustEnd() || (mGracePeriod.mayEndWhenIdle() && idle)) {
+        boolean idle =
+                mGracePeriod.mayEndWhenIdle()
+                        && mCore.requestsInProgress() == 0
+                        && mFleet.peerRequestCount() == 0;
+        if (!mClosingConnections && (idle || finalAnswersDue)) {
             mClosingConnections = true;
-            mServer.closeConnections(mGracePeriod.mustEnd(), this::onConnectionsClosed);
+            mServer.closeConnections(() -> mLoop.execute(this::endDrain));
+        }
+        if (mGracePeriod.mustEnd()) {
+            endDrain();
         }
     }
 
-    private void onConnectionsClosed(ForwardServer.CloseResult result) {
-        mLoop.execute(
-                () -> {
-                    mClosingConnections = false;
-                    if (result.closed()) {
-                        mLog.line("connections_closed")
-                                .with("idle", result.idle())
-                                .with("in_use", result.inUse())
-                                .with("after_ms", mGracePeriod.elapsed().toMillis())
-                                .writeAlways();
-                        mClosingConnections = true;
-                        mDrained.countDown();
-                    }
-                });
+    private void endDrain() {
+        if (mDrained.getCount() > 0) {
+            mLog.line("drained")
+                    .with("running", mServer.running())
+                    .with("peer_jobs", mFleet.peerRequestCount())
+                    .with("after_ms", mGracePeriod.elapsed().toMillis())
+                    .writeAlways();
+            mDrained.countDown();
+        }
     }
 
     /** Waits for the end of a graceful shutdown; returns false when the limit elapsed first. */
--- a/decision/src/main/java/org/bulrushvale/decision/drain/GracePeriod.java
+++ b/decision/src/main/java/org/bulrushvale/decision/drain/GracePeriod.java
@@ -47,11 +47,15 @@
         mEnd = grace.minus(shorter(CLOSE_MARGIN, grace.dividedBy(CLOSE_DIVISOR)));
     }
 
-    /** Begins the period; has no effect when it has already begun. */
-    public void begin() {
+    /**
+     * Begins the period; has no effect when it has already begun.
+     *
+     * @param requestedNanos monotonic time of the request to stop, now or earlier
+     */
+    public void begin(long requestedNanos) {
         if (!mBegun) {
             mBegun = true;
-            mBegunNanos = mClock.monotonicNanos();
+            mBegunNanos = requestedNanos;
         }
     }
 
--- a/decision/src/test/java/org/bulrushvale/decision/drain/GracePeriodTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/drain/GracePeriodTest.java
@@ -24,7 +24,7 @@
         Duration grace = Duration.ofSeconds(graceSeconds);
         ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
         GracePeriod period = new GracePeriod(clock, grace.dividedBy(10), grace);
-        period.begin();
+        period.begin(clock.monotonicNanos());
         Duration latestEnd = Duration.ZERO;
         Duration firstFinalAnswer = null;
         for (Duration now = Duration.ZERO; now.compareTo(grace) < 0; now = now.plus(STEP)) {
@@ -59,9 +59,9 @@
         // when, then
         assertThat(period.admits(true, longLimit)).isTrue();
         assertThat(period.mayEndWhenIdle()).isFalse();
-        period.begin();
+        period.begin(clock.monotonicNanos());
         clock.advance(Duration.ofMillis(1_999));
-        period.begin();
+        period.begin(clock.monotonicNanos());
         assertThat(period.admits(true, longLimit)).isTrue();
         assertThat(period.mayEndWhenIdle()).isTrue();
         clock.advance(Duration.ofMillis(1));
