Count the grace time from the signal and handle SIGHUP from the start

A SIGTERM during a start began the grace time only when the start had ended, so the final answers could come after the kill; SIGHUP ended the process until the settings were read. Found by the review, by reading.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutionException;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.daemon.LogSetup;
+import org.bulrushvale.kernel.time.Clock;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.jspecify.annotations.Nullable;
 import picocli.CommandLine;
@@ -54,6 +55,10 @@
             return EXIT_BAD_SETTINGS;
         }
         SettingsFile file = new SettingsFile(path);
+        // A signal may arrive before the start has ended.
+        CompletableFuture<ForwardDaemon> started = new CompletableFuture<>();
+        Signal.handle(
+                new Signal("HUP"), signal -> started.thenAccept(daemon -> reload(daemon, file)));
         ForwardSettings.Result result;
         try {
             result = file.read();
@@ -65,16 +70,16 @@
         if (result.settings().isEmpty()) {
             return EXIT_BAD_SETTINGS;
         }
-        return checkOnly ? 0 : runEntry(file, result.settings().get(), err);
+        return checkOnly ? 0 : runEntry(file, result.settings().get(), started, err);
     }
 
-    private static int runEntry(SettingsFile file, ForwardSettings settings, PrintWriter err)
+    private static int runEntry(
+            SettingsFile file,
+            ForwardSettings settings,
+            CompletableFuture<ForwardDaemon> started,
+            PrintWriter err)
             throws InterruptedException {
         LogSetup.configure(true, settings.log().level());
-        // A signal may arrive as soon as the listeners are open, which is before the start ends.
-        CompletableFuture<ForwardDaemon> started = new CompletableFuture<>();
-        Signal.handle(
-                new Signal("HUP"), signal -> started.thenAccept(daemon -> reload(daemon, file)));
         Thread onSignal = new Thread(() -> drainOnSignal(started), "drain-on-signal");
         Runtime.getRuntime().addShutdownHook(onSignal);
         try (ForwardDaemon daemon = ForwardDaemon.start(settings)) {
@@ -100,9 +105,10 @@
     }
 
     private static void drainOnSignal(CompletableFuture<ForwardDaemon> started) {
+        long requestedNanos = Clock.system().monotonicNanos();
         try {
             ForwardDaemon daemon = started.get();
-            daemon.drain();
+            daemon.drain(requestedNanos);
             daemon.awaitDrainedWithinGrace();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
