--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -254,6 +254,7 @@
         boolean idle =
                 mGracePeriod.mayEndWhenIdle()
                         && mCore.requestsInProgress() == 0
+                        && mServer.running() == 0
                         && mFleet.peerRequestCount() == 0;
         if (!mClosingConnections && (idle || finalAnswersDue)) {
             mClosingConnections = true;
