--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -5,8 +5,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.ServiceLoader;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.bulrushvale.adapters.forward.ForwardProtocol;
 import org.bulrushvale.adapters.forward.ForwardServer;
 import org.bulrushvale.adapters.forward.PublishedStateWatcher;
@@ -48,7 +46,6 @@
     private static final Duration DISPATCH_PERIOD = Duration.ofMillis(50);
     // A loop that runs its tasks this late delays every request of the entry.
     private static final Duration LOOP_DELAY_LIMIT = Duration.ofMillis(250);
-    private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
 
     private final ForwardSettings mSettings;
     private final Clock mClock = Clock.system();
@@ -63,15 +60,11 @@
     private final LocalStageExecutor mLocalExecutor;
     private final FleetStageExecutor mFleet;
     private final ForwardServer mServer;
-    private final CountDownLatch mDrained = new CountDownLatch(1);
-    private final GracePeriod mGracePeriod;
-    private boolean mClosingConnections;
+    private final ForwardStop mStop;
     private long mLastDispatchNanos;
 
     private ForwardDaemon(ForwardSettings settings) throws BulrushvaleException {
         mSettings = settings;
-        mGracePeriod =
-                new GracePeriod(mClock, settings.drain().unreadyDelay(), settings.drain().grace());
         mLog =
                 new DecisionLog(
                         mClock, System.out, settings.entry().vm(), settings.log().linesPerSecond());
@@ -115,8 +108,11 @@
         mLocalExecutor = new LocalStageExecutor(services);
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
         mFleet.exchangeNotices(crashGuard.notices(), statedLimits.notices());
-        mCore = new ForwardCore(services, mFleet, mGracePeriod);
+        ForwardSettings.Drain drain = settings.drain();
+        GracePeriod grace = new GracePeriod(mClock, drain.unreadyDelay(), drain.grace());
+        mCore = new ForwardCore(services, mFleet, grace);
         mServer = ForwardServer.start(settings, mWorker, mCore, metrics::scrape, mClock);
+        mStop = new ForwardStop(mLoop, grace, mLog, mCore, mFleet, mServer);
         mLastDispatchNanos = mClock.monotonicNanos();
         mLoop.scheduleWithFixedDelay(DISPATCH_PERIOD, this::dispatchPeriodically);
         startRelay(members);
@@ -232,53 +228,12 @@
      * @param requestedNanos monotonic time of the request to stop, from which the grace time counts
      */
     void drain(long requestedNanos) {
-        mLoop.execute(
-                () -> {
-                    if (mGracePeriod.hasBegun()) {
-                        return;
-                    }
-                    mLog.line("stop").with("running", mCore.requestsInProgress()).writeAlways();
-                    mGracePeriod.begin(requestedNanos);
-                    mCore.drain();
-                    mFleet.drain();
-                    mServer.drain();
-                    mLoop.scheduleWithFixedDelay(DRAIN_CHECK_PERIOD, this::checkDrained);
-                });
-    }
-
-    private void checkDrained() {
-        boolean finalAnswersDue = mGracePeriod.areFinalAnswersDue();
-        if (finalAnswersDue) {
-            mCore.endAll();
-        }
-        boolean idle =
-                mGracePeriod.mayEndWhenIdle()
-                        && mCore.requestsInProgress() == 0
-                        && mServer.running() == 0
-                        && mFleet.peerRequestCount() == 0;
-        if (!mClosingConnections && (idle || finalAnswersDue)) {
-            mClosingConnections = true;
-            mServer.closeConnections(() -> mLoop.execute(this::endDrain));
-        }
-        if (mGracePeriod.mustEnd()) {
-            endDrain();
-        }
-    }
-
-    private void endDrain() {
-        if (mDrained.getCount() > 0) {
-            mLog.line("drained")
-                    .with("running", mServer.running())
-                    .with("peer_jobs", mFleet.peerRequestCount())
-                    .with("after_ms", mGracePeriod.elapsed().toMillis())
-                    .writeAlways();
-            mDrained.countDown();
-        }
+        mStop.begin(requestedNanos);
     }
 
     /** Waits for the end of a graceful shutdown; returns false when the limit elapsed first. */
     public boolean awaitDrained(Duration limit) throws InterruptedException {
-        return mDrained.await(limit.toMillis(), TimeUnit.MILLISECONDS);
+        return mStop.await(limit);
     }
 
     /** Waits until a graceful shutdown has ended, at most for the grace time. */
