Start stage work without results although memory is overcommitted

Free memory is never negative now. The new case of StageQueueTest failed before (1 of 9); StageQueueTest and StageQueueBacklogTest pass.

--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -206,9 +206,7 @@
         long bytesPerPiece = group.get(0).piece().resultBytes();
         int freePlaces = limits.maxBatch() - taken;
         long fitting =
-                bytesPerPiece == 0
-                        ? freePlaces
-                        : Math.min(freePlaces, Math.max(0, freeBytes) / bytesPerPiece);
+                bytesPerPiece == 0 ? freePlaces : Math.min(freePlaces, freeBytes / bytesPerPiece);
         boolean maySplit =
                 taken == 0
                         && (group.size() > limits.maxBatch()
@@ -246,7 +244,8 @@
 
     private long freeBytes(Server server, PieceLimits limits, long now) {
         String id = server.published().id();
-        return limits.resultMemoryBytes() - reservedBytes(id, now) - foreignBytes(id, now);
+        return Math.max(
+                0, limits.resultMemoryBytes() - reservedBytes(id, now) - foreignBytes(id, now));
     }
 
     private long reservedBytes(String server, long now) {
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueTest.java
@@ -106,6 +106,21 @@
         assertThat(groups(calls.get(0))).containsExactlyInAnyOrder("in-time", "late-high");
     }
 
+    @Test
+    public void a_piece_without_a_result_does_not_wait_for_memory() {
+        // given: more memory is reserved than the server has
+        addServer("s", "a");
+        addGroup("large", 4, 1, Duration.ofMillis(300), "");
+        nextCalls();
+        mQueue.recordCallEnd("s");
+        PieceLimits smaller =
+                new PieceLimits(1, 4, Duration.ofMillis(200), Duration.ofMillis(10), 300);
+        // when
+        mQueue.add(new TestPiece("none", 0, 1, mClock.monotonicNanos() + 300_000_000L, 0, ""));
+        // then
+        assertThat(mQueue.nextCalls(mDirectory.eligibleServers(SERVICE), smaller)).hasSize(1);
+    }
+
     @Test
     public void a_job_is_not_split_to_fill_a_batch() {
         // given
