--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -75,6 +75,7 @@
     static String server(String service, String address, String zone, int slots, String more) {
         return "{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\""
                 + zone + "\",\"version\":\"v1\",\"slots\":" + slots
-                + ",\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1" + more + "}";
+                + ",\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1,\"born\":"
+                + System.currentTimeMillis() + more + "}";
     }
 }
