Use the other published items when one of them is invalid

Cause: the decoder did not check the type of coldLeftMs, and asLong read the text "" as a number of milliseconds that Duration.toNanos cannot hold. BackendDirectory.put threw; the first complete read hands all servers to the event loop in one task, which the exception ended. All servers after the foreign one in hash order were lost, the servers never counted as known, and nothing repeats the first complete read. Evidence: the entry's log has "config" but no "servers", and a failed task with that stack.

Clock.boundedNanos limits spans that other processes state, wherever they are added to a reading. These keep one bad item from reaching code that decides about others.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -15,6 +15,7 @@
 import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.adapters.backend.LimitedConnection;
 import org.bulrushvale.adapters.backend.RequestWriter;
+import org.bulrushvale.kernel.time.Clock;
 import org.jspecify.annotations.Nullable;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
@@ -82,9 +83,16 @@
                                 () -> fail(BackendFailure.CONNECT, "connection attempt timed out"),
                                 mClient.connectTimeout().toMillis(),
                                 TimeUnit.MILLISECONDS);
+        URI address;
+        try {
+            address = URI.create("http://" + mAddress);
+        } catch (IllegalArgumentException e) {
+            fail(BackendFailure.CONNECT, "invalid address");
+            return;
+        }
         mClient.connections()
                 .open(
-                        URI.create("http://" + mAddress),
+                        address,
                         mClient.ioThread(),
                         connection -> mClient.ioThread().execute(() -> connected(connection)),
                         error ->
@@ -190,8 +198,8 @@
         }
         String seconds = value.substring(timeoutIndex + "timeout=".length()).split("[,; ]", 2)[0];
         try {
-            mKeepAliveNanos =
-                    Duration.ofSeconds(Long.parseLong(seconds)).minus(KEEP_ALIVE_MARGIN).toNanos();
+            Duration stated = Duration.ofSeconds(Long.parseLong(seconds));
+            mKeepAliveNanos = Clock.boundedNanos(stated) - KEEP_ALIVE_MARGIN.toNanos();
         } catch (NumberFormatException e) {
             mKeepAliveNanos = 0;
         }
--- a/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/ActiveRequest.java
@@ -29,6 +29,7 @@
 import org.bulrushvale.decision.warmup.AttemptOutcome;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.id.RequestId;
+import org.bulrushvale.kernel.time.Clock;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
@@ -76,7 +77,7 @@
         mContent = content;
         mListener = listener;
         mStartNanos = core.clock().monotonicNanos();
-        mDeadlineNanos = mStartNanos + deadline.toNanos();
+        mDeadlineNanos = mStartNanos + Clock.boundedNanos(deadline);
         mVerdictTracker = RequestVerdictTracker.of(pipeline);
         mRun =
                 RequestRun.builder(RequestId.random(core.random()), pipeline, core.clock())
--- a/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/EntryCore.java
@@ -220,7 +220,7 @@
     private void forward(
             String holder, WorkClass workClass, CallerRequest request, CallerResponder responder) {
         Duration deadline = deadline(workClass, request);
-        if (!mDrain.tryAccept(mCore.clock().monotonicNanos() + deadline.toNanos())) {
+        if (!mDrain.tryAccept(mCore.clock().nanosAfter(deadline))) {
             responder.fail(Problem.refusal(ErrorCode.DRAINING, "entry is shutting down", true));
             return;
         }
@@ -286,7 +286,7 @@
                             + deadline.toMillis()
                             + " ms to the deadline");
         }
-        long deadlineNanos = mCore.clock().monotonicNanos() + deadline.toNanos();
+        long deadlineNanos = mCore.clock().nanosAfter(deadline);
         if (!mDrain.tryAccept(deadlineNanos)) {
             throw refusal(ErrorCode.DRAINING, "entry is shutting down");
         }
--- a/daemon/src/main/java/org/bulrushvale/daemon/LoadPoller.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/LoadPoller.java
@@ -185,7 +185,8 @@
             int generation,
             long polledNanos,
             Duration interval) {
-        long measuredNanos = polledNanos - Duration.ofMillis(report.ageMillis()).toNanos();
+        long measuredNanos =
+                polledNanos - Clock.boundedNanos(Duration.ofMillis(report.ageMillis()));
         boolean current = polled.mConnected && generation == polled.mGeneration;
         if (polled.mRemoved || !current || !report.server().equals(polled.mServer.name())) {
             return interval;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
@@ -16,6 +16,7 @@
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.bulrushvale.kernel.verdict.ErrorCode;
 import org.bulrushvale.kernel.verdict.Verdict;
+import org.jboss.logging.Logger;
 
 /**
  * Admits or refuses requests by the published configuration and tracks those in progress.
@@ -24,6 +25,8 @@
  * methods of the port may be called from any thread; everything else is used on the event loop.
  */
 final class ForwardCore implements ForwardRequestHandler {
+    private static final Logger LOG = Logger.getLogger(ForwardCore.class);
+
     private final ForwardServices mServices;
     private final StageExecutor mStageExecutor;
     private final GracePeriod mGracePeriod;
@@ -38,7 +41,7 @@
 
     @Override
     public void handle(CallerExchange exchange) {
-        mServices.loop().execute(() -> admit(exchange));
+        mServices.loop().execute(() -> admitOrFail(exchange));
     }
 
     @Override
@@ -60,13 +63,27 @@
 
     /** Ends every request in progress with a final answer. */
     void endAll() {
-        List.copyOf(mRequestsInProgress).forEach(ForwardedRequest::endForShutdown);
+        List.copyOf(mRequestsInProgress)
+                .forEach(
+                        request ->
+                                request.endAtOnce(
+                                        ErrorCode.DRAINING, "the entry is shutting down"));
     }
 
     int requestsInProgress() {
         return mRequestsInProgress.size();
     }
 
+    private void admitOrFail(CallerExchange exchange) {
+        try {
+            admit(exchange);
+        } catch (RuntimeException e) {
+            // Nothing was sent yet, and without an answer the caller would wait for its deadline.
+            LOG.error("request not admitted because of an unexpected error", e);
+            refuse(exchange, "", ErrorCode.INTERNAL, "unexpected error before the request ran");
+        }
+    }
+
     private void admit(CallerExchange exchange) {
         CallerRequestMetadata metadata;
         try {
@@ -95,6 +112,14 @@
             refuse(exchange, metadata.id(), ErrorCode.UNAUTHORIZED, "unknown API key");
             return;
         }
+        if (!route.get().isUsable()) {
+            refuse(
+                    exchange,
+                    metadata.id(),
+                    ErrorCode.NOT_CONFIGURED,
+                    "the published route " + route.get().name() + " is invalid");
+            return;
+        }
         if (!mGracePeriod.admits(
                 route.get().kind() == RequestKind.STREAM, timeLimit(metadata, route.get()))) {
             refuse(
@@ -108,18 +133,32 @@
             refuse(exchange, metadata.id(), ErrorCode.DEADLINE_INVALID, "the deadline has passed");
             return;
         }
+        start(exchange, metadata, route.get(), workspace, config);
+    }
+
+    private void start(
+            CallerExchange exchange,
+            CallerRequestMetadata metadata,
+            Route route,
+            Optional<Workspace> workspace,
+            ForwardConfig config) {
         ForwardedRequest request =
                 new ForwardedRequest(
                         mServices,
                         mStageExecutor,
                         exchange,
                         metadata,
-                        route.get(),
+                        route,
                         workspace,
                         config,
                         mRequestsInProgress::remove);
         mRequestsInProgress.add(request);
-        request.start();
+        try {
+            request.start();
+        } catch (RuntimeException e) {
+            LOG.error("request ended because of an unexpected error", e);
+            request.endAtOnce(ErrorCode.INTERNAL, "unexpected error");
+        }
     }
 
     private static Duration timeLimit(CallerRequestMetadata metadata, Route route) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -505,13 +505,13 @@
         giveUp(ErrorCode.DEADLINE_EXCEEDED, "the deadline of the request has passed");
     }
 
-    /** Ends the request because the process shuts down. */
-    void endForShutdown() {
+    /** Ends the request with a final answer, whatever is in progress. */
+    void endAtOnce(ErrorCode code, String detail) {
         if (mServer != null) {
             mVerdict = mVerdict.combinedWith(Verdict.MAY_HAVE_RUN);
         }
         abortAttempt();
-        giveUp(ErrorCode.DRAINING, "the entry is shutting down");
+        giveUp(code, detail);
     }
 
     private void abortAttempt() {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
@@ -83,7 +83,9 @@
                     Set<String> missingIds = new HashSet<>(mDirectory.ids());
                     for (PublishedBackend server : servers) {
                         missingIds.remove(server.id());
-                        put(server);
+                        // A task of its own: an unexpected error with one server must not keep the
+                        // entry from using the others.
+                        mLoop.execute(() -> put(server));
                     }
                     missingIds.forEach(this::onVanished);
                     mServersKnown = true;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestTimeLimits.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestTimeLimits.java
@@ -66,7 +66,7 @@
     }
 
     private long millisUntil(Duration sinceArrival) {
-        long left = mArrivedNanos + sinceArrival.toNanos() - mClock.monotonicNanos();
+        long left = mArrivedNanos + Clock.boundedNanos(sinceArrival) - mClock.monotonicNanos();
         return TimeUnit.NANOSECONDS.toMillis(left);
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -25,6 +25,7 @@
 import org.bulrushvale.decision.forward.ServiceSpec;
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.decision.forward.StageQueue;
+import org.bulrushvale.kernel.time.Clock;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 
 /**
@@ -165,7 +166,9 @@
                 .ifPresent(
                         expected ->
                                 server.recordSlowdown(
-                                        (double) (now - startedNanos) / expected.toNanos(), now));
+                                        (double) (now - startedNanos)
+                                                / Clock.boundedNanos(expected),
+                                        now));
         log(call, outcomes(results), startedNanos);
         onCallEnded(call);
         for (int i = 0; i < results.size(); i++) {
--- a/decision/src/main/java/org/bulrushvale/decision/config/ConfigStore.java
+++ b/decision/src/main/java/org/bulrushvale/decision/config/ConfigStore.java
@@ -64,7 +64,7 @@
             mConfig = valid.config();
             mDigest = digest;
             mValues = Map.copyOf(values);
-            mConfirmedAtNanos = mClock.monotonicNanos() - age.toNanos();
+            mConfirmedAtNanos = mClock.nanosBefore(age);
             return OfferResult.ACCEPTED;
         }
         List<ConfigFault> faults = ((ParseResult.Invalid) result).faults();
@@ -96,7 +96,7 @@
                 || (revision > current.revision() && !isRefused(revision))) {
             return false;
         }
-        long confirmedAt = mClock.monotonicNanos() - age.toNanos();
+        long confirmedAt = mClock.nanosBefore(age);
         if (confirmedAt - mConfirmedAtNanos > 0) {
             mConfirmedAtNanos = confirmedAt;
         }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -122,7 +122,7 @@
 
         private Server(PublishedBackend published, long nowNanos) {
             mPublished = published;
-            mColdUntilNanos = nowNanos + published.coldLeft().toNanos();
+            mColdUntilNanos = nowNanos + Clock.boundedNanos(published.coldLeft());
             mSuspectUntilNanos = nowNanos;
         }
 
@@ -134,7 +134,7 @@
 
         private void update(PublishedBackend published, long nowNanos) {
             mPublished = published;
-            mColdUntilNanos = nowNanos + published.coldLeft().toNanos();
+            mColdUntilNanos = nowNanos + Clock.boundedNanos(published.coldLeft());
         }
 
         /** Returns the published data of the process. */
--- a/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
@@ -100,7 +100,7 @@
         if (member.equals(mSelf)) {
             return;
         }
-        long heardNanos = mClock.monotonicNanos() - age.toNanos();
+        long heardNanos = mClock.nanosBefore(age);
         MemberState known = mMembers.get(member);
         if (known != null && heardNanos - Math.max(known.heardNanos(), known.failedNanos()) <= 0) {
             return;
--- a/decision/src/main/java/org/bulrushvale/decision/forward/Route.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/Route.java
@@ -7,8 +7,8 @@
 /**
  * One published route.
  *
- * <p>Invariant: there is at least one target; each stage comes after the stages whose results it
- * needs. Thread safety: immutable.
+ * <p>Invariant: a usable route has at least one target; each stage comes after the stages whose
+ * results it needs. Thread safety: immutable.
  *
  * @param prefix path prefix; begins and ends with a slash
  * @param timeout longest time that a caller is kept waiting
@@ -36,9 +36,28 @@
     public Route {
         targets = List.copyOf(targets);
         stages = List.copyOf(stages);
-        if (targets.isEmpty()) {
-            throw new IllegalArgumentException("route " + name + " has no service");
-        }
+    }
+
+    /** Returns a route of which only host and prefix are known; its requests are refused. */
+    public static Route unusable(String name, String host, String prefix) {
+        return new Route(
+                name,
+                host,
+                prefix,
+                RequestKind.UNSAFE,
+                Duration.ZERO,
+                Duration.ZERO,
+                0,
+                1,
+                List.of(),
+                List.of(),
+                false,
+                false);
+    }
+
+    /** Returns true when the route has a service for its requests. */
+    public boolean isUsable() {
+        return !targets.isEmpty();
     }
 
     /** Returns true when a request that may have run may be sent again. */
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StoreReadingPlan.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StoreReadingPlan.java
@@ -58,7 +58,7 @@
 
     /** Records that the whole state was confirmed by the store {@code age} ago. */
     public void recordConfirmed(Duration age) {
-        long confirmedNanos = mClock.monotonicNanos() - age.toNanos();
+        long confirmedNanos = mClock.nanosBefore(age);
         if (!mComplete || confirmedNanos - mConfirmedNanos > 0) {
             mConfirmedNanos = confirmedNanos;
         }
--- a/decision/src/main/java/org/bulrushvale/decision/membership/VmListStore.java
+++ b/decision/src/main/java/org/bulrushvale/decision/membership/VmListStore.java
@@ -40,7 +40,7 @@
             confirm(list.version(), age);
             return false;
         }
-        mHeldList = new ConfirmedValue<>(list, mClock.monotonicNanos() - age.toNanos());
+        mHeldList = new ConfirmedValue<>(list, mClock.nanosBefore(age));
         return true;
     }
 
@@ -53,7 +53,7 @@
         if (held == null || version != held.value().version()) {
             return false;
         }
-        mHeldList = held.confirmedAt(mClock.monotonicNanos() - age.toNanos());
+        mHeldList = held.confirmedAt(mClock.nanosBefore(age));
         return true;
     }
 
--- a/decision/src/main/java/org/bulrushvale/decision/request/RequestRun.java
+++ b/decision/src/main/java/org/bulrushvale/decision/request/RequestRun.java
@@ -57,7 +57,7 @@
         mRepeatLimiter = builder.mRepeatLimiter;
         mRandom = Objects.requireNonNull(builder.mRandom, "random");
         mDropCounts = builder.mDropCounts;
-        mDeadlineNanos = mClock.monotonicNanos() + builder.mDeadline.toNanos();
+        mDeadlineNanos = mClock.nanosAfter(builder.mDeadline);
         mMaxAttempts = builder.mMaxAttempts;
         builder.mPipeline.stages().forEach(stage -> mStages.add(new StageState(stage)));
     }
--- a/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
@@ -254,7 +254,7 @@
     }
 
     private long nanosAgo(long millis) {
-        return mClock.monotonicNanos() - Duration.ofMillis(millis).toNanos();
+        return mClock.nanosBefore(Duration.ofMillis(millis));
     }
 
     /**
--- a/decision/src/main/java/org/bulrushvale/decision/retry/PoisonTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/PoisonTable.java
@@ -164,8 +164,7 @@
             if (history.merge(record) || isNew) {
                 // Only new information changes the age, so that peers which repeat a record do
                 // not keep it from expiring.
-                long crashNanos =
-                        mClock.monotonicNanos() - Duration.ofMillis(record.ageMs()).toNanos();
+                long crashNanos = mClock.nanosBefore(Duration.ofMillis(record.ageMs()));
                 history.mLastCrashNanos =
                         isNew ? crashNanos : Math.max(history.mLastCrashNanos, crashNanos);
             }
--- a/kernel/src/main/java/org/bulrushvale/kernel/event/EventLoop.java
+++ b/kernel/src/main/java/org/bulrushvale/kernel/event/EventLoop.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.bulrushvale.kernel.time.Clock;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
@@ -90,7 +91,8 @@
     /** Runs a task on the loop after a delay. */
     public ScheduledTask schedule(Duration delay, Runnable task) {
         ScheduledFuture<?> future =
-                mTimers.schedule(() -> execute(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+                mTimers.schedule(
+                        () -> execute(task), Clock.boundedNanos(delay), TimeUnit.NANOSECONDS);
         return () -> future.cancel(false);
     }
 
--- a/kernel/src/main/java/org/bulrushvale/kernel/time/Clock.java
+++ b/kernel/src/main/java/org/bulrushvale/kernel/time/Clock.java
@@ -12,6 +12,12 @@
  * <p>Thread safety: implementations are safe for use by any thread.
  */
 public interface Clock {
+    /**
+     * Longest span that is added to a reading or subtracted from it, about 73 years. The difference
+     * of two such readings always fits into a long.
+     */
+    Duration MAX_SPAN = Duration.ofNanos(Long.MAX_VALUE / 4);
+
     /** Returns a monotonic reading in nanoseconds with an arbitrary origin. */
     long monotonicNanos();
 
@@ -23,6 +29,27 @@
         return Duration.ofNanos(monotonicNanos() - startNanos);
     }
 
+    /** Returns the reading at the end of a span that begins now. */
+    default long nanosAfter(Duration span) {
+        return monotonicNanos() + boundedNanos(span);
+    }
+
+    /** Returns the reading of {@code age} ago. */
+    default long nanosBefore(Duration age) {
+        return monotonicNanos() - boundedNanos(age);
+    }
+
+    /**
+     * Returns the length of a span in nanoseconds, at most {@link #MAX_SPAN} in either direction.
+     * Spans that other processes state may be longer than {@link Duration#toNanos} accepts.
+     */
+    static long boundedNanos(Duration span) {
+        if (span.compareTo(MAX_SPAN) > 0) {
+            return MAX_SPAN.toNanos();
+        }
+        return span.compareTo(MAX_SPAN.negated()) < 0 ? -MAX_SPAN.toNanos() : span.toNanos();
+    }
+
     /** Returns the clock of the operating system. */
     static Clock system() {
         return SystemClock.INSTANCE;
