End a resumed stream whose next server answers with no stream

Cause: when no attempt was left, onAnswer delivered the answer as for a request that has not begun to stream. That ended the request and cancelled the timer of its deadline; sendResponse then did nothing, because the caller already had the head of a stream. An answer of 200 to 499 had this effect even with attempts left. Evidence: "attempt_lost" with events_received above 0, then "request" with status 500 and outcome "answered" for the same id.

Change: once a stream has begun, an answer that is no stream counts as a failed attempt, whatever its status: the stream is resumed elsewhere if an attempt is left, otherwise its connection is closed. sendResponse aborts a stream that has begun, so that no other path can leave one open. Related: an interim status (102, 103) is no longer taken for the final answer; a request whose caller has left ends when its server refuses it instead of staying until its deadline (found by reading). This works because each end of a request now either writes a whole answer or closes the connection.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/CallerExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/CallerExchange.java
@@ -17,7 +17,7 @@
  *
  * <p>Invariant: at most one response is written; an aborted response never looks complete to the
  * caller. Thread safety: the request is immutable; the methods that write the response may be
- * called from any thread and take effect in the order of the calls.
+ * called from any thread and take effect in the order of the calls, on the I/O thread.
  */
 public final class CallerExchange {
     private static final Logger LOG = Logger.getLogger(CallerExchange.class);
@@ -26,6 +26,7 @@
     private final byte[] mBody;
     private final long mArrivedNanos;
     private final ChunkWriter mChunkWriter;
+    private boolean mStreamBegun;
 
     CallerExchange(HttpServerExchange exchange, byte[] body, long arrivedNanos) {
         mExchange = exchange;
@@ -80,10 +81,17 @@
         executeOnIoThread(() -> DisconnectWatcher.watch(mExchange, task));
     }
 
-    /** Writes a complete response; does nothing if a response was already started. */
+    /**
+     * Writes a complete response; does nothing if one was already sent. A stream that has begun is
+     * aborted instead, because otherwise it would never end.
+     */
     public void sendResponse(int status, HeaderMap headers, byte[] body) {
         executeOnIoThread(
                 () -> {
+                    if (mStreamBegun) {
+                        mChunkWriter.abort();
+                        return;
+                    }
                     if (mExchange.isResponseStarted()) {
                         return;
                     }
@@ -97,6 +105,7 @@
     public void startStream(int status, HeaderMap headers) {
         executeOnIoThread(
                 () -> {
+                    mStreamBegun = true;
                     setStatusAndHeaders(status, headers);
                     // Without chunks, an aborted response of unknown length would look complete.
                     mExchange
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
@@ -26,6 +26,7 @@
     // More bytes than this wait for the event loop only when a server sends without pause.
     private static final int MAX_PENDING_STREAM_BYTES = 4 << 20;
 
+    private static final int MIN_FINAL_STATUS = 200;
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final EventLoop mLoop;
@@ -50,6 +51,10 @@
 
     @Override
     public boolean head(int status, HeaderMap headers, boolean reused) {
+        if (status < MIN_FINAL_STATUS) {
+            // An interim response; the client does not read the final one after it.
+            return false;
+        }
         BackendResponseMetadata metadata = mProtocol.parseResponse(headers);
         boolean unidentified = metadata.requestId().isEmpty() && !reused;
         if (!unidentified && !metadata.requestId().equals(mRequestId)) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -215,7 +215,11 @@
     }
 
     private void send() {
-        if (mAnswered || mCallerDisconnected) {
+        if (mAnswered) {
+            return;
+        }
+        if (mCallerDisconnected) {
+            finish("caller_left", 499);
             return;
         }
         long remainingMillis = millisToDeadline();
@@ -318,19 +322,24 @@
         }
         mPossibleRuns++;
         mVerdict = Verdict.RAN;
-        if (status >= 500) {
+        boolean resumed = mStreaming;
+        boolean callerError = status / 100 == 4;
+        if (status >= 500 || resumed && !callerError) {
             server.recordFailure(mServices.clock().monotonicNanos());
-            if (mayRepeat()) {
-                send();
-                return;
-            }
         } else {
             server.recordSuccess();
             if (status / 100 == 2) {
                 mCrashWatch.onAnswered();
             }
         }
-        deliver(head, body);
+        if ((status >= 500 || resumed) && mayRepeat()) {
+            send();
+        } else if (resumed) {
+            // The caller has the head of a stream, so this answer cannot be passed on.
+            giveUp(ErrorCode.BACKEND_FAILED, "a resumed stream was answered with " + status);
+        } else {
+            deliver(head, body);
+        }
     }
 
     private void onRefusal(ForwardAttempt.Head head, byte[] body, Server server) {
