Refuse requests without a valid key when no key is left

Cause: whether callers need a key was derived from the number of keys (hasWorkspaces), so a configuration whose workspaces hold none could not be told from one without workspaces. Evidence: the new version was in force at every entry, and with one key left the same requests got 401.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
@@ -107,8 +107,7 @@
             return;
         }
         Optional<Workspace> workspace = config.workspace(metadata.apiKey());
-        boolean needsKey = config.hasWorkspaces() && !route.get().allowsAnonymous();
-        if (needsKey && workspace.isEmpty()) {
+        if (config.requiresKey(route.get()) && workspace.isEmpty()) {
             refuse(exchange, metadata.id(), ErrorCode.UNAUTHORIZED, "unknown API key");
             return;
         }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ForwardConfig.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ForwardConfig.java
@@ -10,20 +10,24 @@
 /**
  * One published version of the routes, services and workspaces.
  *
- * <p>Thread safety: immutable.
+ * <p>Invariant: whether callers need an API key never depends on how many keys are valid; a
+ * configuration in which the last key was revoked admits nobody. Thread safety: immutable.
  */
 public final class ForwardConfig {
     private final long mVersion;
     private final Map<String, List<Route>> mRoutesByHost = new HashMap<>();
     private final Map<String, ServiceSpec> mServices = new HashMap<>();
+    private final boolean mKeysRequired;
     private final Map<String, Workspace> mWorkspacesByKey;
 
     private ForwardConfig(
             long version,
             List<Route> routes,
             List<ServiceSpec> services,
+            boolean keysRequired,
             Map<String, Workspace> workspacesByKey) {
         mVersion = version;
+        mKeysRequired = keysRequired;
         for (Route route : routes) {
             mRoutesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
         }
@@ -34,13 +38,23 @@
         mWorkspacesByKey = Map.copyOf(workspacesByKey);
     }
 
-    /** Creates a configuration from its published parts. */
-    public static ForwardConfig of(
+    /**
+     * Creates a configuration whose callers need an API key.
+     *
+     * @param workspacesByKey the valid keys; none admits nobody
+     */
+    public static ForwardConfig withKeys(
             long version,
             List<Route> routes,
             List<ServiceSpec> services,
             Map<String, Workspace> workspacesByKey) {
-        return new ForwardConfig(version, routes, services, workspacesByKey);
+        return new ForwardConfig(version, routes, services, true, workspacesByKey);
+    }
+
+    /** Creates a configuration without workspaces, whose callers need no API key. */
+    public static ForwardConfig withoutKeys(
+            long version, List<Route> routes, List<ServiceSpec> services) {
+        return new ForwardConfig(version, routes, services, false, Map.of());
     }
 
     /** Returns the version; versions only increase. */
@@ -63,14 +77,16 @@
         return Optional.ofNullable(mServices.get(name));
     }
 
-    /** Returns the workspace that an API key belongs to. */
+    /** Returns the workspace that an API key belongs to; none for an empty key. */
     public Optional<Workspace> workspace(String apiKey) {
-        return Optional.ofNullable(mWorkspacesByKey.get(apiKey));
+        return apiKey.isEmpty()
+                ? Optional.empty()
+                : Optional.ofNullable(mWorkspacesByKey.get(apiKey));
     }
 
-    /** Returns true when API keys are published; if none are, no request needs one. */
-    public boolean hasWorkspaces() {
-        return !mWorkspacesByKey.isEmpty();
+    /** Returns true when a request of the route needs the API key of a workspace. */
+    public boolean requiresKey(Route route) {
+        return mKeysRequired && !route.allowsAnonymous();
     }
 
     /**
--- a/decision/src/test/java/org/bulrushvale/decision/forward/ForwardConfigTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ForwardConfigTest.java
@@ -33,7 +33,7 @@
     public void a_request_uses_the_route_with_the_longest_prefix_of_its_host() {
         // given
         ForwardConfig config =
-                ForwardConfig.of(
+                ForwardConfig.withKeys(
                         7,
                         List.of(
                                 route("short", "/a/", RequestKind.SAFE, List.of()),
@@ -49,6 +49,24 @@
         assertThat(config.workspace("")).isEmpty();
     }
 
+    /** Before the fix a configuration without keys opened every route to everybody. */
+    @Test
+    public void callers_need_a_key_also_when_the_last_one_was_revoked() {
+        Route route = route("r", "/a/", RequestKind.UNSAFE, List.of());
+        Workspace city = new Workspace("city", Optional.empty());
+        for (Map<String, Workspace> keys : List.of(Map.of("key", city), Map.of("", city))) {
+            ForwardConfig config = ForwardConfig.withKeys(7, List.of(route), List.of(), keys);
+            assertThat(config.requiresKey(route)).isTrue();
+            assertThat(config.workspace("")).isEmpty();
+        }
+        assertThat(
+                        ForwardConfig.withKeys(8, List.of(route), List.of(), Map.of())
+                                .requiresKey(route))
+                .isTrue();
+        assertThat(ForwardConfig.withoutKeys(9, List.of(route), List.of()).requiresKey(route))
+                .isFalse();
+    }
+
     @Test
     public void a_route_with_two_services_splits_by_weight_and_keeps_a_request_on_one() {
         // given
