--- a/kernel/src/main/java/org/bulrushvale/kernel/time/Clock.java
+++ b/kernel/src/main/java/org/bulrushvale/kernel/time/Clock.java
@@ -44,10 +44,12 @@
      * Spans that other processes state may be longer than {@link Duration#toNanos} accepts.
      */
     static long boundedNanos(Duration span) {
-        if (span.compareTo(MAX_SPAN) > 0) {
-            return MAX_SPAN.toNanos();
+        // Runs for every timer, so it does without Duration's arithmetic, which uses BigDecimal.
+        long maxSeconds = MAX_SPAN.getSeconds();
+        if (span.getSeconds() > -maxSeconds && span.getSeconds() < maxSeconds) {
+            return span.toNanos();
         }
-        return span.compareTo(MAX_SPAN.negated()) < 0 ? -MAX_SPAN.toNanos() : span.toNanos();
+        return span.isNegative() ? -MAX_SPAN.toNanos() : MAX_SPAN.toNanos();
     }
 
     /** Returns the clock of the operating system. */
