Add the settings, messages and metadata that the hard-load features share

Cause: queueing, placement, fair shares, uneven VMs and duplicates are built side by side and need the same settings, headers and message fields.

ForwardSettings gains the sections admission, placement, vm, stages and duplicates, all off by default and reported in the start line. Routes know their longest pause and the patience of their callers, services their engine limits. Stage orders carry the workspace, stage results a return time, members a capacity. Nothing uses the new figures yet.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/StageJob.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/StageJob.java
@@ -14,6 +14,7 @@
  * @param startByMillis time within which the pieces must start to meet the request's target
  * @param giveUpMillis time after which waiting for a server is useless
  * @param rank rank of the request; 0 is the most important
+ * @param workspace name of the caller's workspace; empty when it has none
  * @param resultBytes approximate size of one result in bytes
  * @param preferredDomain failure domain that avoids moving large results; empty for none
  */
@@ -23,6 +24,7 @@
         long startByMillis,
         long giveUpMillis,
         int rank,
+        String workspace,
         long resultBytes,
         String preferredDomain) {
     public StageJob {
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
@@ -206,7 +206,8 @@
                                                     in.text(),
                                                     in.text(),
                                                     unpacker.unpackBoolean(),
-                                                    unpacker.unpackLong())));
+                                                    unpacker.unpackLong(),
+                                                    unpacker.unpackInt())));
             case STAGE_ORDER -> StageCodec.readOrder(in);
             case STAGE_RESULTS -> StageCodec.readResults(in);
             case STAGE_GIVE_UP -> new PeerMessage.StageCancel(in.text());
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -194,8 +194,10 @@
      * <p>Thread safety: immutable.
      *
      * @param failureDomain failure domain of the member; empty when the sender does not know it
+     * @param capacity capacity of the VM: the smaller of its cores in hundredths and its link in
+     *     Mbit/s; 0 when the sender does not know it
      */
-    record Member(String vm, String failureDomain, boolean leaving, long ageMillis) {}
+    record Member(String vm, String failureDomain, boolean leaving, long ageMillis, int capacity) {}
 
     /**
      * Request for the changes of the published state that the sender does not know yet. The answer
@@ -250,8 +252,14 @@
      * Answer to a {@link StageOrder}, with one result for each piece.
      *
      * <p>Thread safety: immutable.
+     *
+     * @param retryAfterMillis time after which the caller of a refused job should return, in ms;
+     *     {@link #NO_RETURN_TIME} for none
      */
-    record StageResults(List<PieceResult> results) implements PeerMessage {
+    record StageResults(List<PieceResult> results, long retryAfterMillis) implements PeerMessage {
+        /** Value of {@code retryAfterMillis} when there is no return time. */
+        public static final long NO_RETURN_TIME = -1;
+
         public StageResults {
             results = List.copyOf(results);
         }
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/StageCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/StageCodec.java
@@ -22,11 +22,12 @@
             out.packArrayHeader(members.members().size());
             for (PeerMessage.Member m : members.members()) {
                 out.packString(m.vm()).packString(m.failureDomain());
-                out.packBoolean(m.leaving()).packLong(m.ageMillis());
+                out.packBoolean(m.leaving()).packLong(m.ageMillis()).packInt(m.capacity());
             }
         } else if (message instanceof PeerMessage.StageOrder order) {
             writeJob(order.job(), out);
         } else if (message instanceof PeerMessage.StageResults results) {
+            out.packLong(results.retryAfterMillis());
             out.packArrayHeader(results.results().size());
             for (PieceResult r : results.results()) {
                 out.packInt(r.outcome().ordinal()).packString(r.handle());
@@ -44,7 +45,8 @@
 
     private static void writeJob(StageJob job, MessageBufferPacker out) throws IOException {
         out.packString(job.service()).packLong(job.startByMillis());
-        out.packLong(job.giveUpMillis()).packInt(job.rank()).packLong(job.resultBytes());
+        out.packLong(job.giveUpMillis()).packInt(job.rank()).packString(job.workspace());
+        out.packLong(job.resultBytes());
         out.packString(job.preferredDomain());
         out.packArrayHeader(job.pieces().size());
         for (PieceOrder p : job.pieces()) {
@@ -60,6 +62,7 @@
         long startByMillis = unpacker.unpackLong();
         long giveUpMillis = unpacker.unpackLong();
         int rank = unpacker.unpackInt();
+        String workspace = in.text();
         long resultBytes = unpacker.unpackLong();
         String preferredDomain = in.text();
         return new PeerMessage.StageOrder(
@@ -77,13 +80,16 @@
                         startByMillis,
                         giveUpMillis,
                         rank,
+                        workspace,
                         resultBytes,
                         preferredDomain));
     }
 
     static PeerMessage readResults(FieldReader in) throws IOException {
+        long retryAfterMillis = in.unpacker().unpackLong();
         return new PeerMessage.StageResults(
-                in.list(() -> new PieceResult(outcome(in.unpacker().unpackInt()), in.text())));
+                in.list(() -> new PieceResult(outcome(in.unpacker().unpackInt()), in.text())),
+                retryAfterMillis);
     }
 
     private static PieceResult.Outcome outcome(int ordinal) {
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
@@ -5,7 +5,9 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -19,10 +21,19 @@
  * <p>Thread safety: immutable.
  */
 public record ForwardSettings(
-        Entry entry, Listeners listeners, Fleet fleet, Limits limits, Drain drain, Log log) {
+        Entry entry,
+        Listeners listeners,
+        Fleet fleet,
+        Limits limits,
+        Drain drain,
+        Log log,
+        Features features) {
     private static final SettingKey.Rule MILLIS = SettingKey.range(1, 600_000);
     private static final SettingKey.Rule SECONDS = SettingKey.decimal(0.001, 86_400);
     private static final SettingKey.Rule DEADLINE_MILLIS = SettingKey.decimal(100, 600_000);
+    private static final String ON = "on";
+    private static final String OFF = "off";
+    private static final SettingKey.Rule SWITCH = SettingKey.oneOf(ON, OFF);
     private static final List<SettingKey> KEYS =
             List.of(
                     required("entry", "vm", SettingKey.identifier()),
@@ -55,7 +66,21 @@
                             "level",
                             "INFO",
                             SettingKey.oneOf("ERROR", "WARN", "INFO", "DEBUG")),
-                    optional("log", "lines_per_second", "200", SettingKey.range(1, 100_000)));
+                    optional("log", "lines_per_second", "200", SettingKey.range(1, 100_000)),
+                    optional("admission", "patience", OFF, SWITCH),
+                    optional("admission", "urgency", OFF, SWITCH),
+                    optional("admission", "queue", OFF, SWITCH),
+                    optional("admission", "return_times", OFF, SWITCH),
+                    optional("admission", "fair_shares", OFF, SWITCH),
+                    optional("placement", "policy", "affinity", nameOf(PlacementPolicy.values())),
+                    optional("placement", "probes", "0", SettingKey.range(0, 2)),
+                    optional("vm", "cores", "0", SettingKey.decimal(0, 4_096)),
+                    optional("vm", "memory_mb", "0", SettingKey.range(0, 1 << 24)),
+                    optional("vm", "link_mbps", "0", SettingKey.decimal(0, 1e6)),
+                    optional("stages", "collectors", "one", nameOf(Collectors.values())),
+                    optional("stages", "collector_vms", "any", nameOf(CollectorVms.values())),
+                    optional("duplicates", "limit", "0", SettingKey.decimal(0, 100)),
+                    optional("duplicates", "classes", "", value -> Optional.empty()));
 
     /** Parses and validates the text of a settings file. */
     public static Result check(String text) {
@@ -96,7 +121,48 @@
                         table.decimal("limits", "repeat_slack"),
                         table.seconds("limits", "repeat_window_s")),
                 new Drain(table.millis("drain", "unready_ms"), table.seconds("drain", "grace_s")),
-                new Log(table.text("log", "level"), table.number("log", "lines_per_second")));
+                new Log(table.text("log", "level"), table.number("log", "lines_per_second")),
+                buildFeatures(table));
+    }
+
+    private static Features buildFeatures(SettingsTable table) {
+        return new Features(
+                new Admission(
+                        isOn(table, "patience"),
+                        isOn(table, "urgency"),
+                        isOn(table, "queue"),
+                        isOn(table, "return_times"),
+                        isOn(table, "fair_shares")),
+                new Placement(
+                        valueOf(PlacementPolicy.class, table.text("placement", "policy")),
+                        table.number("placement", "probes")),
+                new Vm(
+                        table.decimal("vm", "cores"),
+                        table.number("vm", "memory_mb"),
+                        table.decimal("vm", "link_mbps")),
+                new Stages(
+                        valueOf(Collectors.class, table.text("stages", "collectors")),
+                        valueOf(CollectorVms.class, table.text("stages", "collector_vms"))),
+                new Duplicates(
+                        table.decimal("duplicates", "limit"),
+                        SettingsTable.splitList(table.text("duplicates", "classes"))));
+    }
+
+    private static boolean isOn(SettingsTable table, String name) {
+        return table.text("admission", name).equals(ON);
+    }
+
+    private static SettingKey.Rule nameOf(Enum<?>... values) {
+        return SettingKey.oneOf(
+                Arrays.stream(values).map(ForwardSettings::settingName).toArray(String[]::new));
+    }
+
+    private static String settingName(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static <E extends Enum<E>> E valueOf(Class<E> type, String name) {
+        return Enum.valueOf(type, name.toUpperCase(Locale.ROOT));
     }
 
     private static Duration shorter(Duration first, Duration second) {
@@ -200,4 +266,98 @@
      *     dropped
      */
     public record Log(String level, int linesPerSecond) {}
+
+    /**
+     * Features that a deployment switches on; all are off by default.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Features(
+            Admission admission,
+            Placement placement,
+            Vm vm,
+            Stages stages,
+            Duplicates duplicates) {}
+
+    /**
+     * How requests are admitted, queued and refused.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param patience true to end the time before the first event of a stream when its caller
+     *     leaves
+     * @param urgency true to state the urgency of a request to model servers
+     * @param queue true to admit and order stage work by the forecast start
+     * @param returnTimes true to derive the return time of a refused caller from the queue
+     * @param fairShares true to divide a service that is short of capacity among workspaces
+     */
+    public record Admission(
+            boolean patience,
+            boolean urgency,
+            boolean queue,
+            boolean returnTimes,
+            boolean fairShares) {}
+
+    /**
+     * How the backend server of a request is chosen.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param probes servers that are asked for their load before a request is sent
+     */
+    public record Placement(PlacementPolicy policy, int probes) {}
+
+    /** Policies for the choice of a backend server. */
+    public enum PlacementPolicy {
+        /** By the affinity of the prompt, unless that server is clearly busier than others. */
+        AFFINITY,
+        /** By the expected time to the first event. */
+        EXPECTED_COMPLETION
+    }
+
+    /**
+     * Size of the VM; 0 for figures that are not known.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param linkMbps bandwidth of the network link in Mbit/s
+     */
+    public record Vm(double cores, int memoryMb, double linkMbps) {}
+
+    /**
+     * Which members collect the pieces of a stage service.
+     *
+     * <p>Thread safety: immutable.
+     */
+    public record Stages(Collectors collectors, CollectorVms collectorVms) {}
+
+    /** How many members collect the pieces of one stage service. */
+    public enum Collectors {
+        /** One for the whole fleet. */
+        ONE,
+        /** More when one cannot carry the load. */
+        BY_LOAD
+    }
+
+    /** Which VMs may collect pieces. */
+    public enum CollectorVms {
+        /** All VMs. */
+        ANY,
+        /** VMs with at least half of the largest capacity in the fleet. */
+        STRONG
+    }
+
+    /**
+     * Second attempts of requests that are slower than most.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param limitPercent extra work that is allowed, in percent; 0 sends no duplicates
+     * @param classes names of the routes whose requests may be duplicated; empty for all
+     */
+    public record Duplicates(double limitPercent, List<String> classes) {
+        public Duplicates {
+            classes = List.copyOf(classes);
+        }
+    }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
@@ -4,6 +4,7 @@
 import io.undertow.util.Headers;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalInt;
 import org.bulrushvale.adapters.forward.BackendRequestMetadata;
 import org.bulrushvale.adapters.forward.CallerExchange;
 import org.bulrushvale.adapters.forward.CallerRequestMetadata;
@@ -59,7 +60,13 @@
             headers.put(Headers.CONTENT_LENGTH, mCaller.body().length);
         }
         BackendRequestMetadata metadata =
-                new BackendRequestMetadata(remaining, mWorkspace, server.id(), inputs, resumeAfter);
+                new BackendRequestMetadata(
+                        remaining,
+                        mWorkspace,
+                        server.id(),
+                        inputs,
+                        resumeAfter,
+                        OptionalInt.empty());
         mServices.protocol().addBackendHeaders(metadata, headers);
         UpstreamClient.Request request =
                 new UpstreamClient.Request(
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -1,5 +1,7 @@
 package org.bulrushvale.daemon.forward;
 
+import static org.bulrushvale.adapters.peer.PeerMessage.StageResults.NO_RETURN_TIME;
+
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -70,6 +72,7 @@
     // detected earlier, by the silence limit.
     private static final Duration REPLY_TIMEOUT_MARGIN = Duration.ofSeconds(4);
     private static final int MAX_COLLECTOR_ATTEMPTS = 2;
+    private static final int UNKNOWN_CAPACITY = 0;
 
     private final ForwardSettings mSettings;
     private final EventLoop mLoop;
@@ -191,7 +194,8 @@
                                                 heard.name(),
                                                 heard.domain(),
                                                 heard.leaving(),
-                                                heard.age().toMillis()))
+                                                heard.age().toMillis(),
+                                                UNKNOWN_CAPACITY))
                         .toList());
     }
 
@@ -282,7 +286,7 @@
 
     private void executeForPeer(StageJob job, PeerListener.Responder reply) {
         if (job.pieces().isEmpty()) {
-            reply.send(new PeerMessage.StageResults(List.of()));
+            reply.send(new PeerMessage.StageResults(List.of(), NO_RETURN_TIME));
             return;
         }
         String request = job.pieces().get(0).requestId();
@@ -294,7 +298,7 @@
                         job,
                         results -> {
                             removePeerJob(request, peerJob);
-                            reply.send(new PeerMessage.StageResults(results));
+                            reply.send(new PeerMessage.StageResults(results, NO_RETURN_TIME));
                         });
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
@@ -3,7 +3,6 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.io.ByteArrayOutputStream;
-import java.util.OptionalDouble;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.adapters.forward.BackendResponseMetadata;
@@ -34,11 +33,7 @@
     private final String mRequestId;
     private final Handler mHandler;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
-    private Head mHead =
-            new Head(
-                    0,
-                    new HeaderMap(),
-                    new BackendResponseMetadata("", false, false, OptionalDouble.empty()));
+    private Head mHead = new Head(0, new HeaderMap(), BackendResponseMetadata.empty());
     private final AtomicInteger mPendingStreamBytes = new AtomicInteger();
     private boolean mStreaming;
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -104,6 +104,7 @@
                         crashGuard,
                         statedLimits,
                         members,
+                        settings.features(),
                         telemetry);
         mLocalExecutor = new LocalStageExecutor(services);
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
@@ -159,6 +160,7 @@
                 .line("start")
                 .with("failure_domain", settings.entry().failureDomain())
                 .with("callers", settings.listeners().callers().toString())
+                .with("features", settings.features().toString())
                 .writeAlways();
         return daemon;
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -3,6 +3,7 @@
 import org.bulrushvale.adapters.forward.ForwardProtocol;
 import org.bulrushvale.adapters.forward.UpstreamClient;
 import org.bulrushvale.adapters.metrics.EntryMetrics;
+import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.decision.forward.ColdServerRateLimit;
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
@@ -29,6 +30,7 @@
         CrashGuard crashGuard,
         StatedLimits statedLimits,
         MemberTable members,
+        ForwardSettings.Features features,
         ForwardTelemetry telemetry) {
     /** Returns the failure domain that holds a stage result; empty when it is unknown. */
     String domainOf(String handle) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -153,6 +153,11 @@
         return mRank;
     }
 
+    @Override
+    public String workspace() {
+        return mWorkspace;
+    }
+
     @Override
     public String domainOf(List<String> handles) {
         Map<String, Integer> counts = new HashMap<>();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
@@ -121,6 +121,7 @@
                         startByMillis,
                         giveUpMillis,
                         mRequest.rank(),
+                        mRequest.workspace(),
                         routeStage.resultBytes(),
                         preferredDomain(stage, inputHandles));
         // Marks the stage as running first, because execute() may deliver the results before it
@@ -238,6 +239,9 @@
         /** Returns the priority rank of the request; 0 is the most important. */
         int rank();
 
+        /** Returns the name of the caller's workspace; empty when it has none. */
+        String workspace();
+
         /** Returns the failure domain that holds most of the results; empty when it is unknown. */
         String domainOf(List<String> handles);
 
--- a/decision/src/main/java/org/bulrushvale/decision/forward/Route.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/Route.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * One published route.
@@ -19,6 +20,8 @@
  * @param stages stages that run before the final request
  * @param allowsAnonymous true when callers need no API key
  * @param resumable true when a stream can be continued after the last event that was delivered
+ * @param longestPause longest pause between events of a stream that is still in time; empty when
+ *     the route states none
  */
 public record Route(
         String name,
@@ -32,7 +35,13 @@
         List<Target> targets,
         List<RouteStage> stages,
         boolean allowsAnonymous,
-        boolean resumable) {
+        boolean resumable,
+        Optional<Duration> longestPause) {
+    // A caller waits at least this long for the next event of a stream.
+    private static final Duration MIN_PATIENCE = Duration.ofSeconds(2);
+    private static final int PATIENCE_TARGETS = 4;
+    private static final int PATIENCE_PAUSES = 8;
+
     public Route {
         targets = List.copyOf(targets);
         stages = List.copyOf(stages);
@@ -52,7 +61,8 @@
                 List.of(),
                 List.of(),
                 false,
-                false);
+                false,
+                Optional.empty());
     }
 
     /** Returns true when the route has a service for its requests. */
@@ -60,6 +70,28 @@
         return !targets.isEmpty();
     }
 
+    /**
+     * Returns how long a caller waits for the first event of a stream, from the arrival of its
+     * request: the longest of 2 s, four latency targets and eight longest pauses. Empty for other
+     * kinds of requests and when the route states no longest pause.
+     */
+    public Optional<Duration> callerPatience() {
+        if (kind != RequestKind.STREAM) {
+            return Optional.empty();
+        }
+        return longestPause.map(
+                pause ->
+                        longer(
+                                MIN_PATIENCE,
+                                longer(
+                                        latencyTarget.multipliedBy(PATIENCE_TARGETS),
+                                        pause.multipliedBy(PATIENCE_PAUSES))));
+    }
+
+    private static Duration longer(Duration first, Duration second) {
+        return first.compareTo(second) > 0 ? first : second;
+    }
+
     /** Returns true when a request that may have run may be sent again. */
     public boolean mayRepeat() {
         return kind.mayRepeat(resumable);
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ServiceSpec.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ServiceSpec.java
@@ -13,12 +13,24 @@
  * @param coldRequestsPerSecond requests per second that a cold backend server can take from all
  *     entries together; 0 for no limit
  * @param pieces limits of a stage service; empty for any other service
+ * @param engine limits of a model service; empty for any other service
  */
 public record ServiceSpec(
         String name,
         int maxConnections,
         double coldRequestsPerSecond,
-        Optional<PieceLimits> pieces) {
+        Optional<PieceLimits> pieces,
+        Optional<EngineLimits> engine) {
+    /**
+     * The limits of one backend server of a model service.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param slots maximum number of concurrent requests
+     * @param memoryTokens tokens that running requests and cached prompt parts may occupy together
+     */
+    public record EngineLimits(int slots, long memoryTokens) {}
+
     /**
      * The limits and expected times of one backend server of a stage service.
      *
--- a/decision/src/test/java/org/bulrushvale/decision/forward/ForwardConfigTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ForwardConfigTest.java
@@ -26,7 +26,8 @@
                 List.of(new Target("pool", 1)),
                 stages,
                 false,
-                true);
+                true,
+                Optional.empty());
     }
 
     @Test
@@ -84,7 +85,8 @@
                         List.of(new Target("x", 90), new Target("y", 10)),
                         List.of(),
                         false,
-                        false);
+                        false,
+                        Optional.empty());
         // when
         long toX = 0;
         for (long hash = -500; hash < 500; hash++) {
