Follow the patience of callers and state the urgency of requests

Cause: an entry gave a stream up at half of its deadline, whether its caller had left long before or would have waited on, and model servers were never told which request to admit first.

Change: with patience = on, the time before the first event of a stream ends at the earliest of deadline, timeout and patience; stages whose remaining work cannot fit into it are refused without a call, and stage orders carry that limit. After the first event only the deadline applies. With urgency = on, requests to services with an engine carry an urgency made of the rank and of whether the target can still be met. RequestSchedule takes the rank and the limits out of ForwardedRequest.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
@@ -45,6 +45,7 @@
      * @param remaining time until the deadline of the request
      * @param inputs handles of the stage results that the server reads
      * @param resumeAfter id of the last event that the caller has received
+     * @param urgency urgency for the server's own queue; empty to send none
      * @param handler receives the events of the attempt
      */
     UpstreamClient.Call start(
@@ -52,6 +53,7 @@
             Duration remaining,
             List<String> inputs,
             long resumeAfter,
+            OptionalInt urgency,
             ForwardAttempt.Handler handler) {
         HeaderMap headers =
                 EndToEndHeaders.copyEndToEnd(mCaller.headers(), mServices.protocol()::isReserved);
@@ -61,12 +63,7 @@
         }
         BackendRequestMetadata metadata =
                 new BackendRequestMetadata(
-                        remaining,
-                        mWorkspace,
-                        server.id(),
-                        inputs,
-                        resumeAfter,
-                        OptionalInt.empty());
+                        remaining, mWorkspace, server.id(), inputs, resumeAfter, urgency);
         mServices.protocol().addBackendHeaders(metadata, headers);
         UpstreamClient.Request request =
                 new UpstreamClient.Request(
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -2,11 +2,10 @@
 
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import net.openhft.hashing.LongHashFunction;
@@ -35,17 +34,13 @@
  * if its route allows that; the caller receives one answer, which says "not run" only when no
  * attempt may have run; no event is delivered twice. Thread safety: used on the event loop.
  */
-final class ForwardedRequest
-        implements ForwardAttempt.Handler, StageScheduler.Listener, StageScheduler.RequestContext {
+final class ForwardedRequest implements ForwardAttempt.Handler, StageScheduler.Listener {
     // With less time than this a server cannot do anything useful.
     private static final long MIN_REMAINING_MILLIS = 5;
 
     // Refused attempts are cheap, but each repeat takes from the repeat budget.
     private static final int MAX_REFUSALS = 3;
 
-    // At half load a piece waits for a server for about a third of the time of a call.
-    private static final double QUEUE_WAIT_FACTOR = 1.3;
-
     // How long a server that refused a request as overloaded is not chosen again.
     private static final long BUSY_PAUSE_MILLIS = 100;
 
@@ -57,12 +52,11 @@
     private final CallerRequestMetadata mRequestMetadata;
     private final Route mRoute;
     private final String mWorkspace;
-    private final int mRank;
     private final String mService;
     private final double mColdPerSecond;
-    private final ForwardConfig mConfig;
     private final EndListener mOnEnd;
     private final RequestTimeLimits mTimeLimits;
+    private final RequestSchedule mSchedule;
     private final AttemptStarter mStarter;
     private final CrashWatch mCrashWatch;
     private final Set<String> mTriedServers = new HashSet<>();
@@ -98,14 +92,21 @@
         mRequestMetadata = metadata;
         mRoute = route;
         mWorkspace = workspace.map(Workspace::name).orElse("");
-        mRank = workspace.flatMap(Workspace::priority).orElse(route.priority());
         mService = route.selectService(LongHashFunction.xx().hashChars(metadata.id()));
         mColdPerSecond =
                 config.service(mService).map(ServiceSpec::coldRequestsPerSecond).orElse(0.0);
-        mConfig = config;
         mOnEnd = onEnd;
         mTimeLimits =
-                new RequestTimeLimits(services.clock(), caller.arrivedNanos(), metadata, route);
+                new RequestTimeLimits(
+                        services.clock(),
+                        caller.arrivedNanos(),
+                        metadata,
+                        route,
+                        services.features().admission().patience());
+        int rank = workspace.flatMap(Workspace::priority).orElse(route.priority());
+        mSchedule =
+                new RequestSchedule(
+                        services, config, mTimeLimits, rank, mWorkspace, this::readerDomain);
         mStarter = new AttemptStarter(services, caller, metadata, route, mWorkspace);
         mCrashWatch =
                 new CrashWatch(
@@ -129,13 +130,13 @@
                 mRequestMetadata.id(),
                 mRequestMetadata.pieceKey(),
                 mRequestMetadata.pieces(),
-                this,
+                mSchedule,
                 this);
     }
 
     void start() {
         mServices.repeatBudget().recordRequest(mService);
-        mTimer = mServices.loop().schedule(Duration.ofMillis(millisToDeadline()), this::onDeadline);
+        scheduleTimeLimit();
         mCaller.onClose(() -> mServices.loop().execute(this::onCallerDisconnect));
         if (refuseIfHeldBack()) {
             return;
@@ -143,55 +144,29 @@
         mStageScheduler.startReadyStages();
     }
 
-    @Override
-    public long millisToTarget() {
-        return mTimeLimits.millisToTarget();
-    }
-
-    @Override
-    public int rank() {
-        return mRank;
+    private void scheduleTimeLimit() {
+        Duration limit = Duration.ofMillis(mTimeLimits.millisToLimit());
+        mTimer = mServices.loop().schedule(limit, this::onTimeLimit);
     }
 
-    @Override
-    public String workspace() {
-        return mWorkspace;
-    }
-
-    @Override
-    public String domainOf(List<String> handles) {
-        Map<String, Integer> counts = new HashMap<>();
-        handles.forEach(handle -> counts.merge(mServices.domainOf(handle), 1, Integer::sum));
-        return counts.entrySet().stream()
-                .max(Map.Entry.comparingByValue())
-                .map(Map.Entry::getKey)
-                .orElse("");
+    private void onTimeLimit() {
+        if (mTimeLimits.millisToLimit() > 0) {
+            // An event has arrived since, so that now the deadline applies.
+            scheduleTimeLimit();
+        } else {
+            onDeadline();
+        }
     }
 
-    @Override
-    public String readerDomain() {
+    private String readerDomain() {
         Server server = chooseServer();
         return server == null ? "" : server.published().domain();
     }
 
-    @Override
-    public long millisToDeadline() {
+    private long millisToDeadline() {
         return mTimeLimits.millisToDeadline();
     }
 
-    @Override
-    public long millisToGiveUp() {
-        return mTimeLimits.millisToGiveUp();
-    }
-
-    @Override
-    public long typicalStageMillis(String service) {
-        return mConfig.service(service)
-                .flatMap(ServiceSpec::pieces)
-                .map(pieces -> (long) (pieces.typicalCallTime().toMillis() * QUEUE_WAIT_FACTOR))
-                .orElse(0L);
-    }
-
     @Override
     public void stagesDone(List<String> inputs) {
         mInputs = inputs;
@@ -287,6 +262,7 @@
             mServices.coldLimit().recordSent(server);
         }
         mServices.statedLimits().limits().recordSent(server.published().processName());
+        OptionalInt urgency = mSchedule.urgency(mService);
         mServices
                 .log()
                 .line("send")
@@ -296,6 +272,7 @@
                 .with("attempt", mSentAttempts)
                 .with("left_ms", remainingMillis)
                 .with("outstanding", server.outstanding())
+                .with("urgency", urgency.orElse(-1))
                 .with("parts", String.join(",", mRequestMetadata.promptParts()))
                 .write();
         mSplitter = new EventSplitter();
@@ -308,6 +285,7 @@
                         Duration.ofMillis(remainingMillis),
                         mInputs,
                         mLastEventId,
+                        urgency,
                         new ConditionalAttemptHandler(this, () -> isCurrent(attempt)));
     }
 
@@ -425,6 +403,7 @@
         }
         if (!mStreaming && mStreamHead != null) {
             mStreaming = true;
+            mTimeLimits.recordFirstEvent();
             mVerdict = Verdict.RAN;
             mStageScheduler.release();
             mCaller.startStream(
@@ -516,7 +495,11 @@
             mVerdict = mVerdict.combinedWith(Verdict.MAY_HAVE_RUN);
         }
         abortAttempt();
-        giveUp(ErrorCode.DEADLINE_EXCEEDED, "the deadline of the request has passed");
+        giveUp(
+                ErrorCode.DEADLINE_EXCEEDED,
+                millisToDeadline() < MIN_REMAINING_MILLIS
+                        ? "the deadline of the request has passed"
+                        : "the patience of the caller has ended before the first event");
     }
 
     /** Ends the request with a final answer, whatever is in progress. */
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestTimeLimits.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestTimeLimits.java
@@ -9,8 +9,8 @@
 /**
  * Computes the time limits of one request: its latency target, its deadline and when to give up.
  *
- * <p>Invariant: all limits count from the arrival of the request at this entry. Thread safety: safe
- * for use by any thread.
+ * <p>Invariant: all limits count from the arrival of the request at this entry. Thread safety: used
+ * on the event loop.
  */
 final class RequestTimeLimits {
     // An answer sent exactly at the deadline would arrive after the caller has disconnected.
@@ -27,14 +27,37 @@
     private final long mArrivedNanos;
     private final Duration mTarget;
     private final Duration mTimeout;
+    private final Duration mFirstEventLimit;
+    private final Duration mGiveUp;
+    private boolean mHasFirstEvent;
 
-    RequestTimeLimits(Clock clock, long arrivedNanos, CallerRequestMetadata metadata, Route route) {
+    /**
+     * Creates the limits of a request.
+     *
+     * @param followsPatience true to end the time before the first event when the caller leaves
+     */
+    RequestTimeLimits(
+            Clock clock,
+            long arrivedNanos,
+            CallerRequestMetadata metadata,
+            Route route,
+            boolean followsPatience) {
         mClock = clock;
         mArrivedNanos = arrivedNanos;
         mTarget = route.latencyTarget();
         boolean callerDeadlineFirst = metadata.deadline().compareTo(route.timeout()) < 0;
         mTimeout =
                 (callerDeadlineFirst ? metadata.deadline() : route.timeout()).minus(ANSWER_MARGIN);
+        mFirstEventLimit =
+                route.callerPatience()
+                        .filter(patience -> followsPatience)
+                        .map(patience -> patience.minus(ANSWER_MARGIN))
+                        .filter(patience -> patience.compareTo(mTimeout) < 0)
+                        .orElse(mTimeout);
+        mGiveUp =
+                followsPatience
+                        ? mFirstEventLimit.minus(FIRST_EVENT_ALLOWANCE)
+                        : mTimeout.dividedBy(2);
     }
 
     /** Returns the time since the arrival. */
@@ -47,6 +70,20 @@
         return Math.max(0, millisUntil(mTimeout));
     }
 
+    /**
+     * Returns the time left until the request ends unless an event arrives before, in ms; never
+     * negative. Before the first event this may be earlier than the deadline, because the caller
+     * may leave earlier.
+     */
+    long millisToLimit() {
+        return mHasFirstEvent ? millisToDeadline() : Math.max(0, millisUntil(mFirstEventLimit));
+    }
+
+    /** Records the first event of a stream, after which only the deadline applies. */
+    void recordFirstEvent() {
+        mHasFirstEvent = true;
+    }
+
     /**
      * Returns the time left until the request should be sent to its server to meet the latency
      * target, in ms; negative after that.
@@ -55,9 +92,12 @@
         return millisUntil(mTarget.minus(FIRST_EVENT_ALLOWANCE));
     }
 
-    /** Returns the time left until the request gives up if no answer has begun, in ms. */
+    /**
+     * Returns the time left until it is useless to send the request to its server if no answer has
+     * begun, in ms.
+     */
     long millisToGiveUp() {
-        return millisUntil(mTimeout.dividedBy(2));
+        return millisUntil(mGiveUp);
     }
 
     /** Returns true while the request may wait for a server instead of being refused. */
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
@@ -9,6 +9,7 @@
 import org.bulrushvale.adapters.forward.PieceOrder;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
+import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.decision.forward.Route;
 
 /**
@@ -65,10 +66,7 @@
      * done.
      */
     void startReadyStages() {
-        if (mEnded) {
-            return;
-        }
-        for (int stage = 0; stage < mPieceCounts.size(); stage++) {
+        for (int stage = 0; stage < mPieceCounts.size() && !mEnded; stage++) {
             if (mPieceCounts.get(stage) > 0
                     && !isDone(stage)
                     && !mCancelByStage.containsKey(stage)) {
@@ -97,17 +95,21 @@
     private void start(int stage) {
         Route.RouteStage routeStage = mRoute.stages().get(stage);
         List<String> inputHandles = inputHandles(routeStage.dependencies());
-        long millisToDeadline = mRequest.millisToDeadline();
+        long millisToLimit = mRequest.millisToLimit();
         long followingMillis =
                 mRequest.typicalStageMillis(routeStage.service()) + followingStagesMillis(stage);
+        long startByMillis = mRequest.millisToTarget() - followingMillis;
+        long giveUpMillis = mRequest.millisToGiveUp() - followingMillis;
+        if (mRequest.admission().patience() && giveUpMillis <= 0) {
+            mEnded = true;
+            mListener.stagesFailed(PieceResult.Outcome.LATE);
+            return;
+        }
         List<PieceOrder> orders = new ArrayList<>();
         for (int piece = 0; piece < mPieceCounts.get(stage); piece++) {
             String key = inputHandles.isEmpty() ? mPieceKey : "";
-            orders.add(
-                    new PieceOrder(mRequestId, stage, piece, millisToDeadline, key, inputHandles));
+            orders.add(new PieceOrder(mRequestId, stage, piece, millisToLimit, key, inputHandles));
         }
-        long startByMillis = mRequest.millisToTarget() - followingMillis;
-        long giveUpMillis = mRequest.millisToGiveUp() - followingMillis;
         if (routeStage.dependencies().isEmpty()) {
             // A refusal here loses no results of earlier stages, and a caller that is refused early
             // can still retry before its deadline.
@@ -257,12 +259,15 @@
          */
         long millisToTarget();
 
-        /** Returns the time left until the deadline of the request, in ms. */
-        long millisToDeadline();
+        /** Returns the time left until the request ends unless an answer begins before, in ms. */
+        long millisToLimit();
 
-        /** Returns the time left until the request gives up if no answer has begun, in ms. */
+        /** Returns the time left until it is useless to send the request to its server, in ms. */
         long millisToGiveUp();
 
+        /** Returns the rules by which the stages are admitted. */
+        ForwardSettings.Admission admission();
+
         /** Returns the typical time that a piece waits for and spends in a stage call, in ms. */
         long typicalStageMillis(String service);
     }
