Admit, order and refuse stage work by the forecast of its start

Cause: a first stage that could not start within 300 ms of the latest start for its target was refused, although its caller would have waited; late work came last without end, small groups used up the result memory that large ones waited for, and stages ran for requests that no model server would accept.

Change: with queue = on, StageQueue uses the order RANK_FIRST: groups in time by rank and latest start, then late ones by rank and last start. Late groups that would miss their last start are promoted, up to a fifth of the started pieces. A server is held for a group that needs more memory than is free (ServerHolds). StageForecast estimates starts from the waiting groups, the time of calls, the observed time for which results occupy memory, slowdowns and recent arrivals; StageAdmission refuses groups that cannot start in time, on arrival and every 50 ms. ServiceAdmission refuses requests before their first stage when no server of their service can receive them; requests for cold servers take from the rate that this entry may send. Log lines stage_queued, stage_promoted and stage_refused; metrics for queue length, forecast, wait and refusals. With the setting off, the order and the limits are as before.

StageAdmissionLoadTest, ServiceAdmissionTest, StageQueue*Test, FleetLimitsTest, StagesTest, StalledStageTest, PatienceTest and LateStageCopyTest pass. ForwardingTest#a_request_ends_at_the_timeout_of_its_route failed once in three runs (502 instead of 504; load average 17): the time limits of the request and of its attempt end within a millisecond of each other, as before.

--- a/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
@@ -34,14 +34,19 @@
         count("bulrushvale.caller.answers", "status", Integer.toString(status));
     }
 
-    /** Counts an event under one label, whose values come from a fixed set. */
-    public void count(String name, String label, String value) {
-        Counter.builder(name).tag(label, value).register(mRegistry).increment();
+    /** Counts an event under labels, given as names and values, which come from fixed sets. */
+    public void count(String name, String... labels) {
+        Counter.builder(name).tags(labels).register(mRegistry).increment();
     }
 
-    /** Registers a gauge. */
-    public void gauge(String name, Supplier<Number> value) {
-        Gauge.builder(name, value).register(mRegistry);
+    /** Records a duration under labels, given as names and values, which come from fixed sets. */
+    public void time(String name, Duration duration, String... labels) {
+        Timer.builder(name).tags(labels).register(mRegistry).record(duration);
+    }
+
+    /** Registers a gauge under labels, given as names and values, which come from fixed sets. */
+    public void gauge(String name, Supplier<Number> value, String... labels) {
+        Gauge.builder(name, value).tags(labels).register(mRegistry);
     }
 
     /** Returns all metrics in Prometheus text format. */
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -17,6 +17,7 @@
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
 import org.bulrushvale.decision.forward.ServerChoice;
+import org.bulrushvale.decision.forward.ServiceAdmission;
 import org.bulrushvale.decision.forward.StatedRateLimits;
 import org.bulrushvale.decision.retry.CrashSuspects;
 import org.bulrushvale.kernel.event.EventLoop;
@@ -95,6 +96,7 @@
                         mPublishedState,
                         new ServerChoice(mClock, coldLimit, statedLimits.limits()),
                         coldLimit,
+                        new ServiceAdmission(mClock, coldLimit),
                         new RepeatBudget(
                                 mClock,
                                 settings.limits().repeatRatio(),
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -8,6 +8,7 @@
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
 import org.bulrushvale.decision.forward.ServerChoice;
+import org.bulrushvale.decision.forward.ServiceAdmission;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
@@ -26,6 +27,7 @@
         PublishedState publishedState,
         ServerChoice serverChoice,
         ColdServerRateLimit coldLimit,
+        ServiceAdmission serviceAdmission,
         RepeatBudget repeatBudget,
         CrashGuard crashGuard,
         StatedLimits statedLimits,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -141,6 +141,10 @@
         if (refuseIfHeldBack()) {
             return;
         }
+        if (mStageScheduler.hasPieces() && !mSchedule.admitTo(mService)) {
+            giveUp(ErrorCode.NO_BACKEND, "no server of the service can receive the request");
+            return;
+        }
         mStageScheduler.startReadyStages();
     }
 
@@ -243,7 +247,7 @@
     }
 
     private void waitForServer() {
-        if (mTriedServers.isEmpty() && mTimeLimits.mayWaitForServer()) {
+        if (mTriedServers.isEmpty() && mSchedule.mayWaitForServer()) {
             mServices.loop().schedule(SERVER_RECHECK_PERIOD, this::send);
         } else {
             giveUp(
@@ -255,6 +259,7 @@
     private void sendTo(Server server, long remainingMillis) {
         String id = server.published().id();
         mServer = server;
+        mSchedule.endAdmission();
         mTriedServers.add(id);
         mSentAttempts++;
         server.recordStart(mRequestMetadata.promptTokens());
@@ -559,6 +564,7 @@
             timer.cancel();
         }
         mStageScheduler.release();
+        mSchedule.endAdmission();
         Duration elapsed = mTimeLimits.elapsed();
         mServices
                 .log()
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
@@ -20,6 +20,7 @@
     private final PieceOrder mOrder;
     private final long mStartByNanos;
     private final long mGiveUpNanos;
+    private final long mCreatedNanos;
     private final Consumer<PieceResult> mOnResult;
     // The queue compares both often.
     private final String mName;
@@ -32,6 +33,7 @@
         mOrder = order;
         mStartByNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(job.startByMillis());
         mGiveUpNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(job.giveUpMillis());
+        mCreatedNanos = nowNanos;
         mOnResult = onResult;
         mName = name(order.requestId(), order.stage(), order.piece());
         mGroup = order.requestId() + "/" + order.stage();
@@ -41,6 +43,11 @@
         return mOrder;
     }
 
+    /** Returns the monotonic time at which the job of the piece arrived. */
+    long createdNanos() {
+        return mCreatedNanos;
+    }
+
     /** Returns the number of servers that failed to make the piece. */
     int failedServerCount() {
         return mAvoided.size();
@@ -99,6 +106,11 @@
         return mJob.preferredDomain();
     }
 
+    @Override
+    public boolean hasInputs() {
+        return !mOrder.inputs().isEmpty();
+    }
+
     @Override
     public boolean isAbandoned() {
         return mDelivered;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
@@ -1,11 +1,13 @@
 package org.bulrushvale.daemon.forward;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.function.Supplier;
 import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.ServiceSpec;
 import org.bulrushvale.decision.forward.Urgency;
@@ -25,6 +27,7 @@
     private final int mRank;
     private final String mWorkspace;
     private final Supplier<String> mReaderDomain;
+    private String mAdmittedTo = "";
 
     /**
      * Creates the schedule of a request.
@@ -55,6 +58,45 @@
                 : OptionalInt.empty();
     }
 
+    /**
+     * Returns false when no server of the service can receive the request in time, so that its
+     * stages would be wasted.
+     */
+    boolean admitTo(String service) {
+        if (!admission().queue()) {
+            return true;
+        }
+        double coldPerSecond =
+                mConfig.service(service).map(ServiceSpec::coldRequestsPerSecond).orElse(0.0);
+        Duration limit = Duration.ofMillis(Math.max(0, millisToGiveUp()));
+        boolean admitted =
+                mServices
+                        .serviceAdmission()
+                        .tryAdmit(service, eligible(service), coldPerSecond, limit);
+        mAdmittedTo = admitted ? service : "";
+        return admitted;
+    }
+
+    /** Records that the request was sent or has ended. */
+    void endAdmission() {
+        if (!mAdmittedTo.isEmpty()) {
+            mServices.serviceAdmission().end(mAdmittedTo);
+            mAdmittedTo = "";
+        }
+    }
+
+    /** Returns true while an admitted request may wait for a server that cannot receive it now. */
+    boolean mayWaitForServer() {
+        return mTimeLimits.mayWaitForServer()
+                || !mAdmittedTo.isEmpty()
+                        && millisToGiveUp() > 0
+                        && !eligible(mAdmittedTo).isEmpty();
+    }
+
+    private List<Server> eligible(String service) {
+        return mServices.publishedState().directory().eligibleServers(service);
+    }
+
     @Override
     public ForwardSettings.Admission admission() {
         return mServices.features().admission();
@@ -91,8 +133,8 @@
     }
 
     @Override
-    public long millisToLimit() {
-        return mTimeLimits.millisToLimit();
+    public long millisToDeadline() {
+        return mTimeLimits.millisToDeadline();
     }
 
     @Override
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -24,6 +24,9 @@
 import org.bulrushvale.decision.forward.PublishedBackend;
 import org.bulrushvale.decision.forward.ServiceSpec;
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
+import org.bulrushvale.decision.forward.StageAdmission;
+import org.bulrushvale.decision.forward.StageAdmission.Forecast;
+import org.bulrushvale.decision.forward.StageOrder;
 import org.bulrushvale.decision.forward.StageQueue;
 import org.bulrushvale.kernel.time.Clock;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
@@ -54,23 +57,54 @@
     private final ForwardServices mServices;
     private final String mService;
     private final StageQueue<QueuedPiece> mQueue;
+    private final StageAdmission<QueuedPiece> mAdmission;
+    private final StageQueueReport mReport;
     private final ReceivedHandles mReceivedHandles = new ReceivedHandles();
     private final List<CompletedPiece> mPendingReleases = new ArrayList<>();
 
     StageDispatcher(ForwardServices services, String service) {
         mServices = services;
         mService = service;
-        mQueue = new StageQueue<>(services.clock(), RESULT_LIFETIME.toNanos());
+        mQueue =
+                new StageQueue<>(
+                        services.clock(),
+                        RESULT_LIFETIME.toNanos(),
+                        isAdmissionOn() ? StageOrder.RANK_FIRST : StageOrder.TARGET_FIRST);
+        mAdmission = new StageAdmission<>(services.clock(), mQueue);
+        mReport = new StageQueueReport(services, service);
     }
 
+    private boolean isAdmissionOn() {
+        return mServices.features().admission().queue();
+    }
+
+    /** Adds the pieces of one job, or refuses them when they cannot start in time. */
     void add(List<QueuedPiece> pieces) {
-        for (QueuedPiece piece : pieces) {
-            mServices.repeatBudget().recordRequest(mService);
-            mQueue.add(piece);
+        Optional<PieceLimits> limits = limits().filter(known -> isAdmissionOn());
+        if (limits.isPresent()) {
+            Forecast forecast = mAdmission.offer(pieces, eligibleServers(), limits.get());
+            if (!forecast.admitted()) {
+                refuse(new StageAdmission.Refusal<>(pieces, forecast));
+                return;
+            }
+            mReport.queued(pieces.get(0), forecast);
+        } else {
+            pieces.forEach(mQueue::add);
         }
+        pieces.forEach(piece -> mServices.repeatBudget().recordRequest(mService));
         dispatch();
     }
 
+    private void refuse(StageAdmission.Refusal<QueuedPiece> refusal) {
+        mReport.refused(refusal);
+        refusal.pieces()
+                .forEach(piece -> piece.deliver(PieceResult.failed(PieceResult.Outcome.LATE)));
+    }
+
+    private List<Server> eligibleServers() {
+        return mServices.publishedState().directory().eligibleServers(mService);
+    }
+
     /** Returns the number of waiting pieces. */
     int waiting() {
         return mQueue.waitingCount();
@@ -81,11 +115,16 @@
         for (QueuedPiece expired : mQueue.removeExpired()) {
             expired.deliver(PieceResult.failed(PieceResult.Outcome.LATE));
         }
-        List<Server> servers = mServices.publishedState().directory().eligibleServers(mService);
-        limits().ifPresent(
-                        limits ->
-                                mQueue.nextCalls(servers, limits, this::permits)
-                                        .forEach(this::start));
+        limits().ifPresent(this::dispatch);
+        mReport.setWaiting(mQueue.waitingCount());
+    }
+
+    private void dispatch(PieceLimits limits) {
+        List<Server> servers = eligibleServers();
+        if (isAdmissionOn()) {
+            mAdmission.refuseHopeless(servers, limits).forEach(this::refuse);
+        }
+        mQueue.nextCalls(servers, limits, this::permits).forEach(this::start);
     }
 
     private int permits(Server server) {
@@ -103,6 +142,7 @@
 
     private void start(StageQueue.Call<QueuedPiece> call) {
         long startedNanos = mServices.clock().monotonicNanos();
+        mReport.started(call);
         StageRequest message =
                 mServices
                         .protocol()
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
@@ -81,6 +81,11 @@
         }
     }
 
+    /** Returns true when a stage has work to do. */
+    boolean hasPieces() {
+        return mPieceCounts.stream().anyMatch(pieces -> pieces > 0);
+    }
+
     private boolean isDone(int stage) {
         return mPieceCounts.get(stage) == 0 || mHandlesByStage.containsKey(stage);
     }
@@ -95,7 +100,7 @@
     private void start(int stage) {
         Route.RouteStage routeStage = mRoute.stages().get(stage);
         List<String> inputHandles = inputHandles(routeStage.dependencies());
-        long millisToLimit = mRequest.millisToLimit();
+        long millisToDeadline = mRequest.millisToDeadline();
         long followingMillis =
                 mRequest.typicalStageMillis(routeStage.service()) + followingStagesMillis(stage);
         long startByMillis = mRequest.millisToTarget() - followingMillis;
@@ -108,9 +113,10 @@
         List<PieceOrder> orders = new ArrayList<>();
         for (int piece = 0; piece < mPieceCounts.get(stage); piece++) {
             String key = inputHandles.isEmpty() ? mPieceKey : "";
-            orders.add(new PieceOrder(mRequestId, stage, piece, millisToLimit, key, inputHandles));
+            orders.add(
+                    new PieceOrder(mRequestId, stage, piece, millisToDeadline, key, inputHandles));
         }
-        if (routeStage.dependencies().isEmpty()) {
+        if (routeStage.dependencies().isEmpty() && !mRequest.admission().queue()) {
             // A refusal here loses no results of earlier stages, and a caller that is refused early
             // can still retry before its deadline.
             giveUpMillis =
@@ -259,8 +265,8 @@
          */
         long millisToTarget();
 
-        /** Returns the time left until the request ends unless an answer begins before, in ms. */
-        long millisToLimit();
+        /** Returns the time left until the deadline of the request, in ms. */
+        long millisToDeadline();
 
         /** Returns the time left until it is useless to send the request to its server, in ms. */
         long millisToGiveUp();
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ColdServerRateLimit.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ColdServerRateLimit.java
@@ -45,6 +45,11 @@
         return recentSends(id).size() < share(id, (int) requestsPerSecond);
     }
 
+    /** Returns the requests that this entry may send to the cold server in a second. */
+    int share(Server server, double requestsPerSecond) {
+        return share(server.published().id(), (int) requestsPerSecond);
+    }
+
     /** Records a request sent to a cold server. */
     public void recordSent(Server server) {
         recentSends(server.published().id()).addLast(mClock.monotonicNanos());
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ReservedMemory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ReservedMemory.java
@@ -11,6 +11,9 @@
  * Thread safety: not safe; used by the event loop.
  */
 final class ReservedMemory {
+    /** Result of {@link #remove} for a piece without a reservation. */
+    static final long NONE = Long.MIN_VALUE;
+
     private final Map<String, Reservation> mReservations = new LinkedHashMap<>();
     private long mBytes;
 
@@ -21,12 +24,19 @@
         mBytes += bytes;
     }
 
-    /** Releases the memory of a piece; has no effect when it has none. */
-    void remove(String piece) {
+    /**
+     * Releases the memory of a piece.
+     *
+     * @return monotonic time at which the reservation would have ended; {@link #NONE} when the
+     *     piece has none
+     */
+    long remove(String piece) {
         Reservation removed = mReservations.remove(piece);
-        if (removed != null) {
-            mBytes -= removed.bytes();
+        if (removed == null) {
+            return NONE;
         }
+        mBytes -= removed.bytes();
+        return removed.endNanos();
     }
 
     /** Returns the memory that is reserved at a monotonic time. */
--- /dev/null
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageBacklog.java
@@ -0,0 +1,77 @@
+package org.bulrushvale.decision.forward;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The groups of the pieces that wait in a {@link StageQueue}.
+ *
+ * <p>Invariant: a group is present while at least one of its pieces waits. Thread safety: not safe;
+ * used by the event loop.
+ */
+final class StageBacklog {
+    private final Map<String, WaitingGroup> mGroups = new LinkedHashMap<>();
+    private final PromotionBudget mPromotions = new PromotionBudget();
+
+    /** Adds a piece and returns its group. */
+    WaitingGroup add(StageQueue.Piece piece) {
+        WaitingGroup group =
+                mGroups.computeIfAbsent(piece.group(), name -> new WaitingGroup(piece));
+        group.addPiece();
+        return group;
+    }
+
+    /** Removes a piece that is abandoned or refused. */
+    void remove(WaitingGroup group) {
+        group.removePiece();
+        if (group.pieces() == 0) {
+            mGroups.remove(group.name());
+        }
+    }
+
+    /** Removes a piece that starts. */
+    void start(WaitingGroup group) {
+        mPromotions.recordStarted(group.isPromoted());
+        group.markPartlyStarted();
+        remove(group);
+    }
+
+    boolean contains(String group) {
+        return mGroups.containsKey(group);
+    }
+
+    Collection<WaitingGroup> groups() {
+        return Collections.unmodifiableCollection(mGroups.values());
+    }
+
+    /**
+     * Promotes the late groups that miss their last start unless they start soon, in the order of
+     * their last starts. When the budget does not cover a group, the groups after it are not
+     * promoted either; otherwise small groups would use up the budget of large ones.
+     *
+     * @param soonNanos time within which a group that comes first can expect to start
+     */
+    void promoteLateGroups(long nowNanos, long soonNanos) {
+        List<WaitingGroup> due = new ArrayList<>();
+        for (WaitingGroup group : mGroups.values()) {
+            group.setPromoted(false);
+            if (group.isLate(nowNanos) && group.giveUpNanos() - nowNanos <= soonNanos) {
+                due.add(group);
+            }
+        }
+        due.sort(Comparator.comparingLong(group -> group.giveUpNanos() - nowNanos));
+        int planned = 0;
+        for (WaitingGroup group : due) {
+            if (!mPromotions.allows(planned, group.pieces())) {
+                return;
+            }
+            group.setPromoted(true);
+            planned += group.pieces();
+        }
+    }
+}
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -1,17 +1,18 @@
 package org.bulrushvale.decision.forward;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
@@ -21,10 +22,10 @@
  * Queue of the pieces that wait for one stage service, from which calls with batches are formed.
  *
  * <p>A call is formed as soon as a server has a free slot, so that no piece waits for a timer and
- * batches grow with the load. It takes the pieces in the order of their latest start times. Pieces
- * that are too late for their target come last, so that an overload does not make all requests
- * late. A piece goes to the failure domain of its inputs unless it has waited long. Memory for a
- * result is reserved until the result is released or its lifetime has ended.
+ * batches grow with the load. It takes the groups in a {@link StageOrder}; late groups come after
+ * those that can meet their target, so that an overload does not make all requests late. A piece
+ * goes to the failure domain of its inputs unless it has waited long. Memory for a result is
+ * reserved until the result is released or its lifetime has ended.
  *
  * <p>Invariant: each piece is in at most one call at a time; a server never has more calls than
  * slots, nor more reserved memory than it has. Thread safety: not safe; used by the event loop.
@@ -40,6 +41,9 @@
     // lifetime divided by this number, because most are released well before its end.
     private static final int FOREIGN_LIFETIME_DIVISOR = 5;
 
+    // Until releases were seen, the reader of a result is assumed to need it for this time.
+    private static final double USUAL_READ_NANOS = 400e6;
+
     // Ratio of actual to expected time from which a server counts as slow.
     private static final double MIN_SLOW_RATIO = 2.0;
 
@@ -50,20 +54,36 @@
     private final Map<String, Integer> mRunningCalls = new HashMap<>();
     private final Map<String, ReservedMemory> mReservations = new HashMap<>();
     private final Map<String, ForeignMemory> mForeignMemory = new HashMap<>();
+    private final StageOrder mOrder;
+    private final StageBacklog mBacklog = new StageBacklog();
+    private final ServerHolds mHolds = new ServerHolds();
+    private final MovingAverage mHeldNanos = new MovingAverage();
+    private long mLastCallEndNanos;
 
     /**
-     * Creates an empty queue.
+     * Creates an empty queue with the order {@link StageOrder#TARGET_FIRST}.
      *
      * @param resultLifetimeNanos time after which a server drops a result by itself
      */
     public StageQueue(Clock clock, long resultLifetimeNanos) {
+        this(clock, resultLifetimeNanos, StageOrder.TARGET_FIRST);
+    }
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param resultLifetimeNanos time after which a server drops a result by itself
+     */
+    public StageQueue(Clock clock, long resultLifetimeNanos, StageOrder order) {
         mClock = clock;
         mResultLifetimeNanos = resultLifetimeNanos;
+        mOrder = order;
+        mLastCallEndNanos = clock.monotonicNanos();
     }
 
     /** Adds a piece to the queue. */
     public void add(P piece) {
-        mQueued.add(new QueuedPiece<>(piece, mClock.monotonicNanos()));
+        mQueued.add(new QueuedPiece<>(piece, mClock.monotonicNanos(), mBacklog.add(piece)));
         mQueuedByResultBytes.merge(piece.resultBytes(), 1, Integer::sum);
     }
 
@@ -75,16 +95,53 @@
     /** Removes and returns the pieces that are abandoned or have waited as long as they may. */
     public List<P> removeExpired() {
         long now = mClock.monotonicNanos();
-        List<P> expired = new ArrayList<>();
-        for (Iterator<QueuedPiece<P>> queued = mQueued.iterator(); queued.hasNext(); ) {
-            P piece = queued.next().piece();
-            if (piece.isAbandoned() || piece.giveUpNanos() - now <= 0) {
-                queued.remove();
-                onRemoved(piece);
-                expired.add(piece);
+        return remove(piece -> piece.isAbandoned() || piece.giveUpNanos() - now <= 0);
+    }
+
+    /** Removes and returns the waiting pieces that match, without a start. */
+    List<P> remove(Predicate<P> match) {
+        List<P> removed = new ArrayList<>();
+        mQueued.removeIf(
+                queued -> {
+                    if (!match.test(queued.piece())) {
+                        return false;
+                    }
+                    onRemoved(queued.piece());
+                    mBacklog.remove(queued.group());
+                    removed.add(queued.piece());
+                    return true;
+                });
+        return removed;
+    }
+
+    /** Returns the waiting groups. */
+    Collection<WaitingGroup> groups() {
+        return mBacklog.groups();
+    }
+
+    /** Returns the order of the groups at a monotonic time. */
+    Comparator<WaitingGroup> order(long nowNanos) {
+        return mOrder.comparator(nowNanos);
+    }
+
+    /** Returns the capacity of the servers that can be used now. */
+    StageCapacity capacity(List<Server> servers, PieceLimits limits) {
+        long now = mClock.monotonicNanos();
+        StageCapacity.Builder capacity = StageCapacity.builder(limits, meanHeldNanos(limits));
+        for (Server server : servers) {
+            if (!server.isSuspect(now)) {
+                capacity.add(
+                        server.slowdown(now),
+                        hasFreeSlot(server, limits),
+                        freeBytes(server, limits, now));
             }
         }
-        return expired;
+        return capacity.build();
+    }
+
+    /** Returns the mean time for which a result occupies memory, from the start of its call. */
+    private double meanHeldNanos(PieceLimits limits) {
+        return mHeldNanos.valueOr(Clock.boundedNanos(limits.typicalCallTime()) + USUAL_READ_NANOS);
     }
 
     /** Forms the calls that can start now and counts them as running. */
@@ -104,25 +161,26 @@
         List<Server> usable = mQueued.isEmpty() ? List.of() : usableServers(servers, now, limits);
         // Sorting a long queue each time that a piece arrives would cost more than all calls.
         long smallest = mQueuedByResultBytes.isEmpty() ? 0 : mQueuedByResultBytes.firstKey();
-        if (usable.stream()
-                .noneMatch(
-                        server ->
-                                hasFreeSlot(server, limits)
-                                        && freeBytes(server, limits, now) >= smallest)) {
+        if (mOrder.servesLateGroups()) {
+            Set<String> ids = new HashSet<>();
+            usable.forEach(server -> ids.add(server.published().id()));
+            mHolds.retain(mBacklog::contains, ids);
+        }
+        if (usable.stream().noneMatch(server -> canStart(server, limits, smallest, now))) {
             return calls;
         }
-        sortQueue(now);
+        sortQueue(now, limits);
         Set<String> domains = new HashSet<>();
         usable.forEach(server -> domains.add(server.published().domain()));
         for (Server server : usable) {
             int permitted = hasFreeSlot(server, limits) ? permits.applyAsInt(server) : 0;
             while (hasFreeSlot(server, limits) && permitted-- > 0) {
-                List<P> batch = takeBatch(server, limits, domains, now);
+                List<QueuedPiece<P>> batch = takeBatch(server, limits, domains, now);
                 if (batch.isEmpty()) {
                     break;
                 }
                 mRunningCalls.merge(server.published().id(), 1, Integer::sum);
-                calls.add(new Call<>(server, batch));
+                calls.add(newCall(server, batch));
             }
         }
         return calls;
@@ -132,17 +190,28 @@
         return runningCalls(server.published().id()) < limits.slots();
     }
 
-    /** Sorts the queue so that the pieces of a group are adjacent. */
-    private void sortQueue(long now) {
-        mQueued.sort(
-                Comparator.comparingInt((QueuedPiece<P> queued) -> sortRank(queued.piece(), now))
-                        .thenComparingLong(queued -> queued.piece().latestStartNanos() - now)
-                        .thenComparing(queued -> queued.piece().group()));
+    private static <P extends Piece> Call<P> newCall(Server server, List<QueuedPiece<P>> batch) {
+        Set<String> promoted = new HashSet<>();
+        for (QueuedPiece<P> queued : batch) {
+            if (queued.group().isPromoted()) {
+                promoted.add(queued.group().name());
+            }
+        }
+        return new Call<>(server, batch.stream().map(QueuedPiece::piece).toList(), promoted);
+    }
+
+    private boolean canStart(Server server, PieceLimits limits, long smallest, long now) {
+        return hasFreeSlot(server, limits)
+                && freeBytes(server, limits, now)
+                        >= mHolds.neededBytes(server.published().id(), smallest);
     }
 
-    /** Returns -1 for a piece that can meet its target, otherwise the rank of its request. */
-    private int sortRank(P piece, long now) {
-        return piece.latestStartNanos() - now > 0 ? -1 : piece.rank();
+    /** Sorts the queue so that the pieces of a group are adjacent. */
+    private void sortQueue(long now, PieceLimits limits) {
+        if (mOrder.servesLateGroups()) {
+            mBacklog.promoteLateGroups(now, (long) meanHeldNanos(limits));
+        }
+        mQueued.sort(Comparator.comparing(QueuedPiece::group, mOrder.comparator(now)));
     }
 
     /** Leaves out suspect servers, and slow servers unless the others cannot take all pieces. */
@@ -162,7 +231,8 @@
      * Takes only whole groups, because the results of a part would occupy memory until the rest is
      * finished. A group that is too large for any call is split.
      */
-    private List<P> takeBatch(Server server, PieceLimits limits, Set<String> domains, long now) {
+    private List<QueuedPiece<P>> takeBatch(
+            Server server, PieceLimits limits, Set<String> domains, long now) {
         String id = server.published().id();
         long freeBytes = freeBytes(server, limits, now);
         List<QueuedPiece<P>> taken = new ArrayList<>();
@@ -177,6 +247,12 @@
             next = end;
             if (!group.isEmpty()) {
                 int fitting = fittingPieces(group, taken.size(), freeBytes, limits);
+                if (fitting == 0
+                        && mOrder.servesLateGroups()
+                        && group.get(0).group().bytes() > freeBytes
+                        && mHolds.hold(id, group.get(0).group())) {
+                    break;
+                }
                 taken.addAll(group.subList(0, fitting));
                 freeBytes -= group.get(0).piece().resultBytes() * fitting;
             }
@@ -184,10 +260,12 @@
         Set<QueuedPiece<P>> takenSet = Collections.newSetFromMap(new IdentityHashMap<>());
         takenSet.addAll(taken);
         mQueued.removeIf(takenSet::contains);
-        List<P> batch = taken.stream().map(QueuedPiece::piece).toList();
-        batch.forEach(this::onRemoved);
-        batch.forEach(piece -> reserve(id, piece, now));
-        return batch;
+        taken.forEach(queued -> mBacklog.start(queued.group()));
+        for (QueuedPiece<P> queued : taken) {
+            onRemoved(queued.piece());
+            reserve(id, queued.piece(), now);
+        }
+        return taken;
     }
 
     /** Returns the index after the last piece of the group that begins at an index. */
@@ -256,6 +334,12 @@
     /** Records the end of a call to a server. */
     public void recordCallEnd(String server) {
         mRunningCalls.computeIfPresent(server, (id, count) -> count > 1 ? count - 1 : null);
+        mLastCallEndNanos = mClock.monotonicNanos();
+    }
+
+    /** Returns the time since the last call ended, which is the age of what is known of servers. */
+    long nanosSinceLastCallEnd() {
+        return mClock.monotonicNanos() - mLastCallEndNanos;
     }
 
     /**
@@ -284,7 +368,13 @@
 
     /** Releases the memory that is reserved for the result of a piece, at whichever server. */
     public void releaseResult(String piece) {
-        mReservations.values().forEach(reserved -> reserved.remove(piece));
+        long now = mClock.monotonicNanos();
+        for (ReservedMemory reserved : mReservations.values()) {
+            long endNanos = reserved.remove(piece);
+            if (endNanos != ReservedMemory.NONE) {
+                mHeldNanos.add(now + mResultLifetimeNanos - endNanos);
+            }
+        }
     }
 
     /** A piece that waits in the queue. */
@@ -310,6 +400,11 @@
         /** Returns the failure domain of its inputs; empty when it has none. */
         String preferredDomain();
 
+        /** Returns true when the piece reads results of an earlier stage. */
+        default boolean hasInputs() {
+            return false;
+        }
+
         /** Returns true when nobody needs the result any more. */
         boolean isAbandoned();
 
@@ -321,10 +416,13 @@
      * One call that can start.
      *
      * <p>Thread safety: immutable.
+     *
+     * @param promotedGroups names of the late groups that were moved to the front of the queue
      */
-    public record Call<P>(Server server, List<P> pieces) {
+    public record Call<P>(Server server, List<P> pieces, Set<String> promotedGroups) {
         public Call {
             pieces = List.copyOf(pieces);
+            promotedGroups = Set.copyOf(promotedGroups);
         }
     }
 
@@ -333,7 +431,7 @@
      *
      * <p>Thread safety: immutable.
      */
-    private record QueuedPiece<P>(P piece, long addedNanos) {}
+    private record QueuedPiece<P>(P piece, long addedNanos, WaitingGroup group) {}
 
     /**
      * Memory that others than this queue occupy at a server.
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueBacklogTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueBacklogTest.java
@@ -141,6 +141,34 @@
         assertThat(needed).isLessThan(EVENTS_LIMIT.dividedBy(10));
     }
 
+    @Test(dataProvider = "backlogs")
+    public void admitting_a_job_costs_little_whatever_waits(int waitingJobs) {
+        // given: every server is busy, and all jobs can still be in time
+        StageQueue<TestPiece> queue =
+                new StageQueue<>(mClock, Duration.ofSeconds(5).toNanos(), StageOrder.RANK_FIRST);
+        StageAdmission<TestPiece> admission = new StageAdmission<>(mClock, queue);
+        List<Server> servers = servers(18);
+        addJobs(queue, 0, 18 * BATCH / PIECES_PER_JOB + waitingJobs);
+        queue.nextCalls(servers, LIMITS);
+        // when: jobs are refused on arrival, and the waiting ones are checked every 50 ms
+        Duration needed =
+                fastestOf(
+                        3,
+                        () -> {
+                            for (int i = 0; i < EVENTS; i++) {
+                                TestPiece late =
+                                        new TestPiece("new", "new", -Duration.ofDays(1).toNanos());
+                                admission.offer(List.of(late), servers, LIMITS);
+                                admission.refuseHopeless(servers, LIMITS);
+                                queue.nextCalls(servers, LIMITS);
+                                mClock.advance(Duration.ofSeconds(1).dividedBy(EVENTS));
+                            }
+                        });
+        // then
+        assertThat(queue.waitingCount()).isEqualTo(waitingJobs * PIECES_PER_JOB);
+        assertThat(needed).isLessThan(EVENTS_LIMIT);
+    }
+
     private List<Server> servers(int count) {
         BackendDirectory directory = new BackendDirectory(mClock);
         for (int i = 0; i < count; i++) {
