Send nothing to servers that state that they leave or want a pause

Change: ServerFacts keeps what is known of one process apart from its registration. Answers to attempts (from the head on), refusals and stage calls report leaving, pause and load; answers to releases are not identified and change nothing. A paused server gets no request, stage call, release or liveness check. Log lines server_leaving and server_pause, gauges of both.

Measured: the tests of platform (all classes), decision.forward, the peer codec and the fleet tests of daemon pass.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/BackendResponseMetadata.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/BackendResponseMetadata.java
@@ -16,8 +16,8 @@
  *     states no limit
  * @param load load that the server states; empty when it states none
  * @param leaving true when the server states that it is about to leave
- * @param pauseSeconds how long the server wants no request from this VM, in seconds; empty when it
- *     states none
+ * @param pauseSeconds how long the server wants no request from this VM, in seconds; may be zero or
+ *     negative; NaN when what it states is not a number of seconds; empty when it states nothing
  */
 public record BackendResponseMetadata(
         String requestId,
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/NoticeCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/NoticeCodec.java
@@ -4,6 +4,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.bulrushvale.adapters.peer.PeerCodec.FieldReader;
+import org.bulrushvale.decision.forward.LeavingServer;
 import org.bulrushvale.decision.forward.StatedRate;
 import org.bulrushvale.decision.retry.ContentFingerprint;
 import org.bulrushvale.decision.retry.CrashRecord;
@@ -32,6 +33,10 @@
             }
         } else if (notice instanceof PeerMessage.CrashNotice crashes) {
             writeCrashes(crashes, out);
+        } else if (notice instanceof PeerMessage.LeavingNotice leaving) {
+            for (LeavingServer server : leaving.records()) {
+                out.packString(server.process()).packLong(server.ageMillis());
+            }
         }
     }
 
@@ -64,6 +69,13 @@
                                         unpacker.unpackLong())));
     }
 
+    static PeerMessage.LeavingNotice readLeaving(FieldReader in) throws IOException {
+        MessageUnpacker unpacker = in.unpacker();
+        return new PeerMessage.LeavingNotice(
+                unpacker.unpackLong(),
+                in.list(() -> new LeavingServer(in.text(), unpacker.unpackLong())));
+    }
+
     private static OptionalDouble rate(double value) {
         return value >= 0 ? OptionalDouble.of(value) : OptionalDouble.empty();
     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
@@ -214,8 +214,16 @@
             case STAGE_RELEASE -> StageCodec.readRelease(in);
             case PUBLISHED_FETCH -> PublishedCodec.readFetch(in);
             case PUBLISHED_CHANGES -> PublishedCodec.readChanges(in);
+            case CRASH_NOTICE, RATE_NOTICE, LEAVING_NOTICE -> readNotice(type, in);
+        };
+    }
+
+    private static PeerMessage readNotice(Type type, FieldReader in) throws IOException {
+        return switch (type) {
             case CRASH_NOTICE -> NoticeCodec.readCrashes(in);
             case RATE_NOTICE -> NoticeCodec.readRates(in);
+            case LEAVING_NOTICE -> NoticeCodec.readLeaving(in);
+            default -> throw new AssertionError(type);
         };
     }
 
@@ -262,7 +270,8 @@
         PUBLISHED_FETCH(PeerMessage.PublishedFetch.class),
         PUBLISHED_CHANGES(PeerMessage.PublishedChanges.class),
         CRASH_NOTICE(PeerMessage.CrashNotice.class),
-        RATE_NOTICE(PeerMessage.RateNotice.class);
+        RATE_NOTICE(PeerMessage.RateNotice.class),
+        LEAVING_NOTICE(PeerMessage.LeavingNotice.class);
 
         private final Class<? extends PeerMessage> mMessageClass;
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import org.bulrushvale.adapters.forward.CompletedPiece;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
+import org.bulrushvale.decision.forward.LeavingServer;
 import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.decision.forward.StatedRate;
 import org.bulrushvale.decision.retry.CrashRecord;
@@ -332,6 +333,23 @@
         }
     }
 
+    /**
+     * Processes of backend servers that stated that they leave.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record LeavingNotice(long digest, List<LeavingServer> records)
+            implements Notice<LeavingServer> {
+        public LeavingNotice {
+            records = List.copyOf(records);
+        }
+
+        @Override
+        public @Nullable LeavingNotice answer(@Nullable PeerMessage message) {
+            return message instanceof LeavingNotice notice ? notice : null;
+        }
+    }
+
     /**
      * Announces that the sender shuts down.
      *
--- a/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
@@ -8,6 +8,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
+import org.bulrushvale.decision.forward.LeavingServer;
 import org.bulrushvale.decision.forward.PublishedItem;
 import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.decision.forward.StatedRate;
@@ -79,6 +80,7 @@
                                 new StatedRate("i-1/5", OptionalDouble.of(1.5), 20),
                                 new StatedRate("i-2/5", OptionalDouble.empty(), 0)))
             },
+            {new PeerMessage.LeavingNotice(3, List.of(new LeavingServer("i-1/5", 20)))},
         };
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
@@ -10,6 +10,7 @@
 import org.bulrushvale.adapters.forward.CallerRequestMetadata;
 import org.bulrushvale.adapters.forward.EndToEndHeaders;
 import org.bulrushvale.adapters.forward.UpstreamClient;
+import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.PublishedBackend;
 import org.bulrushvale.decision.forward.Route;
 
@@ -42,17 +43,19 @@
     /**
      * Sends the request to a server.
      *
+     * @param target server to send to
      * @param remaining time until the deadline of the request
      * @param inputs handles of the stage results that the server reads
      * @param resumeAfter id of the last event that the caller has received
      * @param handler receives the events of the attempt
      */
     UpstreamClient.Call start(
-            PublishedBackend server,
+            Server target,
             Duration remaining,
             List<String> inputs,
             long resumeAfter,
             ForwardAttempt.Handler handler) {
+        PublishedBackend server = target.published();
         HeaderMap headers =
                 EndToEndHeaders.copyEndToEnd(mCaller.headers(), mServices.protocol()::isReserved);
         if (mCaller.headers().contains(Headers.CONTENT_LENGTH)
@@ -80,7 +83,14 @@
                         mRoute.mayRepeat());
         ForwardAttempt attempt =
                 new ForwardAttempt(
-                        mServices.loop(), mServices.protocol(), mRequestMetadata.id(), handler);
+                        mServices.loop(),
+                        mServices.protocol(),
+                        mRequestMetadata.id(),
+                        head ->
+                                mServices
+                                        .serverReports()
+                                        .onAnswer(target, head.status(), head.metadata()),
+                        handler);
         return mServices.upstreamClient().start(request, attempt);
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -27,6 +27,7 @@
 import org.bulrushvale.adapters.peer.PeerTransport;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.daemon.FleetNotices;
+import org.bulrushvale.decision.forward.LeavingServer;
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.StatedRate;
 import org.bulrushvale.decision.retry.CrashRecord;
@@ -86,6 +87,8 @@
             (fetch, reply) -> {};
     private Function<PeerMessage.CrashNotice, PeerMessage> mCrashNoticeHandler = notice -> notice;
     private Function<PeerMessage.RateNotice, PeerMessage> mRateNoticeHandler = notice -> notice;
+    private Function<PeerMessage.LeavingNotice, PeerMessage> mLeavingNoticeHandler =
+            notice -> notice;
 
     private FleetStageExecutor(
             ForwardSettings settings,
@@ -241,6 +244,8 @@
             reply.send(mCrashNoticeHandler.apply(notice));
         } else if (message instanceof PeerMessage.RateNotice notice) {
             reply.send(mRateNoticeHandler.apply(notice));
+        } else if (message instanceof PeerMessage.LeavingNotice notice) {
+            reply.send(mLeavingNoticeHandler.apply(notice));
         }
     }
 
@@ -255,6 +260,12 @@
         rates.start(mLoop, this);
     }
 
+    /** Begins to exchange with the other members which servers leave. */
+    void exchangeLeavingNotices(FleetNotices<LeavingServer> leaving) {
+        mLoop.execute(() -> mLeavingNoticeHandler = leaving::receive);
+        leaving.start(mLoop, this);
+    }
+
     @Override
     public Collection<String> choose(int count) {
         return mMembers.randomMembers(count);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardAttempt.java
@@ -4,6 +4,7 @@
 import io.undertow.util.Headers;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.adapters.forward.BackendResponseMetadata;
 import org.bulrushvale.adapters.forward.ForwardProtocol;
@@ -31,13 +32,26 @@
     private final EventLoop mLoop;
     private final ForwardProtocol mProtocol;
     private final String mRequestId;
+    private final Consumer<Head> mOnHead;
     private final Handler mHandler;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private Head mHead = new Head(0, new HeaderMap(), BackendResponseMetadata.empty());
     private final AtomicInteger mPendingStreamBytes = new AtomicInteger();
     private boolean mStreaming;
 
-    ForwardAttempt(EventLoop loop, ForwardProtocol protocol, String requestId, Handler handler) {
+    /**
+     * Creates the listener of one attempt.
+     *
+     * @param onHead called on the event loop with the head of every answer that belongs to the
+     *     request, also when the request no longer waits for it
+     */
+    ForwardAttempt(
+            EventLoop loop,
+            ForwardProtocol protocol,
+            String requestId,
+            Consumer<Head> onHead,
+            Handler handler) {
+        mOnHead = onHead;
         mLoop = loop;
         mProtocol = protocol;
         mRequestId = requestId;
@@ -64,8 +78,12 @@
         if (mStreaming && !metadata.signed()) {
             return false;
         }
+        Head head = mHead;
+        if (status / 100 != 2 || metadata.signed()) {
+            // Not at the end of the answer: nothing may be sent to a server that leaves meanwhile.
+            mLoop.execute(() -> mOnHead.accept(head));
+        }
         if (mStreaming) {
-            Head head = mHead;
             mLoop.execute(() -> mHandler.onStreamBegin(head));
         }
         return true;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -56,6 +56,7 @@
     private final UndertowUpstreamClient mUpstreamClient;
     private final PublishedState mPublishedState;
     private final PublishedStateWatcher mPublishedStateWatcher;
+    private final ServerReports mServerReports;
     private final ForwardCore mCore;
     private final LocalStageExecutor mLocalExecutor;
     private final FleetStageExecutor mFleet;
@@ -86,6 +87,7 @@
         CrashGuard crashGuard = newCrashGuard(telemetry);
         StatedLimits statedLimits =
                 new StatedLimits(new StatedRateLimits(mClock, members), telemetry);
+        mServerReports = new ServerReports(mClock, mPublishedState.directory(), telemetry);
         ForwardServices services =
                 new ForwardServices(
                         mLoop,
@@ -103,12 +105,14 @@
                                 members::entryCount),
                         crashGuard,
                         statedLimits,
+                        mServerReports,
                         members,
                         settings.features(),
                         telemetry);
         mLocalExecutor = new LocalStageExecutor(services);
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
         mFleet.exchangeNotices(crashGuard.notices(), statedLimits.notices());
+        mFleet.exchangeLeavingNotices(mServerReports.leavingNotices());
         ForwardSettings.Drain drain = settings.drain();
         GracePeriod grace = new GracePeriod(mClock, drain.unreadyDelay(), drain.grace());
         mCore = new ForwardCore(services, mFleet, grace);
@@ -130,6 +134,7 @@
         }
         mLastDispatchNanos = mClock.monotonicNanos();
         mLocalExecutor.dispatch();
+        mServerReports.updateMetrics();
     }
 
     private void startRelay(MemberTable members) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -29,6 +29,7 @@
         RepeatBudget repeatBudget,
         CrashGuard crashGuard,
         StatedLimits statedLimits,
+        ServerReports serverReports,
         MemberTable members,
         ForwardSettings.Features features,
         ForwardTelemetry telemetry) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import net.openhft.hashing.LongHashFunction;
@@ -20,6 +21,7 @@
 import org.bulrushvale.decision.forward.EventSplitter;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.ForwardConfig.Workspace;
+import org.bulrushvale.decision.forward.PauseWait;
 import org.bulrushvale.decision.forward.RequestKind;
 import org.bulrushvale.decision.forward.Route;
 import org.bulrushvale.decision.forward.ServiceSpec;
@@ -66,6 +68,7 @@
     private final AttemptStarter mStarter;
     private final CrashWatch mCrashWatch;
     private final Set<String> mTriedServers = new HashSet<>();
+    private final Set<String> mPausedRefusers = new HashSet<>();
     private StageScheduler mStageScheduler;
     private List<String> mInputs = List.of();
     private @Nullable Server mServer;
@@ -82,6 +85,7 @@
     private boolean mAnswered;
     private boolean mCallerDisconnected;
     private long mLastEventId;
+    private OptionalLong mReturnMillis = OptionalLong.empty();
 
     ForwardedRequest(
             ForwardServices services,
@@ -137,7 +141,7 @@
         mServices.repeatBudget().recordRequest(mService);
         mTimer = mServices.loop().schedule(Duration.ofMillis(millisToDeadline()), this::onDeadline);
         mCaller.onClose(() -> mServices.loop().execute(this::onCallerDisconnect));
-        if (refuseIfHeldBack()) {
+        if (refuseIfHeldBack() || pauseWait().filter(this::refuseIfPaused).isPresent()) {
             return;
         }
         mStageScheduler.startReadyStages();
@@ -268,7 +272,16 @@
     }
 
     private void waitForServer() {
-        if (mTriedServers.isEmpty() && mTimeLimits.mayWaitForServer()) {
+        Optional<PauseWait> pause = pauseWait();
+        if (pause.isPresent()) {
+            if (refuseIfPaused(pause.get())) {
+                return;
+            }
+            // A server that refused the request because of its pause can take it after that.
+            mTriedServers.removeAll(mPausedRefusers);
+            mPausedRefusers.clear();
+            mServices.loop().schedule(Duration.ofMillis(pause.get().millis()), this::send);
+        } else if (mTriedServers.isEmpty() && mTimeLimits.mayWaitForServer()) {
             mServices.loop().schedule(SERVER_RECHECK_PERIOD, this::send);
         } else {
             giveUp(
@@ -277,6 +290,29 @@
         }
     }
 
+    /** Returns what to do while all servers of the service are paused; empty when one is not. */
+    private Optional<PauseWait> pauseWait() {
+        OptionalLong end = mServices.publishedState().directory().earliestPauseEnd(mService);
+        if (end.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                PauseWait.of(
+                        end.getAsLong(),
+                        mServices.clock().monotonicNanos(),
+                        mTimeLimits.millisToLastSend(mRoute.kind()),
+                        millisToDeadline(),
+                        LongHashFunction.xx().hashChars(mRequestMetadata.id())));
+    }
+
+    private boolean refuseIfPaused(PauseWait pause) {
+        if (!pause.waits()) {
+            mReturnMillis = OptionalLong.of(pause.millis());
+            giveUp(ErrorCode.NO_BACKEND, "all backend servers of the service are paused");
+        }
+        return !pause.waits();
+    }
+
     private void sendTo(Server server, long remainingMillis) {
         String id = server.published().id();
         mServer = server;
@@ -304,7 +340,7 @@
         int attempt = mSentAttempts;
         mCall =
                 mStarter.start(
-                        server.published(),
+                        server,
                         Duration.ofMillis(remainingMillis),
                         mInputs,
                         mLastEventId,
@@ -354,10 +390,13 @@
             return;
         }
         if (head.status() == 503 || head.status() == 429) {
-            server.pauseFor(
+            server.avoidFor(
                     mServices.clock().monotonicNanos(),
                     TimeUnit.MILLISECONDS.toNanos(BUSY_PAUSE_MILLIS));
         }
+        if (server.facts().isPaused(mServices.clock().monotonicNanos())) {
+            mPausedRefusers.add(server.published().id());
+        }
         boolean permanent = head.status() == 400 || head.status() == 413;
         if (permanent && mVerdict == Verdict.NOT_RUN) {
             deliver(head, body);
@@ -470,7 +509,9 @@
         }
         boolean repeat = !sent || mayRepeat();
         Runnable next = repeat ? this::send : () -> giveUp(ErrorCode.BACKEND_FAILED, detail);
-        if (!sent || !mCrashWatch.mayBeCrash(failure)) {
+        // The check opens a connection, and a paused server wants nothing.
+        boolean mayCheck = !server.facts().isPaused(mServices.clock().monotonicNanos());
+        if (!sent || !mayCheck || !mCrashWatch.mayBeCrash(failure)) {
             next.run();
         } else if (repeat) {
             // A repeat must know of the crash, so it waits for the check; a failure does not.
@@ -549,7 +590,13 @@
             mCaller.abort();
         } else if (!mCallerDisconnected) {
             ProblemResponse.send(
-                    mCaller, mServices.protocol(), mRequestMetadata.id(), code, mVerdict, detail);
+                    mCaller,
+                    mServices.protocol(),
+                    mRequestMetadata.id(),
+                    code,
+                    mVerdict,
+                    detail,
+                    mReturnMillis);
         }
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ProblemResponse.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ProblemResponse.java
@@ -4,6 +4,7 @@
 import io.undertow.util.Headers;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.OptionalLong;
 import org.bulrushvale.adapters.caller.Problem;
 import org.bulrushvale.adapters.forward.CallerExchange;
 import org.bulrushvale.adapters.forward.ForwardProtocol;
@@ -28,12 +29,33 @@
             ErrorCode code,
             Verdict verdict,
             String detail) {
+        send(caller, protocol, requestId, code, verdict, detail, OptionalLong.empty());
+    }
+
+    /**
+     * Answers a request with a problem body and the status of the error code.
+     *
+     * @param returnMillis time after which the caller should return, if it may return; empty for
+     *     the default time
+     */
+    static void send(
+            CallerExchange caller,
+            ForwardProtocol protocol,
+            String requestId,
+            ErrorCode code,
+            Verdict verdict,
+            String detail,
+            OptionalLong returnMillis) {
         Problem problem = Problem.failure(code, verdict, code.defaultAdvice(), detail);
         HeaderMap headers = new HeaderMap();
         headers.put(Headers.CONTENT_TYPE, Problem.CONTENT_TYPE);
         protocol.addRequestId(requestId, headers);
         problem.retryAfterMs()
-                .ifPresent(millis -> headers.put(Headers.RETRY_AFTER, formatSeconds(millis)));
+                .ifPresent(
+                        millis ->
+                                headers.put(
+                                        Headers.RETRY_AFTER,
+                                        formatSeconds(returnMillis.orElse(millis))));
         byte[] body = problem.json().toString().getBytes(StandardCharsets.UTF_8);
         caller.sendResponse(code.httpStatus(), headers, body);
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestTimeLimits.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestTimeLimits.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.bulrushvale.adapters.forward.CallerRequestMetadata;
+import org.bulrushvale.decision.forward.RequestKind;
 import org.bulrushvale.decision.forward.Route;
 import org.bulrushvale.kernel.time.Clock;
 
@@ -60,6 +61,20 @@
         return millisUntil(mTimeout.dividedBy(2));
     }
 
+    /**
+     * Returns the time within which the request can still be sent and be answered within its
+     * limits, in ms; negative after that.
+     */
+    long millisToLastSend(RequestKind kind) {
+        return kind == RequestKind.STREAM
+                ? millisToGiveUp()
+                : millisUntil(mTimeout.minus(shorter(mTarget, FIRST_EVENT_ALLOWANCE)));
+    }
+
+    private static Duration shorter(Duration first, Duration second) {
+        return first.compareTo(second) < 0 ? first : second;
+    }
+
     /** Returns true while the request may wait for a server instead of being refused. */
     boolean mayWaitForServer() {
         return elapsed().compareTo(mTarget.dividedBy(SERVER_WAIT_DIVISOR)) < 0;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -19,6 +19,7 @@
 import org.bulrushvale.adapters.forward.ForwardProtocol.StageRequest;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.UpstreamClient;
+import org.bulrushvale.decision.forward.BackendDirectory;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.PublishedBackend;
@@ -78,10 +79,14 @@
 
     /** Fails the pieces that have expired and starts the calls that can start now. */
     void dispatch() {
-        for (QueuedPiece expired : mQueue.removeExpired()) {
+        BackendDirectory directory = mServices.publishedState().directory();
+        long now = mServices.clock().monotonicNanos();
+        // While all servers are paused, no piece starts before the earliest end.
+        long earliestStart = directory.earliestPauseEnd(mService).orElse(now);
+        for (QueuedPiece expired : mQueue.removeExpired(earliestStart)) {
             expired.deliver(PieceResult.failed(PieceResult.Outcome.LATE));
         }
-        List<Server> servers = mServices.publishedState().directory().eligibleServers(mService);
+        List<Server> servers = directory.eligibleServers(mService);
         limits().ifPresent(
                         limits ->
                                 mQueue.nextCalls(servers, limits, this::permits)
@@ -147,9 +152,10 @@
             long startedNanos) {
         Server server = call.server();
         mServices.statedLimits().onAnswer(server.published(), metadata);
+        mServices.serverReports().onAnswer(server, status, metadata);
         if (status != 200) {
             if (metadata.notRun()) {
-                server.pauseFor(mServices.clock().monotonicNanos(), BUSY_PAUSE.toNanos());
+                server.avoidFor(mServices.clock().monotonicNanos(), BUSY_PAUSE.toNanos());
                 mServices.loop().schedule(BUSY_PAUSE, this::dispatch);
             } else {
                 server.recordFailure(mServices.clock().monotonicNanos());
@@ -286,6 +292,17 @@
     }
 
     private void sendRelease(BackendAddress server, List<CompletedPiece> pieces) {
+        BackendDirectory directory = mServices.publishedState().directory();
+        Optional<Server> target = directory.serverAtAddress(server.name());
+        if (target.filter(directory::isLeaving).isPresent()) {
+            onReleased(pieces);
+            return;
+        }
+        long now = mServices.clock().monotonicNanos();
+        if (target.filter(paused -> paused.facts().isPaused(now)).isPresent()) {
+            releaseAfterPause(pieces, target.get().facts().pauseUntilNanos() - now);
+            return;
+        }
         StageRequest message =
                 mServices
                         .protocol()
@@ -295,6 +312,13 @@
         mServices.upstreamClient().start(request, new ReleaseResponse(pieces));
     }
 
+    /** The server drops the results by itself when the pause is longer than their lifetime. */
+    private void releaseAfterPause(List<CompletedPiece> pieces, long pauseNanos) {
+        if (pauseNanos < RESULT_LIFETIME.toNanos()) {
+            mServices.loop().schedule(Duration.ofNanos(pauseNanos), () -> release(pieces));
+        }
+    }
+
     private void onReleased(List<CompletedPiece> pieces) {
         for (CompletedPiece piece : pieces) {
             mQueue.releaseResult(QueuedPiece.name(piece.requestId(), piece.stage(), piece.piece()));
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.bulrushvale.kernel.time.Clock;
 
@@ -13,18 +16,29 @@
  * Holds the published backend servers and tracks the requests that this entry has outstanding at
  * each.
  *
- * <p>Invariant: a server that is leaving, removed or in an evacuated failure domain is never
- * eligible. Thread safety: not safe; used by the event loop.
+ * <p>Invariants: a server that is leaving, paused, removed or in an evacuated failure domain is
+ * never eligible; a pause also survives that the same process is removed and put again. Thread
+ * safety: not safe; used by the event loop.
  */
 public final class BackendDirectory {
+    private static final int MAX_PAUSED_FACTS = 1_024;
+
     private final Clock mClock;
     private final Map<String, Server> mServers = new HashMap<>();
     private final Map<String, List<Server>> mByService = new HashMap<>();
+    private final LeavingServers mLeaving;
+    private final Map<String, ServerFacts> mPausedFacts = new HashMap<>();
     private Set<String> mEvacuatedDomains = Set.of();
 
     /** Creates an empty directory. */
     public BackendDirectory(Clock clock) {
         mClock = clock;
+        mLeaving = new LeavingServers(clock);
+    }
+
+    /** Returns the processes that stated that they leave. */
+    public LeavingServers leavingServers() {
+        return mLeaving;
     }
 
     /**
@@ -38,7 +52,10 @@
             return;
         }
         remove(published.id());
-        Server server = new Server(published, mClock.monotonicNanos());
+        long now = mClock.monotonicNanos();
+        ServerFacts paused = mPausedFacts.remove(published.processName());
+        ServerFacts facts = paused == null ? new ServerFacts(now) : paused;
+        Server server = new Server(published, facts, now);
         mServers.put(published.id(), server);
         mByService.computeIfAbsent(published.service(), name -> new ArrayList<>()).add(server);
     }
@@ -48,6 +65,12 @@
         Server server = mServers.remove(id);
         if (server != null) {
             mByService.getOrDefault(server.published().service(), List.of()).remove(server);
+            long now = mClock.monotonicNanos();
+            mPausedFacts.values().removeIf(facts -> !facts.isPaused(now));
+            boolean isNamed = server.published().startedMillis() != 0;
+            if (isNamed && server.facts().isPaused(now) && mPausedFacts.size() < MAX_PAUSED_FACTS) {
+                mPausedFacts.put(server.published().processName(), server.facts());
+            }
         }
     }
 
@@ -68,15 +91,56 @@
 
     /** Returns the servers of a service that may receive work. */
     public List<Server> eligibleServers(String service) {
+        long now = mClock.monotonicNanos();
         List<Server> servers = new ArrayList<>();
         for (Server server : mByService.getOrDefault(service, List.of())) {
-            if (isEligible(server)) {
+            if (isUsable(server) && !server.facts().isPaused(now)) {
                 servers.add(server);
             }
         }
         return servers;
     }
 
+    /**
+     * Returns the monotonic time at which the first pause of a server ends, when all servers of a
+     * service that could receive work are paused; empty otherwise.
+     */
+    public OptionalLong earliestPauseEnd(String service) {
+        long now = mClock.monotonicNanos();
+        OptionalLong earliest = OptionalLong.empty();
+        for (Server server : mByService.getOrDefault(service, List.of())) {
+            if (!isUsable(server)) {
+                continue;
+            }
+            if (!server.facts().isPaused(now)) {
+                return OptionalLong.empty();
+            }
+            long end = server.facts().pauseUntilNanos();
+            if (earliest.isEmpty() || end - earliest.getAsLong() < 0) {
+                earliest = OptionalLong.of(end);
+            }
+        }
+        return earliest;
+    }
+
+    /** Returns the number of servers that are paused. */
+    public int pausedCount() {
+        long now = mClock.monotonicNanos();
+        return (int) mServers.values().stream().filter(s -> s.facts().isPaused(now)).count();
+    }
+
+    /** Returns the server that started last at an address; empty when there is none. */
+    public Optional<Server> serverAtAddress(String address) {
+        return mServers.values().stream()
+                .filter(server -> server.published().address().equals(address))
+                .max(Comparator.comparingLong(server -> server.published().startedMillis()));
+    }
+
+    /** Returns true when the server stated that it leaves, or the store says so. */
+    public boolean isLeaving(Server server) {
+        return server.published().leaving() || mLeaving.isLeaving(server.published().processName());
+    }
+
     /** Returns the failure domain of the server at an address; empty when no server has it. */
     public String domainOfAddress(String address) {
         for (Server server : mServers.values()) {
@@ -87,43 +151,24 @@
         return "";
     }
 
-    private boolean isEligible(Server server) {
-        return !server.published().leaving()
-                && !mEvacuatedDomains.contains(server.published().domain());
+    private boolean isUsable(Server server) {
+        return !isLeaving(server) && !mEvacuatedDomains.contains(server.published().domain());
     }
 
     /**
-     * One process of a backend server, with the requests, failures and slowdown that this entry has
-     * seen of it.
+     * One process of a backend server, with its registration and what else is known of it.
      *
      * <p>Thread safety: not safe; used by the event loop.
      */
     public static final class Server {
-        private static final long NANOS_PER_SECOND = 1_000_000_000L;
-
-        // The time that each consecutive failure adds. By its end a crashed server has restarted or
-        // the platform has removed it.
-        private static final long SUSPECT_NANOS_PER_FAILURE = 2 * NANOS_PER_SECOND;
-
-        // Older slowdowns are ignored, so that a server that has recovered is tried again.
-        private static final long SLOWDOWN_EXPIRY_NANOS = 3 * NANOS_PER_SECOND;
-
-        // Limits how long a server is avoided, to three times SUSPECT_NANOS_PER_FAILURE.
-        private static final int MAX_COUNTED_FAILURES = 3;
-
         private PublishedBackend mPublished;
         private long mColdUntilNanos;
-        private long mSuspectUntilNanos;
-        private int mOutstanding;
-        private long mOutstandingTokens;
-        private int mConsecutiveFailures;
-        private double mSlowdown = 1;
-        private long mSlowdownAtNanos;
-
-        private Server(PublishedBackend published, long nowNanos) {
+        private final ServerFacts mFacts;
+
+        private Server(PublishedBackend published, ServerFacts facts, long nowNanos) {
             mPublished = published;
+            mFacts = facts;
             mColdUntilNanos = nowNanos + Clock.boundedNanos(published.coldLeft());
-            mSuspectUntilNanos = nowNanos;
         }
 
         private boolean isSameProcess(PublishedBackend published) {
@@ -142,16 +187,21 @@
             return mPublished;
         }
 
+        /** Returns what is known about the process apart from its registration. */
+        public ServerFacts facts() {
+            return mFacts;
+        }
+
         /** Returns the number of requests that this entry has outstanding at the server. */
         public int outstanding() {
-            return mOutstanding;
+            return mFacts.outstanding();
         }
 
         /**
          * Returns the prompt tokens of the requests that this entry has outstanding at the server.
          */
         public long outstandingTokens() {
-            return mOutstandingTokens;
+            return mFacts.outstandingTokens();
         }
 
         /** Returns true while the process warms up and can take requests only at a limited rate. */
@@ -159,9 +209,9 @@
             return mColdUntilNanos - nowNanos > 0;
         }
 
-        /** Returns true while the server is avoided because it failed or asked for a pause. */
+        /** Returns true while the server is avoided because it failed or was overloaded. */
         public boolean isSuspect(long nowNanos) {
-            return mSuspectUntilNanos - nowNanos > 0;
+            return mFacts.isSuspect(nowNanos);
         }
 
         /**
@@ -170,8 +220,7 @@
          * @param tokens prompt tokens of the request
          */
         public void recordStart(long tokens) {
-            mOutstanding++;
-            mOutstandingTokens += tokens;
+            mFacts.recordStart(tokens);
         }
 
         /**
@@ -180,13 +229,12 @@
          * @param tokens prompt tokens of the request
          */
         public void recordEnd(long tokens) {
-            mOutstanding--;
-            mOutstandingTokens -= tokens;
+            mFacts.recordEnd(tokens);
         }
 
         /** Records an answer that shows that the server works; resets the count of failures. */
         public void recordSuccess() {
-            mConsecutiveFailures = 0;
+            mFacts.recordSuccess();
         }
 
         /**
@@ -195,8 +243,7 @@
          * @param ratio actual time divided by expected time
          */
         public void recordSlowdown(double ratio, long nowNanos) {
-            mSlowdown = (slowdown(nowNanos) + ratio) / 2;
-            mSlowdownAtNanos = nowNanos;
+            mFacts.recordSlowdown(ratio, nowNanos);
         }
 
         /**
@@ -204,7 +251,7 @@
          * recorded recently.
          */
         public double slowdown(long nowNanos) {
-            return nowNanos - mSlowdownAtNanos > SLOWDOWN_EXPIRY_NANOS ? 1 : mSlowdown;
+            return mFacts.slowdown(nowNanos);
         }
 
         /**
@@ -212,13 +259,12 @@
          * failures make it suspect for longer.
          */
         public void recordFailure(long nowNanos) {
-            mConsecutiveFailures = Math.min(mConsecutiveFailures + 1, MAX_COUNTED_FAILURES);
-            mSuspectUntilNanos = nowNanos + mConsecutiveFailures * SUSPECT_NANOS_PER_FAILURE;
+            mFacts.recordFailure(nowNanos);
         }
 
-        /** Makes the server suspect for the time for which it asked to receive no work. */
-        public void pauseFor(long nowNanos, long pauseNanos) {
-            mSuspectUntilNanos = Math.max(mSuspectUntilNanos, nowNanos + pauseNanos);
+        /** Makes the server suspect for a short time, because it refused work as overloaded. */
+        public void avoidFor(long nowNanos, long nanos) {
+            mFacts.avoidFor(nowNanos, nanos);
         }
     }
 }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -74,11 +74,19 @@
 
     /** Removes and returns the pieces that are abandoned or have waited as long as they may. */
     public List<P> removeExpired() {
-        long now = mClock.monotonicNanos();
+        return removeExpired(mClock.monotonicNanos());
+    }
+
+    /**
+     * Removes and returns the pieces that are abandoned or may not wait until a time.
+     *
+     * @param earliestStartNanos monotonic time before which no piece can start
+     */
+    public List<P> removeExpired(long earliestStartNanos) {
         List<P> expired = new ArrayList<>();
         for (Iterator<QueuedPiece<P>> queued = mQueued.iterator(); queued.hasNext(); ) {
             P piece = queued.next().piece();
-            if (piece.isAbandoned() || piece.giveUpNanos() - now <= 0) {
+            if (piece.isAbandoned() || piece.giveUpNanos() - earliestStartNanos <= 0) {
                 queued.remove();
                 onRemoved(piece);
                 expired.add(piece);
