Send stage calls to the server that is expected to finish first

Cause: stage servers were ordered by a slowdown that is averaged over calls, so a server that is slow now, or slowed down during a call, still got calls.

A server whose work takes more than twice as long as expected gets no call while another one has a slot and memory free.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -23,6 +24,7 @@
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.PublishedBackend;
+import org.bulrushvale.decision.forward.ServerFacts;
 import org.bulrushvale.decision.forward.ServiceSpec;
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.decision.forward.StageQueue;
@@ -56,6 +58,8 @@
     private final String mService;
     private final StageQueue<QueuedPiece> mQueue;
     private final ReceivedHandles mReceivedHandles = new ReceivedHandles();
+    private final Map<StageQueue.Call<QueuedPiece>, ServerFacts.Work> mRunningWork =
+            new IdentityHashMap<>();
     private final List<CompletedPiece> mPendingReleases = new ArrayList<>();
 
     StageDispatcher(ForwardServices services, String service) {
@@ -108,6 +112,10 @@
 
     private void start(StageQueue.Call<QueuedPiece> call) {
         long startedNanos = mServices.clock().monotonicNanos();
+        limits().map(limits -> limits.callTime(call.pieces().size()))
+                .map(Clock::boundedNanos)
+                .map(expected -> call.server().facts().recordWorkStart(expected, startedNanos))
+                .ifPresent(work -> mRunningWork.put(call, work));
         StageRequest message =
                 mServices
                         .protocol()
@@ -224,6 +232,10 @@
 
     private void onCallEnded(StageQueue.Call<QueuedPiece> call) {
         mQueue.recordCallEnd(call.server().published().id());
+        ServerFacts.Work work = mRunningWork.remove(call);
+        if (work != null) {
+            call.server().facts().recordWorkEnd(work);
+        }
     }
 
     private void repeat(StageQueue.Call<QueuedPiece> call, boolean avoidServer) {
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -111,12 +111,7 @@
         long now = mClock.monotonicNanos();
         List<Server> usable = mQueued.isEmpty() ? List.of() : usableServers(servers, now, limits);
         // Sorting a long queue each time that a piece arrives would cost more than all calls.
-        long smallest = mQueuedByResultBytes.isEmpty() ? 0 : mQueuedByResultBytes.firstKey();
-        if (usable.stream()
-                .noneMatch(
-                        server ->
-                                hasFreeSlot(server, limits)
-                                        && freeBytes(server, limits, now) >= smallest)) {
+        if (usable.stream().noneMatch(server -> canTakePieces(server, limits, now))) {
             return calls;
         }
         sortQueue(now);
@@ -153,18 +148,38 @@
         return piece.latestStartNanos() - now > 0 ? -1 : piece.rank();
     }
 
-    /** Leaves out suspect servers, and slow servers unless the others cannot take all pieces. */
+    /**
+     * Orders the servers by the time at which they would finish a call. Leaves out suspect servers,
+     * slow servers unless the others cannot take all pieces, and servers that slowed down in the
+     * middle of their work unless the others are full.
+     */
     private List<Server> usableServers(List<Server> servers, long now, PieceLimits limits) {
         List<Server> usable =
                 new ArrayList<>(servers.stream().filter(s -> !s.isSuspect(now)).toList());
-        usable.sort(Comparator.comparingDouble(server -> server.slowdown(now)));
-        long fast = usable.stream().filter(server -> server.slowdown(now) < MIN_SLOW_RATIO).count();
+        long callNanos = Clock.boundedNanos(limits.typicalCallTime());
+        usable.sort(
+                Comparator.comparingLong(
+                        server -> server.facts().expectedFinishNanos(callNanos, now)));
+        long fast = usable.stream().filter(server -> !isSlow(server, now)).count();
         if (fast > 0 && mQueued.size() <= fast * limits.maxBatch()) {
-            usable.removeIf(server -> server.slowdown(now) >= MIN_SLOW_RATIO);
+            usable.removeIf(server -> isSlow(server, now));
+        }
+        if (usable.stream()
+                .anyMatch(s -> !s.facts().isOverdue(now) && canTakePieces(s, limits, now))) {
+            usable.removeIf(server -> server.facts().isOverdue(now));
         }
         return usable;
     }
 
+    private static boolean isSlow(Server server, long now) {
+        return server.facts().expectedRatio(now) >= MIN_SLOW_RATIO;
+    }
+
+    private boolean canTakePieces(Server server, PieceLimits limits, long now) {
+        long smallest = mQueuedByResultBytes.isEmpty() ? 0 : mQueuedByResultBytes.firstKey();
+        return hasFreeSlot(server, limits) && freeBytes(server, limits, now) >= smallest;
+    }
+
     /**
      * Removes the pieces of the next call to a server from the queue and reserves their memory.
      * Takes only whole groups, because the results of a part would occupy memory until the rest is
