--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -19,9 +20,11 @@
 import org.bulrushvale.adapters.forward.ForwardProtocol.StageRequest;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.UpstreamClient;
+import org.bulrushvale.decision.forward.BackendDirectory;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.PublishedBackend;
+import org.bulrushvale.decision.forward.ServerFacts;
 import org.bulrushvale.decision.forward.ServiceSpec;
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.decision.forward.StageAdmission;
@@ -60,6 +63,8 @@
     private final StageAdmission<QueuedPiece> mAdmission;
     private final StageQueueReport mReport;
     private final ReceivedHandles mReceivedHandles = new ReceivedHandles();
+    private final Map<StageQueue.Call<QueuedPiece>, ServerFacts.Work> mRunningWork =
+            new IdentityHashMap<>();
     private final List<CompletedPiece> mPendingReleases = new ArrayList<>();
 
     StageDispatcher(ForwardServices services, String service) {
@@ -112,7 +117,11 @@
 
     /** Fails the pieces that have expired and starts the calls that can start now. */
     void dispatch() {
-        for (QueuedPiece expired : mQueue.removeExpired()) {
+        BackendDirectory directory = mServices.publishedState().directory();
+        long now = mServices.clock().monotonicNanos();
+        // While all servers are paused, no piece starts before the earliest end.
+        long earliestStart = directory.earliestPauseEnd(mService).orElse(now);
+        for (QueuedPiece expired : mQueue.removeExpired(earliestStart)) {
             expired.deliver(PieceResult.failed(PieceResult.Outcome.LATE));
         }
         limits().ifPresent(this::dispatch);
@@ -143,6 +152,10 @@
     private void start(StageQueue.Call<QueuedPiece> call) {
         long startedNanos = mServices.clock().monotonicNanos();
         mReport.started(call);
+        limits().map(limits -> limits.callTime(call.pieces().size()))
+                .map(Clock::boundedNanos)
+                .map(expected -> call.server().facts().recordWorkStart(expected, startedNanos))
+                .ifPresent(work -> mRunningWork.put(call, work));
         StageRequest message =
                 mServices
                         .protocol()
@@ -187,9 +200,10 @@
             long startedNanos) {
         Server server = call.server();
         mServices.statedLimits().onAnswer(server.published(), metadata);
+        mServices.serverReports().onAnswer(server, status, metadata);
         if (status != 200) {
             if (metadata.notRun()) {
-                server.pauseFor(mServices.clock().monotonicNanos(), BUSY_PAUSE.toNanos());
+                server.avoidFor(mServices.clock().monotonicNanos(), BUSY_PAUSE.toNanos());
                 mServices.loop().schedule(BUSY_PAUSE, this::dispatch);
             } else {
                 server.recordFailure(mServices.clock().monotonicNanos());
@@ -258,6 +272,10 @@
 
     private void onCallEnded(StageQueue.Call<QueuedPiece> call) {
         mQueue.recordCallEnd(call.server().published().id());
+        ServerFacts.Work work = mRunningWork.remove(call);
+        if (work != null) {
+            call.server().facts().recordWorkEnd(work);
+        }
     }
 
     private void repeat(StageQueue.Call<QueuedPiece> call, boolean avoidServer) {
@@ -326,6 +344,17 @@
     }
 
     private void sendRelease(BackendAddress server, List<CompletedPiece> pieces) {
+        BackendDirectory directory = mServices.publishedState().directory();
+        Optional<Server> target = directory.serverAtAddress(server.name());
+        if (target.filter(directory::isLeaving).isPresent()) {
+            onReleased(pieces);
+            return;
+        }
+        long now = mServices.clock().monotonicNanos();
+        if (target.filter(paused -> paused.facts().isPaused(now)).isPresent()) {
+            releaseAfterPause(pieces, target.get().facts().pauseUntilNanos() - now);
+            return;
+        }
         StageRequest message =
                 mServices
                         .protocol()
@@ -335,6 +364,13 @@
         mServices.upstreamClient().start(request, new ReleaseResponse(pieces));
     }
 
+    /** The server drops the results by itself when the pause is longer than their lifetime. */
+    private void releaseAfterPause(List<CompletedPiece> pieces, long pauseNanos) {
+        if (pauseNanos < RESULT_LIFETIME.toNanos()) {
+            mServices.loop().schedule(Duration.ofNanos(pauseNanos), () -> release(pieces));
+        }
+    }
+
     private void onReleased(List<CompletedPiece> pieces) {
         for (CompletedPiece piece : pieces) {
             mQueue.releaseResult(QueuedPiece.name(piece.requestId(), piece.stage(), piece.piece()));
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -94,8 +94,17 @@
 
     /** Removes and returns the pieces that are abandoned or have waited as long as they may. */
     public List<P> removeExpired() {
-        long now = mClock.monotonicNanos();
-        return remove(piece -> piece.isAbandoned() || piece.giveUpNanos() - now <= 0);
+        return removeExpired(mClock.monotonicNanos());
+    }
+
+    /**
+     * Removes and returns the pieces that are abandoned or may not wait until a time.
+     *
+     * @param earliestStartNanos monotonic time before which no piece can start
+     */
+    public List<P> removeExpired(long earliestStartNanos) {
+        return remove(
+                piece -> piece.isAbandoned() || piece.giveUpNanos() - earliestStartNanos <= 0);
     }
 
     /** Removes and returns the waiting pieces that match, without a start. */
@@ -160,13 +169,12 @@
         long now = mClock.monotonicNanos();
         List<Server> usable = mQueued.isEmpty() ? List.of() : usableServers(servers, now, limits);
         // Sorting a long queue each time that a piece arrives would cost more than all calls.
-        long smallest = mQueuedByResultBytes.isEmpty() ? 0 : mQueuedByResultBytes.firstKey();
         if (mOrder.servesLateGroups()) {
             Set<String> ids = new HashSet<>();
             usable.forEach(server -> ids.add(server.published().id()));
             mHolds.retain(mBacklog::contains, ids);
         }
-        if (usable.stream().noneMatch(server -> canStart(server, limits, smallest, now))) {
+        if (usable.stream().noneMatch(server -> canTakePieces(server, limits, now))) {
             return calls;
         }
         sortQueue(now, limits);
@@ -200,12 +208,6 @@
         return new Call<>(server, batch.stream().map(QueuedPiece::piece).toList(), promoted);
     }
 
-    private boolean canStart(Server server, PieceLimits limits, long smallest, long now) {
-        return hasFreeSlot(server, limits)
-                && freeBytes(server, limits, now)
-                        >= mHolds.neededBytes(server.published().id(), smallest);
-    }
-
     /** Sorts the queue so that the pieces of a group are adjacent. */
     private void sortQueue(long now, PieceLimits limits) {
         if (mOrder.servesLateGroups()) {
@@ -214,18 +216,40 @@
         mQueued.sort(Comparator.comparing(QueuedPiece::group, mOrder.comparator(now)));
     }
 
-    /** Leaves out suspect servers, and slow servers unless the others cannot take all pieces. */
+    /**
+     * Orders the servers by the time at which they would finish a call. Leaves out suspect servers,
+     * slow servers unless the others cannot take all pieces, and servers that slowed down in the
+     * middle of their work unless the others are full.
+     */
     private List<Server> usableServers(List<Server> servers, long now, PieceLimits limits) {
         List<Server> usable =
                 new ArrayList<>(servers.stream().filter(s -> !s.isSuspect(now)).toList());
-        usable.sort(Comparator.comparingDouble(server -> server.slowdown(now)));
-        long fast = usable.stream().filter(server -> server.slowdown(now) < MIN_SLOW_RATIO).count();
+        long callNanos = Clock.boundedNanos(limits.typicalCallTime());
+        usable.sort(
+                Comparator.comparingLong(
+                        server -> server.facts().expectedFinishNanos(callNanos, now)));
+        long fast = usable.stream().filter(server -> !isSlow(server, now)).count();
         if (fast > 0 && mQueued.size() <= fast * limits.maxBatch()) {
-            usable.removeIf(server -> server.slowdown(now) >= MIN_SLOW_RATIO);
+            usable.removeIf(server -> isSlow(server, now));
+        }
+        if (usable.stream()
+                .anyMatch(s -> !s.facts().isOverdue(now) && canTakePieces(s, limits, now))) {
+            usable.removeIf(server -> server.facts().isOverdue(now));
         }
         return usable;
     }
 
+    private static boolean isSlow(Server server, long now) {
+        return server.facts().expectedRatio(now) >= MIN_SLOW_RATIO;
+    }
+
+    private boolean canTakePieces(Server server, PieceLimits limits, long now) {
+        long smallest = mQueuedByResultBytes.isEmpty() ? 0 : mQueuedByResultBytes.firstKey();
+        return hasFreeSlot(server, limits)
+                && freeBytes(server, limits, now)
+                        >= mHolds.neededBytes(server.published().id(), smallest);
+    }
+
     /**
      * Removes the pieces of the next call to a server from the queue and reserves their memory.
      * Takes only whole groups, because the results of a part would occupy memory until the rest is
--- a/decision/src/test/java/org/bulrushvale/decision/forward/ServiceAdmissionTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ServiceAdmissionTest.java
@@ -87,10 +87,10 @@
     @Test
     public void a_request_without_a_server_within_its_limit_is_not_admitted() {
         assertThat(tryAdmit()).isFalse();
-        // given: the only server is paused, first for longer than the request can wait
+        // given: the only server is avoided, first for longer than the request can wait
         mDirectory.put(TestServers.warm("i-1", SERVICE, "a"));
         BackendDirectory.Server server = mDirectory.eligibleServers(SERVICE).get(0);
-        server.pauseFor(mClock.monotonicNanos(), PATIENCE.multipliedBy(2).toNanos());
+        server.avoidFor(mClock.monotonicNanos(), PATIENCE.multipliedBy(2).toNanos());
         assertThat(tryAdmit()).isFalse();
         // when
         mClock.advance(PATIENCE.plusMillis(1));
