Close links of one gossip round before their first heartbeat

Cause: each second an entry dialled 4 members for gossip and 4 others to compare notices, and each link then carried heartbeats for 3 s. The thread of the peer transport used most of the processor time of an idle entry.

Change: digests of notices go to members of the last round of gossip, and a link that carried at most 4 frames closes after 150 ms. Links that carry work stay open as before.

--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/DialledPeer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/DialledPeer.java
@@ -29,6 +29,7 @@
     private long mBackoffNanos;
     private long mNextDialNanos;
     private long mLastUseNanos;
+    private int mUsesOfLink;
 
     DialledPeer(String vm, SendBudget budget, long minBackoffNanos, long maxBackoffNanos) {
         mVm = vm;
@@ -51,11 +52,19 @@
 
     void setLink(PeerLink link) {
         mLink = link;
+        // The frame that the link is dialled for was counted before.
+        mUsesOfLink = 1;
     }
 
     /** Records that a frame is sent to the peer. */
     void recordUse(long nowNanos) {
         mLastUseNanos = nowNanos;
+        mUsesOfLink++;
+    }
+
+    /** Returns the number of frames sent since the link was dialled, other than heartbeats. */
+    int usesOfLink() {
+        return mUsesOfLink;
     }
 
     /** Returns true when the link carried nothing but heartbeats for longer than the limit. */
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerReactor.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerReactor.java
@@ -471,7 +471,11 @@
 
     private void closeIfIdle(DialledPeer peer, long nowNanos) {
         PeerLink link = peer.link();
-        if (link != null && peer.isIdle(nowNanos, mSettings.mIdleLimit.toNanos())) {
+        Duration limit =
+                peer.usesOfLink() <= mSettings.mBriefUses
+                        ? mSettings.mBriefIdleLimit
+                        : mSettings.mIdleLimit;
+        if (link != null && peer.isIdle(nowNanos, limit.toNanos())) {
             peer.onIdleLinkClosed();
             close(link, "link was idle");
         }
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerTransport.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerTransport.java
@@ -104,6 +104,8 @@
         Duration mHeartbeatPeriod = Duration.ofSeconds(1);
         Duration mSilenceLimit = Duration.ofSeconds(3);
         Duration mIdleLimit = Duration.ofDays(1);
+        Duration mBriefIdleLimit = Duration.ofDays(1);
+        int mBriefUses = 0;
         Duration mMinBackoff = Duration.ofMillis(100);
         Duration mMaxBackoff = Duration.ofSeconds(2);
         int mMaxQueuedBytes = 4 << 20;
@@ -174,6 +176,16 @@
             return this;
         }
 
+        /**
+         * Sets a shorter limit for links that carried at most {@code uses} frames since they were
+         * opened. A link of one round of gossip then closes before it costs a heartbeat.
+         */
+        public Builder briefIdleLimit(int uses, Duration limit) {
+            mBriefUses = uses;
+            mBriefIdleLimit = limit;
+            return this;
+        }
+
         /** Sets the first and the longest delay between connection attempts. */
         public Builder backoff(Duration first, Duration longest) {
             mMinBackoff = first;
--- a/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerTransportTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerTransportTest.java
@@ -224,6 +224,32 @@
         assertThat(a.request("b", FETCH, TIMEOUT).get(20, TimeUnit.SECONDS)).isEqualTo(ACK);
     }
 
+    // Gossip goes to other members in each round, and heartbeats on all those links cost more than
+    // the gossip itself. A link that carries work must stay open between two requests.
+    @Test
+    public void a_link_that_was_used_once_closes_before_one_that_carries_work() throws Exception {
+        PeerTransport a =
+                start(
+                        node("a")
+                                .idleLimit(Duration.ofMinutes(1))
+                                .briefIdleLimit(2, Duration.ofMillis(50))
+                                .backoff(Duration.ofMinutes(1), Duration.ofMinutes(1)));
+        awaitAnswer(a);
+        TimeUnit.SECONDS.sleep(1);
+        // The fault finds no link, so the next request dials without a backoff.
+        mServer.injectFault("a", LinkFault.CLOSED);
+        mServer.injectFault("a", LinkFault.NONE);
+        for (int i = 0; i < 3; i++) {
+            assertThat(a.request("b", FETCH, TIMEOUT).get(20, TimeUnit.SECONDS)).isEqualTo(ACK);
+        }
+        TimeUnit.SECONDS.sleep(1);
+        // Now the fault closes the link, and the next request waits for the backoff.
+        mServer.injectFault("a", LinkFault.CLOSED);
+        mServer.injectFault("a", LinkFault.NONE);
+        TimeUnit.SECONDS.sleep(1);
+        assertThat(verdictOfFailure(a.request("b", FETCH, TIMEOUT))).isEqualTo(Verdict.NOT_RUN);
+    }
+
     @Test
     public void a_silent_link_is_detected_and_replaced() throws Exception {
         PeerTransport a = start(nodeWithShortSilenceLimit("a"));
--- a/daemon/src/main/java/org/bulrushvale/daemon/FleetNotices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/FleetNotices.java
@@ -69,6 +69,11 @@
         /** Returns at most {@code count} random entries. */
         Collection<String> choose(int count);
 
+        /** As {@link #choose}, but prefers entries that a message costs less to. */
+        default Collection<String> chooseConnected(int count) {
+            return choose(count);
+        }
+
         /**
          * Sends a notice; calls {@code onAnswer} on the event loop, with null when there is no
          * answer of the same kind.
@@ -101,7 +106,7 @@
     /** Compares digests with random entries, and exchanges records where they differ. */
     void compare() {
         PeerMessage.Notice<R> digest = notice(List.of());
-        for (String peer : mPeers.choose(COMPARE_TARGETS)) {
+        for (String peer : mPeers.chooseConnected(COMPARE_TARGETS)) {
             mPeers.request(peer, digest, answer -> onDigestAnswer(peer, answer));
         }
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -5,7 +5,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -65,6 +67,11 @@
     // Gossip goes to other members in each round. Heartbeats on a link to every one of them would
     // grow with the square of the fleet.
     private static final Duration IDLE_LIMIT = Duration.ofSeconds(3);
+
+    // A link of one round carries a member list and two digests. Heartbeats on it cost more than to
+    // dial it again, and it ends before the first one is due.
+    private static final int BRIEF_LINK_USES = 4;
+    private static final Duration BRIEF_IDLE_LIMIT = Duration.ofMillis(150);
     private static final Duration MIN_BACKOFF = Duration.ofMillis(100);
     private static final Duration MAX_BACKOFF = Duration.ofMillis(1_000);
 
@@ -82,6 +89,7 @@
     private final PeerTransport mTransport;
     private final Map<String, Set<Runnable>> mPeerJobs = new HashMap<>();
     private Set<String> mLiveMembers = Set.of();
+    private List<String> mRoundTargets = List.of();
     private BiConsumer<PeerMessage.PublishedFetch, PeerListener.Responder> mPublishedFetchHandler =
             (fetch, reply) -> {};
     private Function<PeerMessage.CrashNotice, PeerMessage> mCrashNoticeHandler = notice -> notice;
@@ -111,6 +119,7 @@
                         .listener(this::onMessage)
                         .heartbeat(HEARTBEAT_PERIOD, SILENCE_LIMIT)
                         .idleLimit(IDLE_LIMIT)
+                        .briefIdleLimit(BRIEF_LINK_USES, BRIEF_IDLE_LIMIT)
                         .backoff(MIN_BACKOFF, MAX_BACKOFF)
                         .clock(clock)
                         .start();
@@ -173,7 +182,8 @@
     private void exchangeMemberLists() {
         logMembershipChange();
         PeerMessage message = memberList();
-        for (String member : mMembers.gossipTargets()) {
+        mRoundTargets = List.copyOf(mMembers.gossipTargets());
+        for (String member : mRoundTargets) {
             mTransport
                     .request(member, message, SILENCE_LIMIT)
                     .whenComplete(
@@ -260,6 +270,16 @@
         return mMembers.randomMembers(count);
     }
 
+    /** Returns random members that the last round of gossip was sent to, over the same links. */
+    @Override
+    public Collection<String> chooseConnected(int count) {
+        List<String> connected = new ArrayList<>(mRoundTargets);
+        connected.retainAll(new HashSet<>(mMembers.live()));
+        // The order of the round depends on the names, which would prefer some members.
+        Collections.shuffle(connected);
+        return connected.size() < count ? choose(count) : connected.subList(0, count);
+    }
+
     @Override
     public <R> void request(
             String peer,
