--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -170,7 +170,7 @@
         mLocalExecutor.dispatch();
     }
 
-    private static <T> T loadOnlyProvider(Class<T> type) throws BulrushvaleException {
+    static <T> T loadOnlyProvider(Class<T> type) throws BulrushvaleException {
         List<ServiceLoader.Provider<T>> providers = ServiceLoader.load(type).stream().toList();
         if (providers.size() != 1) {
             throw new BulrushvaleException(
