Detect silent connections to the store within half of the freshness

Cause: three delays, each within the drain bound of 2 s, added up. A silent connection was detected up to 2.5 s after the begin of a watch. The detection counted as an outage of the store, so servers that vanished within 1.8 s after it were kept for another 1.8 s, although the store was never away. The watch of the servers pauses for 0.67 s after an event.

Change: a watch lasts a quarter of the freshness (three quarters before, for entries that read for themselves), and its connection counts as silent another quarter, at most 1 s, later. The call is then repeated at once on a new connection, idle connections to the store are closed, and the store counts as lost only when the repeated call fails too. With a bound of 2 s the state in use is at most 1.5 s and the time of one read old; the newest version is in use 1.5 s after the connections went silent.

Cost: entries that read for themselves call the store three times as often without events.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/IdleConnections.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/IdleConnections.java
@@ -41,6 +41,13 @@
         }
     }
 
+    void closeAll(String address) {
+        Deque<IdleConnection> idle = mIdleByAddress.remove(address);
+        if (idle != null) {
+            idle.forEach(candidate -> candidate.connection().close());
+        }
+    }
+
     void closeExpired(long nowNanos) {
         for (Deque<IdleConnection> idle : mIdleByAddress.values()) {
             idle.removeIf(
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UndertowUpstreamClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UndertowUpstreamClient.java
@@ -88,6 +88,11 @@
         }
     }
 
+    @Override
+    public void discardIdle(String host, int port) {
+        mIoThread.execute(() -> mIdleConnections.closeAll(host + ":" + port));
+    }
+
     @Override
     public void schedule(Duration delay, Runnable task) {
         mIoThread.executeAfter(task, delay.toMillis(), TimeUnit.MILLISECONDS);
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamClient.java
@@ -23,6 +23,9 @@
      */
     void checkAccepting(String host, int port, Duration timeout, Consumer<Boolean> onResult);
 
+    /** Closes the idle connections to an address, which may have gone silent. */
+    void discardIdle(String host, int port);
+
     /** Runs a task on the I/O thread after a delay. */
     void schedule(Duration delay, Runnable task);
 
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StoreReading.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StoreReading.java
@@ -9,39 +9,30 @@
  */
 public enum StoreReading {
     /** Another entry passes the state on; nothing is read. */
-    OFF {
-        @Override
-        public Duration watchWait(Duration freshness) {
-            throw new IllegalStateException("the store is not watched");
-        }
-    },
+    OFF,
 
     /** The state is read for this entry alone. */
-    OWN_USE {
-        @Override
-        public Duration watchWait(Duration freshness) {
-            // The longest wait with which a silent connection is detected in time.
-            return freshness.multipliedBy(3).dividedBy(4);
-        }
-    },
+    OWN_USE,
 
-    /**
-     * The state is also passed on to other entries. These must notice early enough to read the
-     * store themselves that this entry no longer reaches it, so the watches are shorter.
-     */
-    FOR_OTHERS {
-        @Override
-        public Duration watchWait(Duration freshness) {
-            return freshness.dividedBy(4);
-        }
-    };
+    /** The state is also passed on to other entries. */
+    FOR_OTHERS;
+
+    // A silent connection is detected a quarter of the freshness after the end of a watch. Half of
+    // the freshness is left for reading anew, or, for entries that this one reads for, for noticing
+    // that it does not and reading the store themselves.
+    private static final int WATCH_WAIT_DIVISOR = 4;
 
     /**
      * Returns the longest time for which the store holds a watch open.
      *
      * @param freshness time within which a change must take effect
      */
-    public abstract Duration watchWait(Duration freshness);
+    public Duration watchWait(Duration freshness) {
+        if (!isActive()) {
+            throw new IllegalStateException("the store is not watched");
+        }
+        return freshness.dividedBy(WATCH_WAIT_DIVISOR);
+    }
 
     /** Returns true when the store is read. */
     public boolean isActive() {
