Tell refused callers when to return

Cause: every refusal carried a Retry-After of 200 ms. Callers retry once, came back into the same overload together and were refused again.

Change: with return_times = on, the collector assigns each refused job a return time (ReturnSchedule): not before the forecast lets a returning request start, spread over steps of 100 ms by the rate at which its service starts such groups, better ranks in earlier steps, at most a third of the remaining time, and none at which the request could not be served. A job without such a step waits when the forecast is close to its last start, otherwise its refusal invites no return. StageResults carries the value to the entry, which puts it into Retry-After. Refusals without a collector get a time from the earliest end of a pause, the rate of cold servers, or the time in which servers are learned again. Stage orders state the deadline of the request again rather than the patience of its caller, because a caller that returns has a new patience.

--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/Problem.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/Problem.java
@@ -51,6 +51,11 @@
         return new Problem(code, verdict, advice, detail, retryAfter(code));
     }
 
+    /** Returns this error with another return time, in ms; empty for none. */
+    public Problem withRetryAfter(OptionalLong millis) {
+        return new Problem(code, verdict, advice, detail, millis);
+    }
+
     private static OptionalLong retryAfter(ErrorCode code) {
         return switch (code) {
             case OVERLOADED, NO_BACKEND, ISOLATED, NOT_CONFIGURED, DRAINING ->
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -19,7 +19,6 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.bulrushvale.adapters.forward.CompletedPiece;
-import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
 import org.bulrushvale.adapters.peer.PeerException;
 import org.bulrushvale.adapters.peer.PeerListener;
@@ -298,7 +297,7 @@
                         job,
                         results -> {
                             removePeerJob(request, peerJob);
-                            reply.send(new PeerMessage.StageResults(results, NO_RETURN_TIME));
+                            reply.send(results);
                         });
     }
 
@@ -310,7 +309,7 @@
     }
 
     @Override
-    public Runnable execute(StageJob job, Consumer<List<PieceResult>> onDone) {
+    public Runnable execute(StageJob job, Consumer<PeerMessage.StageResults> onDone) {
         RemoteJob remote = new RemoteJob(job, onDone);
         remote.start();
         return remote::cancel;
@@ -359,12 +358,12 @@
      */
     private final class RemoteJob {
         private final StageJob mJob;
-        private final Consumer<List<PieceResult>> mOnDone;
+        private final Consumer<PeerMessage.StageResults> mOnDone;
         private int mCollectorAttempts;
         private boolean mEnded;
         private Runnable mCancel = () -> {};
 
-        RemoteJob(StageJob job, Consumer<List<PieceResult>> onDone) {
+        RemoteJob(StageJob job, Consumer<PeerMessage.StageResults> onDone) {
             mJob = job;
             mOnDone = onDone;
         }
@@ -406,7 +405,7 @@
             }
             if (answer instanceof PeerMessage.StageResults results
                     && results.results().size() == mJob.pieces().size()) {
-                complete(results.results());
+                complete(results);
                 return;
             }
             mMembers.recordFailure(collector);
@@ -419,7 +418,7 @@
             start();
         }
 
-        private void complete(List<PieceResult> results) {
+        private void complete(PeerMessage.StageResults results) {
             if (!mEnded) {
                 mEnded = true;
                 mOnDone.accept(results);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -12,6 +12,7 @@
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.daemon.forward.ForwardServices.ForwardTelemetry;
+import org.bulrushvale.decision.admission.ReturnSchedule;
 import org.bulrushvale.decision.drain.GracePeriod;
 import org.bulrushvale.decision.forward.ColdServerRateLimit;
 import org.bulrushvale.decision.forward.MemberTable;
@@ -97,6 +98,7 @@
                         new ServerChoice(mClock, coldLimit, statedLimits.limits()),
                         coldLimit,
                         new ServiceAdmission(mClock, coldLimit),
+                        new ReturnSchedule(mClock),
                         new RepeatBudget(
                                 mClock,
                                 settings.limits().repeatRatio(),
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -4,6 +4,7 @@
 import org.bulrushvale.adapters.forward.UpstreamClient;
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.decision.admission.ReturnSchedule;
 import org.bulrushvale.decision.forward.ColdServerRateLimit;
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
@@ -28,6 +29,7 @@
         ServerChoice serverChoice,
         ColdServerRateLimit coldLimit,
         ServiceAdmission serviceAdmission,
+        ReturnSchedule returnSchedule,
         RepeatBudget repeatBudget,
         CrashGuard crashGuard,
         StatedLimits statedLimits,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import net.openhft.hashing.LongHashFunction;
 import org.bulrushvale.adapters.backend.BackendFailure;
+import org.bulrushvale.adapters.caller.Problem;
 import org.bulrushvale.adapters.forward.CallerExchange;
 import org.bulrushvale.adapters.forward.CallerRequestMetadata;
 import org.bulrushvale.adapters.forward.EndToEndHeaders;
@@ -178,10 +179,11 @@
     }
 
     @Override
-    public void stagesFailed(PieceResult.Outcome outcome) {
+    public void stagesFailed(PieceResult.Outcome outcome, long returnMillis) {
         if (outcome == PieceResult.Outcome.INPUT_GONE && repeatStages()) {
             return;
         }
+        mSchedule.setStageReturnMillis(returnMillis);
         giveUp(
                 outcome == PieceResult.Outcome.LATE ? ErrorCode.OVERLOADED : ErrorCode.NO_BACKEND,
                 "a stage of the request failed: " + outcome);
@@ -536,8 +538,12 @@
         if (streaming) {
             mCaller.abort();
         } else if (!mCallerDisconnected) {
+            Problem problem = Problem.failure(code, mVerdict, code.defaultAdvice(), detail);
             ProblemResponse.send(
-                    mCaller, mServices.protocol(), mRequestMetadata.id(), code, mVerdict, detail);
+                    mCaller,
+                    mServices.protocol(),
+                    mRequestMetadata.id(),
+                    mSchedule.withReturnTime(problem, mService));
         }
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
@@ -10,6 +10,7 @@
 import org.bulrushvale.adapters.forward.PieceOrder;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
+import org.bulrushvale.adapters.peer.PeerMessage.StageResults;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,7 +27,7 @@
     }
 
     @Override
-    public Runnable execute(StageJob job, Consumer<List<PieceResult>> onDone) {
+    public Runnable execute(StageJob job, Consumer<StageResults> onDone) {
         long now = mServices.clock().monotonicNanos();
         StageDispatcher dispatcher = dispatcher(job.service());
         JobResults jobResults = new JobResults(job.pieces().size(), onDone);
@@ -34,7 +35,12 @@
         for (int i = 0; i < job.pieces().size(); i++) {
             int index = i;
             PieceOrder order = job.pieces().get(i);
-            pieces.add(new QueuedPiece(job, order, now, result -> jobResults.add(index, result)));
+            pieces.add(
+                    new QueuedPiece(
+                            job,
+                            order,
+                            now,
+                            (result, returnMillis) -> jobResults.add(index, result, returnMillis)));
         }
         dispatcher.add(pieces);
         return () -> {
@@ -69,10 +75,11 @@
      */
     private static final class JobResults {
         private final @Nullable PieceResult[] mResults;
-        private final Consumer<List<PieceResult>> mOnDone;
+        private final Consumer<StageResults> mOnDone;
         private int mMissingResults;
+        private long mReturnMillis = StageResults.NO_RETURN_TIME;
 
-        JobResults(int pieceCount, Consumer<List<PieceResult>> onDone) {
+        JobResults(int pieceCount, Consumer<StageResults> onDone) {
             mResults = new PieceResult[pieceCount];
             mMissingResults = pieceCount;
             mOnDone = onDone;
@@ -85,11 +92,12 @@
             return mMissingResults > 0 ? job.completedPieces(Arrays.asList(mResults)) : List.of();
         }
 
-        void add(int index, PieceResult result) {
+        void add(int index, PieceResult result, long returnMillis) {
             mResults[index] = result;
+            mReturnMillis = Math.max(mReturnMillis, returnMillis);
             mMissingResults--;
             if (mMissingResults == 0) {
-                mOnDone.accept(Arrays.asList(mResults));
+                mOnDone.accept(new StageResults(Arrays.asList(mResults), mReturnMillis));
             }
         }
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ProblemResponse.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ProblemResponse.java
@@ -28,14 +28,23 @@
             ErrorCode code,
             Verdict verdict,
             String detail) {
-        Problem problem = Problem.failure(code, verdict, code.defaultAdvice(), detail);
+        send(
+                caller,
+                protocol,
+                requestId,
+                Problem.failure(code, verdict, code.defaultAdvice(), detail));
+    }
+
+    /** Answers a request with a problem. */
+    static void send(
+            CallerExchange caller, ForwardProtocol protocol, String requestId, Problem problem) {
         HeaderMap headers = new HeaderMap();
         headers.put(Headers.CONTENT_TYPE, Problem.CONTENT_TYPE);
         protocol.addRequestId(requestId, headers);
         problem.retryAfterMs()
                 .ifPresent(millis -> headers.put(Headers.RETRY_AFTER, formatSeconds(millis)));
         byte[] body = problem.json().toString().getBytes(StandardCharsets.UTF_8);
-        caller.sendResponse(code.httpStatus(), headers, body);
+        caller.sendResponse(problem.code().httpStatus(), headers, body);
     }
 
     private static String formatSeconds(long millis) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
@@ -1,12 +1,14 @@
 package org.bulrushvale.daemon.forward;
 
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import org.bulrushvale.adapters.forward.PieceOrder;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
+import org.bulrushvale.adapters.peer.PeerMessage.StageResults;
 import org.bulrushvale.decision.forward.StageQueue;
 
 /**
@@ -21,14 +23,15 @@
     private final long mStartByNanos;
     private final long mGiveUpNanos;
     private final long mCreatedNanos;
-    private final Consumer<PieceResult> mOnResult;
+    private final ObjLongConsumer<PieceResult> mOnResult;
     // The queue compares both often.
     private final String mName;
     private final String mGroup;
     private final Set<String> mAvoided = new HashSet<>();
     private boolean mDelivered;
 
-    QueuedPiece(StageJob job, PieceOrder order, long nowNanos, Consumer<PieceResult> onResult) {
+    QueuedPiece(
+            StageJob job, PieceOrder order, long nowNanos, ObjLongConsumer<PieceResult> onResult) {
         mJob = job;
         mOrder = order;
         mStartByNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(job.startByMillis());
@@ -59,11 +62,22 @@
 
     /** Delivers the result; returns false when the piece was delivered or abandoned before. */
     boolean deliver(PieceResult result) {
+        return deliver(result, StageResults.NO_RETURN_TIME);
+    }
+
+    /** Refuses the piece and states when its caller should return, in ms. */
+    void refuse(OptionalLong returnMillis) {
+        deliver(
+                PieceResult.failed(PieceResult.Outcome.LATE),
+                returnMillis.orElse(StageResults.NO_RETURN_TIME));
+    }
+
+    private boolean deliver(PieceResult result, long returnMillis) {
         if (mDelivered) {
             return false;
         }
         mDelivered = true;
-        mOnResult.accept(result);
+        mOnResult.accept(result, returnMillis);
         return true;
     }
 
@@ -96,6 +110,11 @@
         return mGiveUpNanos;
     }
 
+    @Override
+    public long deadlineNanos() {
+        return mCreatedNanos + TimeUnit.MILLISECONDS.toNanos(mOrder.remainingMillis());
+    }
+
     @Override
     public long resultBytes() {
         return mJob.resultBytes();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
+import org.bulrushvale.adapters.caller.Problem;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ForwardConfig;
@@ -21,6 +23,13 @@
     // At half load a piece waits for a server for about a third of the time of a call.
     private static final double QUEUE_WAIT_FACTOR = 1.3;
 
+    // Callers of one entry that return in a second when only the end of a pause is known: one in
+    // each step, so that the returns to all entries are spread too.
+    private static final double RETURNS_PER_SECOND = 10;
+
+    // With less time than this a server cannot answer a request that returns.
+    private static final Duration SERVER_TIME = Duration.ofMillis(200);
+
     private final ForwardServices mServices;
     private final ForwardConfig mConfig;
     private final RequestTimeLimits mTimeLimits;
@@ -28,6 +37,8 @@
     private final String mWorkspace;
     private final Supplier<String> mReaderDomain;
     private String mAdmittedTo = "";
+    private OptionalLong mStageReturnMillis = OptionalLong.empty();
+    private boolean mHasStageReturn;
 
     /**
      * Creates the schedule of a request.
@@ -66,13 +77,11 @@
         if (!admission().queue()) {
             return true;
         }
-        double coldPerSecond =
-                mConfig.service(service).map(ServiceSpec::coldRequestsPerSecond).orElse(0.0);
         Duration limit = Duration.ofMillis(Math.max(0, millisToGiveUp()));
         boolean admitted =
                 mServices
                         .serviceAdmission()
-                        .tryAdmit(service, eligible(service), coldPerSecond, limit);
+                        .tryAdmit(service, eligible(service), coldPerSecond(service), limit);
         mAdmittedTo = admitted ? service : "";
         return admitted;
     }
@@ -93,6 +102,44 @@
                         && !eligible(mAdmittedTo).isEmpty();
     }
 
+    /** Records when the caller should return by the answer of a collector. */
+    void setStageReturnMillis(long millis) {
+        mHasStageReturn = true;
+        mStageReturnMillis =
+                millis < 0 ? OptionalLong.empty() : OptionalLong.of(Math.max(1, millis));
+    }
+
+    /**
+     * Returns the problem with the return time of the collector or, when no stage was refused, with
+     * one made of what is known of the servers. Problems that invite no return are unchanged, and
+     * all are while return times are off.
+     */
+    Problem withReturnTime(Problem problem, String service) {
+        if (!admission().returnTimes() || problem.retryAfterMs().isEmpty()) {
+            return problem;
+        }
+        if (mHasStageReturn) {
+            return problem.withRetryAfter(mStageReturnMillis);
+        }
+        Duration untilServer =
+                mServices
+                        .serviceAdmission()
+                        .timeToServer(service, eligible(service), coldPerSecond(service));
+        return problem.withRetryAfter(
+                mServices
+                        .returnSchedule()
+                        .assign(
+                                mRank,
+                                untilServer,
+                                RETURNS_PER_SECOND,
+                                Duration.ofMillis(millisToDeadline()),
+                                SERVER_TIME));
+    }
+
+    private double coldPerSecond(String service) {
+        return mConfig.service(service).map(ServiceSpec::coldRequestsPerSecond).orElse(0.0);
+    }
+
     private List<Server> eligible(String service) {
         return mServices.publishedState().directory().eligibleServers(service);
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -70,7 +70,9 @@
                         services.clock(),
                         RESULT_LIFETIME.toNanos(),
                         isAdmissionOn() ? StageOrder.RANK_FIRST : StageOrder.TARGET_FIRST);
-        mAdmission = new StageAdmission<>(services.clock(), mQueue);
+        mAdmission =
+                new StageAdmission<>(
+                        services.clock(), mQueue, services.features().admission().returnTimes());
         mReport = new StageQueueReport(services, service);
     }
 
@@ -97,8 +99,7 @@
 
     private void refuse(StageAdmission.Refusal<QueuedPiece> refusal) {
         mReport.refused(refusal);
-        refusal.pieces()
-                .forEach(piece -> piece.deliver(PieceResult.failed(PieceResult.Outcome.LATE)));
+        refusal.pieces().forEach(piece -> piece.refuse(refusal.forecast().returnMillis()));
     }
 
     private List<Server> eligibleServers() {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageQueueReport.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageQueueReport.java
@@ -61,7 +61,20 @@
         metrics().count("bulrushvale.stage.refused", SERVICE, mService, RANK, rankOf(first));
         line("stage_refused", first, refusal.forecast())
                 .with("waited_ms", waited(first).toMillis())
+                .with("return_ms", refusal.forecast().returnMillis().orElse(-1))
                 .write();
+        refusal.forecast()
+                .returnMillis()
+                .ifPresent(
+                        millis ->
+                                metrics()
+                                        .time(
+                                                "bulrushvale.return.time",
+                                                Duration.ofMillis(millis),
+                                                SERVICE,
+                                                mService,
+                                                RANK,
+                                                rankOf(first)));
     }
 
     /** Reports the waits of the groups of a call and those that were promoted. */
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
@@ -9,6 +9,7 @@
 import org.bulrushvale.adapters.forward.PieceOrder;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
+import org.bulrushvale.adapters.peer.PeerMessage.StageResults;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.decision.forward.Route;
 
@@ -107,7 +108,7 @@
         long giveUpMillis = mRequest.millisToGiveUp() - followingMillis;
         if (mRequest.admission().patience() && giveUpMillis <= 0) {
             mEnded = true;
-            mListener.stagesFailed(PieceResult.Outcome.LATE);
+            mListener.stagesFailed(PieceResult.Outcome.LATE, StageResults.NO_RETURN_TIME);
             return;
         }
         List<PieceOrder> orders = new ArrayList<>();
@@ -173,7 +174,8 @@
         return longest;
     }
 
-    private void onResults(int stage, StageJob job, List<PieceResult> results) {
+    private void onResults(int stage, StageJob job, StageResults answer) {
+        List<PieceResult> results = answer.results();
         mCancelByStage.remove(stage);
         List<CompletedPiece> completed = job.completedPieces(results);
         PieceResult.Outcome failure = null;
@@ -186,7 +188,7 @@
             release(stage, completed);
             if (!mEnded && failure != null) {
                 mEnded = true;
-                mListener.stagesFailed(failure);
+                mListener.stagesFailed(failure, answer.retryAfterMillis());
             }
             return;
         }
@@ -287,7 +289,12 @@
          */
         void stagesDone(List<String> inputHandles);
 
-        /** Called when a stage failed. */
-        void stagesFailed(PieceResult.Outcome outcome);
+        /**
+         * Called when a stage failed.
+         *
+         * @param returnMillis time after which the caller should return, in ms; {@link
+         *     StageResults#NO_RETURN_TIME} for none
+         */
+        void stagesFailed(PieceResult.Outcome outcome, long returnMillis);
     }
 }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -164,6 +164,11 @@
             return mSuspectUntilNanos - nowNanos > 0;
         }
 
+        /** Returns the time until the server is no longer suspect; 0 or less when it is not. */
+        public long suspectNanosLeft(long nowNanos) {
+            return mSuspectUntilNanos - nowNanos;
+        }
+
         /**
          * Records a request that is about to be sent.
          *
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ServiceAdmission.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ServiceAdmission.java
@@ -18,6 +18,10 @@
 public final class ServiceAdmission {
     private static final double NANOS_PER_SECOND = 1e9;
 
+    // Lost state is learned again within this time.
+    private static final long LEARNING_NANOS = 1_000_000_000L;
+    private static final double MIN_RATE = 0.1;
+
     private final Clock mClock;
     private final ColdServerRateLimit mColdLimit;
     private final Map<String, Integer> mPending = new HashMap<>();
@@ -51,6 +55,28 @@
         return admitted;
     }
 
+    /**
+     * Returns the expected time until a server can receive one more request of this entry.
+     *
+     * @param eligible eligible servers of the service
+     */
+    public Duration timeToServer(
+            String service, List<Server> eligible, double coldRequestsPerSecond) {
+        long now = mClock.monotonicNanos();
+        long pauseNanos =
+                eligible.stream()
+                        .mapToLong(server -> Math.max(0, server.suspectNanosLeft(now)))
+                        .min()
+                        .orElse(LEARNING_NANOS);
+        boolean warm = eligible.stream().anyMatch(server -> !server.isCold(now + pauseNanos));
+        if (warm || eligible.isEmpty()) {
+            return Duration.ofNanos(pauseNanos);
+        }
+        double perSecond = coldSends(eligible, coldRequestsPerSecond, Duration.ofSeconds(1));
+        double seconds = (mPending.getOrDefault(service, 0) + 1) / Math.max(MIN_RATE, perSecond);
+        return Duration.ofNanos(Math.max(pauseNanos, (long) (seconds * NANOS_PER_SECOND)));
+    }
+
     /** Returns the requests that this entry can send to cold servers within a time. */
     private double coldSends(List<Server> cold, double requestsPerSecond, Duration limit) {
         if (requestsPerSecond <= 0) {
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageAdmission.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageAdmission.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
+import org.bulrushvale.decision.admission.ReturnSchedule;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.kernel.time.Clock;
@@ -24,15 +26,25 @@
 
     // Upper limit of a stated wait, so that it can be converted to a Duration.
     private static final double MAX_WAIT_SECONDS = 3_600;
+    // A request needs about the time of its call, and as much again to produce its first event.
+    private static final double CALLS_AFTER_RETURN = 2;
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Clock mClock;
     private final StageQueue<P> mQueue;
     private final StageForecast mForecast;
+    private final ReturnSchedule mReturns;
+    private final boolean mAssignsReturns;
     private long mCheckedNanos;
 
-    /** Creates the admission to a queue. */
-    public StageAdmission(Clock clock, StageQueue<P> queue) {
+    /**
+     * Creates the admission to a queue.
+     *
+     * @param assignsReturns true to assign return times to the callers of refused groups
+     */
+    public StageAdmission(Clock clock, StageQueue<P> queue, boolean assignsReturns) {
+        mAssignsReturns = assignsReturns;
+        mReturns = new ReturnSchedule(clock);
         mClock = clock;
         mQueue = queue;
         mForecast = new StageForecast(clock.monotonicNanos());
@@ -56,13 +68,52 @@
                         ? new StageForecast.Estimate(0, true, true)
                         : mForecast.estimate(
                                 candidate, mQueue.groups(), mQueue.order(now), capacity, now);
-        if (estimate.beforeLastStart()) {
+        boolean admitted = estimate.beforeLastStart();
+        OptionalLong returnMillis = OptionalLong.empty();
+        if (!admitted) {
+            returnMillis = returnMillis(candidate, estimate.seconds(), capacity, now);
+            admitted = returnMillis.isEmpty() && mayStillBeServed(candidate, estimate, now);
+        }
+        if (admitted) {
             group.forEach(mQueue::add);
         }
         if (estimate.inTime()) {
             mForecast.recordArrival(candidate, now);
         }
-        return forecast(estimate.beforeLastStart(), estimate.inTime(), estimate.seconds());
+        return forecast(admitted, estimate.inTime(), estimate.seconds(), returnMillis);
+    }
+
+    /** Returns true when the estimate is too close to the last start to be sure. */
+    private boolean mayStillBeServed(
+            WaitingGroup group, StageForecast.Estimate estimate, long now) {
+        double left = StageForecast.secondsUntil(group.giveUpNanos(), now);
+        return mAssignsReturns && left > 0 && !StageForecast.isHopeless(estimate.seconds(), left);
+    }
+
+    /**
+     * Returns the time after which the caller of a refused group should return; empty when it could
+     * not be served then either.
+     */
+    private OptionalLong returnMillis(
+            WaitingGroup group, double seconds, StageCapacity capacity, long now) {
+        double remaining = StageForecast.secondsUntil(group.deadlineNanos(), now);
+        double needed = CALLS_AFTER_RETURN * capacity.callSeconds();
+        if (!mAssignsReturns || seconds > remaining - needed) {
+            return OptionalLong.empty();
+        }
+        // A caller that returns may wait again for as long as it may wait now.
+        double left = Math.max(0, StageForecast.secondsUntil(group.giveUpNanos(), now));
+        return mReturns.assign(
+                group.rank(),
+                duration(seconds - left),
+                mForecast.groupsPerSecond(group, capacity),
+                duration(remaining),
+                duration(needed));
+    }
+
+    private static Duration duration(double seconds) {
+        double bounded = Math.max(0, Math.min(MAX_WAIT_SECONDS, seconds));
+        return Duration.ofMillis((long) (bounded * MILLIS_PER_SECOND));
     }
 
     /**
@@ -81,28 +132,31 @@
         }
         Map<String, Double> hopeless =
                 mForecast.findHopeless(mQueue.groups(), mQueue.order(now), capacity, now);
-        if (hopeless.isEmpty()) {
-            return List.of();
-        }
         Map<String, List<P>> removed = new LinkedHashMap<>();
-        for (P piece : mQueue.remove(piece -> hopeless.containsKey(piece.group()))) {
-            removed.computeIfAbsent(piece.group(), name -> new ArrayList<>()).add(piece);
+        if (!hopeless.isEmpty()) {
+            for (P piece : mQueue.remove(piece -> hopeless.containsKey(piece.group()))) {
+                removed.computeIfAbsent(piece.group(), name -> new ArrayList<>()).add(piece);
+            }
         }
-        return removed.entrySet().stream()
-                .map(
-                        entry -> {
-                            double seconds = hopeless.getOrDefault(entry.getKey(), 0.0);
-                            return new Refusal<>(entry.getValue(), forecast(false, false, seconds));
-                        })
-                .toList();
+        List<Refusal<P>> refusals = new ArrayList<>();
+        removed.forEach(
+                (name, pieces) -> {
+                    double seconds = hopeless.getOrDefault(name, 0.0);
+                    WaitingGroup group = WaitingGroup.of(pieces.get(0), pieces.size());
+                    OptionalLong returnMillis = returnMillis(group, seconds, capacity, now);
+                    refusals.add(
+                            new Refusal<>(pieces, forecast(false, false, seconds, returnMillis)));
+                });
+        return refusals;
     }
 
-    private Forecast forecast(boolean admitted, boolean inTime, double seconds) {
-        double wait = Math.min(MAX_WAIT_SECONDS, seconds);
+    private Forecast forecast(
+            boolean admitted, boolean inTime, double seconds, OptionalLong returnMillis) {
         return new Forecast(
                 admitted,
                 inTime,
-                Duration.ofMillis((long) (wait * MILLIS_PER_SECOND)),
+                duration(seconds),
+                returnMillis,
                 mQueue.groups().size(),
                 Duration.ofNanos(mQueue.nanosSinceLastCallEnd()));
     }
@@ -115,6 +169,8 @@
      * @param admitted true when the group can start before its last start
      * @param inTime true when it can start in time for its target
      * @param delay time until it can start, at most an hour
+     * @param returnMillis time after which the caller of a refused group should return, in ms;
+     *     empty when it could not be served then
      * @param waitingGroups number of groups that wait
      * @param figuresAge time since the last answer of a server
      */
@@ -122,6 +178,7 @@
             boolean admitted,
             boolean inTime,
             Duration delay,
+            OptionalLong returnMillis,
             int waitingGroups,
             Duration figuresAge) {}
 
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageForecast.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageForecast.java
@@ -73,6 +73,12 @@
         return shares;
     }
 
+    /** Returns how many groups like this one can start in a second besides better ranks. */
+    double groupsPerSecond(WaitingGroup group, StageCapacity capacity) {
+        double perSecond = 1 / capacity.load(group.pieces(), group.bytes());
+        return perSecond * remainingShares(capacity)[rankIndex(group)];
+    }
+
     /** Estimates the start of a group that does not wait yet. */
     Estimate estimate(
             WaitingGroup group,
@@ -150,8 +156,7 @@
             double seconds =
                     lateEstimate(group, inTime, late, shares[RANKS], capacity, nowNanos).seconds();
             double left = secondsUntil(group.giveUpNanos(), nowNanos);
-            if (seconds > left * REFUSAL_FACTOR + REFUSAL_MARGIN_SECONDS
-                    && !group.isPartlyStarted()) {
+            if (isHopeless(seconds, left) && !group.isPartlyStarted()) {
                 hopeless.put(group.name(), seconds);
             } else {
                 late.add(group);
@@ -160,7 +165,12 @@
         return hopeless;
     }
 
-    private static double secondsUntil(long nanos, long nowNanos) {
+    /** Returns true when a start is clearly beyond the time that is left. */
+    static boolean isHopeless(double seconds, double left) {
+        return seconds > left * REFUSAL_FACTOR + REFUSAL_MARGIN_SECONDS;
+    }
+
+    static double secondsUntil(long nanos, long nowNanos) {
         return (nanos - nowNanos) / NANOS_PER_SECOND;
     }
 
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -394,6 +394,11 @@
         /** Returns the monotonic time from which waiting longer is useless. */
         long giveUpNanos();
 
+        /** Returns the monotonic deadline of its request, before which its caller may return. */
+        default long deadlineNanos() {
+            return giveUpNanos();
+        }
+
         /** Returns the approximate size of its result. */
         long resultBytes();
 
--- a/decision/src/main/java/org/bulrushvale/decision/forward/WaitingGroup.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/WaitingGroup.java
@@ -43,6 +43,10 @@
         return mFirst.giveUpNanos();
     }
 
+    long deadlineNanos() {
+        return mFirst.deadlineNanos();
+    }
+
     /** Returns the number of pieces that wait. */
     int pieces() {
         return mPieces;
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageAdmissionLoadTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageAdmissionLoadTest.java
@@ -40,7 +40,17 @@
 
     private static Map<String, Tally> run(
             long seed, boolean queueOn, List<Load> loads, Consumer<StageLoadSimulation> prepare) {
-        StageLoadSimulation simulation = new StageLoadSimulation(seed, queueOn, SERVERS);
+        return run(seed, queueOn, queueOn, loads, prepare);
+    }
+
+    private static Map<String, Tally> run(
+            long seed,
+            boolean queueOn,
+            boolean returnTimes,
+            List<Load> loads,
+            Consumer<StageLoadSimulation> prepare) {
+        StageLoadSimulation simulation =
+                new StageLoadSimulation(seed, queueOn, returnTimes, SERVERS);
         prepare.accept(simulation);
         return simulation.run(ARRIVALS, loads);
     }
@@ -126,6 +136,20 @@
                 .isLessThan(of(tallies, polite).worthShare(polite) + SERVED_MARGIN);
     }
 
+    @Test(dataProvider = "seeds")
+    public void callers_with_a_return_time_are_refused_again_less_often(long seed) {
+        // given: more than the patience can bridge
+        Load audit = audit(millis -> millis >= 3_000 && millis < 13_000 ? 150 : 50);
+        List<Load> loads = List.of(audit, summary(25));
+        // when
+        Tally constant = of(run(seed, true, false, loads, simulation -> {}), audit);
+        Tally assigned = of(run(seed, true, true, loads, simulation -> {}), audit);
+        // then
+        assertThat(assigned.mRefusedTwice).isLessThan(constant.mRefusedTwice);
+        assertThat((double) assigned.mRefusedTwice / assigned.mReturned)
+                .isLessThan((double) constant.mRefusedTwice / constant.mReturned);
+    }
+
     @Test(dataProvider = "seeds")
     public void every_caller_has_an_answer_after_the_death_of_a_collector_with_a_full_queue(
             long seed) {
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageLoadSimulation.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageLoadSimulation.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -55,6 +56,7 @@
         int mInTime;
         int mRefusedTwice;
         int mUnanswered;
+        int mReturned;
         double mWorth;
         long mHeldUnservedMillis;
         final int[] mOfferedBySize = new int[SIZES.length];
@@ -104,6 +106,11 @@
 
     private record SimPiece(Request request, int tries, int index, long startBy, long giveUp)
             implements StageQueue.Piece {
+        @Override
+        public long deadlineNanos() {
+            return request.mFirstArrival + request.mLoad.deadline() * MILLI;
+        }
+
         @Override
         public String name() {
             return group() + "/" + index;
@@ -160,13 +167,15 @@
     private final Set<Request> mActive = new LinkedHashSet<>();
     private final SplittableRandom mRandom;
     private final boolean mQueueOn;
+    private final boolean mReturnTimes;
     private StageQueue<SimPiece> mQueue;
     private StageAdmission<SimPiece> mAdmission;
     private ToDoubleFunction<Server> mSlowness = server -> 1;
     private long mEventNumber;
     private long mEndNanos;
 
-    StageLoadSimulation(long seed, boolean queueOn, int servers) {
+    StageLoadSimulation(long seed, boolean queueOn, boolean returnTimes, int servers) {
+        mReturnTimes = returnTimes;
         mRandom = new SplittableRandom(seed);
         mQueueOn = queueOn;
         for (int i = 0; i < servers; i++) {
@@ -193,7 +202,7 @@
     private void startCollector() {
         StageOrder order = mQueueOn ? StageOrder.RANK_FIRST : StageOrder.TARGET_FIRST;
         mQueue = new StageQueue<>(mClock, Duration.ofSeconds(5).toNanos(), order);
-        mAdmission = new StageAdmission<>(mClock, mQueue);
+        mAdmission = new StageAdmission<>(mClock, mQueue, mReturnTimes);
     }
 
     /** Sets by how much the calls of a server take longer; infinity for a server that is gone. */
@@ -262,7 +271,11 @@
         Load load = request.mLoad;
         long following = (long) (LIMITS.typicalCallTime().toMillis() * 1.3) + FIRST_EVENT_MILLIS;
         long startBy = request.mFirstArrival + (load.target() - following) * MILLI;
-        long giveUp = request.mArrival + (load.patience() - following) * MILLI;
+        long leaves =
+                Math.min(
+                        request.mArrival + load.patience() * MILLI,
+                        request.mFirstArrival + load.deadline() * MILLI);
+        long giveUp = leaves - following * MILLI;
         if (!mQueueOn) {
             long half = request.mArrival + (load.deadline() / 2 - following) * MILLI;
             long grace = Math.max(startBy, request.mArrival) + FIRST_STAGE_GRACE_MILLIS * MILLI;
@@ -274,8 +287,9 @@
         }
         if (mQueueOn) {
             List<Server> servers = mDirectory.eligibleServers(SERVICE);
-            if (!mAdmission.offer(pieces, servers, LIMITS).admitted()) {
-                refuse(request, request.mTries);
+            StageAdmission.Forecast forecast = mAdmission.offer(pieces, servers, LIMITS);
+            if (!forecast.admitted()) {
+                refuse(request, request.mTries, forecast.returnMillis());
             }
         } else {
             pieces.forEach(mQueue::add);
@@ -283,7 +297,7 @@
         dispatch();
     }
 
-    private void refuse(Request request, int tries) {
+    private void refuse(Request request, int tries, OptionalLong returnMillis) {
         if (request.mEnded || request.mRefused || request.mTries != tries) {
             return;
         }
@@ -295,7 +309,10 @@
             tally.mRefusedTwice++;
             tally.mHeldUnservedMillis += (now - request.mFirstArrival) / MILLI;
         } else {
-            after(request.mLoad.returnMillis(), () -> arrive(request));
+            tally.mReturned++;
+            boolean honours = request.mLoad.returnMillis() > 0;
+            long millis = honours ? returnMillis.orElse(request.mLoad.returnMillis()) : 0;
+            after(millis, () -> arrive(request));
         }
     }
 
@@ -306,14 +323,18 @@
 
     private void dispatch() {
         List<Server> servers = mDirectory.eligibleServers(SERVICE);
-        mQueue.removeExpired().forEach(piece -> refuse(piece.request(), piece.tries()));
+        mQueue.removeExpired()
+                .forEach(piece -> refuse(piece.request(), piece.tries(), OptionalLong.empty()));
         if (mQueueOn) {
             mAdmission
                     .refuseHopeless(servers, LIMITS)
                     .forEach(
                             refusal -> {
                                 SimPiece first = refusal.pieces().get(0);
-                                refuse(first.request(), first.tries());
+                                refuse(
+                                        first.request(),
+                                        first.tries(),
+                                        refusal.forecast().returnMillis());
                             });
         }
         mQueue.nextCalls(servers, LIMITS).forEach(this::start);
@@ -366,7 +387,7 @@
         long thisTryMillis = (mClock.monotonicNanos() - request.mArrival) / MILLI;
         Tally tally = mTallies.get(request.mLoad.name());
         end(request);
-        if (thisTryMillis <= request.mLoad.patience()) {
+        if (thisTryMillis <= request.mLoad.patience() && tookMillis <= request.mLoad.deadline()) {
             boolean inTime = tookMillis <= request.mLoad.target();
             tally.mServed++;
             tally.mServedBySize[request.mSize]++;
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueBacklogTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueBacklogTest.java
@@ -146,7 +146,7 @@
         // given: every server is busy, and all jobs can still be in time
         StageQueue<TestPiece> queue =
                 new StageQueue<>(mClock, Duration.ofSeconds(5).toNanos(), StageOrder.RANK_FIRST);
-        StageAdmission<TestPiece> admission = new StageAdmission<>(mClock, queue);
+        StageAdmission<TestPiece> admission = new StageAdmission<>(mClock, queue, true);
         List<Server> servers = servers(18);
         addJobs(queue, 0, 18 * BATCH / PIECES_PER_JOB + waitingJobs);
         queue.nextCalls(servers, LIMITS);
