--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import net.openhft.hashing.LongHashFunction;
 import org.bulrushvale.adapters.backend.BackendFailure;
+import org.bulrushvale.adapters.caller.Problem;
 import org.bulrushvale.adapters.forward.CallerExchange;
 import org.bulrushvale.adapters.forward.CallerRequestMetadata;
 import org.bulrushvale.adapters.forward.EndToEndHeaders;
@@ -184,10 +185,11 @@
     }
 
     @Override
-    public void stagesFailed(PieceResult.Outcome outcome) {
+    public void stagesFailed(PieceResult.Outcome outcome, long returnMillis) {
         if (outcome == PieceResult.Outcome.INPUT_GONE && repeatStages()) {
             return;
         }
+        mSchedule.setStageReturnMillis(returnMillis);
         giveUp(
                 outcome == PieceResult.Outcome.LATE ? ErrorCode.OVERLOADED : ErrorCode.NO_BACKEND,
                 "a stage of the request failed: " + outcome);
@@ -569,6 +571,13 @@
         }
     }
 
+    /** Sets when the caller should return: after the pause of all servers, or by the schedule. */
+    private Problem withReturnTime(Problem problem) {
+        return mReturnMillis.isPresent() && problem.retryAfterMs().isPresent()
+                ? problem.withRetryAfter(mReturnMillis)
+                : mSchedule.withReturnTime(problem, mService);
+    }
+
     /** Ends the request without an answer of a server. */
     private void giveUp(ErrorCode proposed, String detail) {
         boolean streaming = mStreaming;
@@ -579,14 +588,9 @@
         if (streaming) {
             mCaller.abort();
         } else if (!mCallerDisconnected) {
+            Problem problem = Problem.failure(code, mVerdict, code.defaultAdvice(), detail);
             ProblemResponse.send(
-                    mCaller,
-                    mServices.protocol(),
-                    mRequestMetadata.id(),
-                    code,
-                    mVerdict,
-                    detail,
-                    mReturnMillis);
+                    mCaller, mServices.protocol(), mRequestMetadata.id(), withReturnTime(problem));
         }
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ProblemResponse.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ProblemResponse.java
@@ -4,7 +4,6 @@
 import io.undertow.util.Headers;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
-import java.util.OptionalLong;
 import org.bulrushvale.adapters.caller.Problem;
 import org.bulrushvale.adapters.forward.CallerExchange;
 import org.bulrushvale.adapters.forward.ForwardProtocol;
@@ -29,35 +28,23 @@
             ErrorCode code,
             Verdict verdict,
             String detail) {
-        send(caller, protocol, requestId, code, verdict, detail, OptionalLong.empty());
+        send(
+                caller,
+                protocol,
+                requestId,
+                Problem.failure(code, verdict, code.defaultAdvice(), detail));
     }
 
-    /**
-     * Answers a request with a problem body and the status of the error code.
-     *
-     * @param returnMillis time after which the caller should return, if it may return; empty for
-     *     the default time
-     */
+    /** Answers a request with a problem. */
     static void send(
-            CallerExchange caller,
-            ForwardProtocol protocol,
-            String requestId,
-            ErrorCode code,
-            Verdict verdict,
-            String detail,
-            OptionalLong returnMillis) {
-        Problem problem = Problem.failure(code, verdict, code.defaultAdvice(), detail);
+            CallerExchange caller, ForwardProtocol protocol, String requestId, Problem problem) {
         HeaderMap headers = new HeaderMap();
         headers.put(Headers.CONTENT_TYPE, Problem.CONTENT_TYPE);
         protocol.addRequestId(requestId, headers);
         problem.retryAfterMs()
-                .ifPresent(
-                        millis ->
-                                headers.put(
-                                        Headers.RETRY_AFTER,
-                                        formatSeconds(returnMillis.orElse(millis))));
+                .ifPresent(millis -> headers.put(Headers.RETRY_AFTER, formatSeconds(millis)));
         byte[] body = problem.json().toString().getBytes(StandardCharsets.UTF_8);
-        caller.sendResponse(code.httpStatus(), headers, body);
+        caller.sendResponse(problem.code().httpStatus(), headers, body);
     }
 
     private static String formatSeconds(long millis) {
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -214,6 +214,11 @@
             return mFacts.isSuspect(nowNanos);
         }
 
+        /** Returns the time until the server is no longer suspect; 0 or less when it is not. */
+        public long suspectNanosLeft(long nowNanos) {
+            return mFacts.suspectNanosLeft(nowNanos);
+        }
+
         /**
          * Records a request that is about to be sent.
          *
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ServerFacts.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ServerFacts.java
@@ -177,7 +177,11 @@
     }
 
     boolean isSuspect(long nowNanos) {
-        return mSuspectUntilNanos - nowNanos > 0;
+        return suspectNanosLeft(nowNanos) > 0;
+    }
+
+    long suspectNanosLeft(long nowNanos) {
+        return mSuspectUntilNanos - nowNanos;
     }
 
     void recordSuccess() {
