--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
@@ -119,7 +119,8 @@
             return problem;
         }
         if (mHasStageReturn) {
-            return problem.withRetryAfter(mStageReturnMillis);
+            // Only a collector with admission control assigns times.
+            return admission().queue() ? problem.withRetryAfter(mStageReturnMillis) : problem;
         }
         Duration untilServer =
                 mServices
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -284,7 +284,7 @@
                 || piece.giveUpNanos() - mServices.clock().monotonicNanos() <= 0) {
             piece.deliver(result);
         } else if (mServices.repeatBudget().tryRepeat(mService)) {
-            mQueue.add(piece);
+            mQueue.addAgain(piece);
         } else {
             mServices.loop().schedule(BUSY_PAUSE, () -> repeat(piece, "", result));
         }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageAdmission.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageAdmission.java
@@ -28,6 +28,10 @@
     private static final double MAX_WAIT_SECONDS = 3_600;
     // A request needs about the time of its call, and as much again to produce its first event.
     private static final double CALLS_AFTER_RETURN = 2;
+    // Servers that are not known are learned within this time. Their number is not known either, so
+    // that one caller returns in each step.
+    private static final Duration LEARNING_TIME = Duration.ofSeconds(1);
+    private static final double RETURNS_PER_SECOND = 10;
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Clock mClock;
@@ -98,7 +102,18 @@
             WaitingGroup group, double seconds, StageCapacity capacity, long now) {
         double remaining = StageForecast.secondsUntil(group.deadlineNanos(), now);
         double needed = CALLS_AFTER_RETURN * capacity.callSeconds();
-        if (!mAssignsReturns || seconds > remaining - needed) {
+        if (!mAssignsReturns) {
+            return OptionalLong.empty();
+        }
+        if (capacity.servers() == 0) {
+            return mReturns.assign(
+                    group.rank(),
+                    LEARNING_TIME,
+                    RETURNS_PER_SECOND,
+                    duration(remaining),
+                    duration(needed));
+        }
+        if (seconds > remaining - needed) {
             return OptionalLong.empty();
         }
         // A caller that returns may wait again for as long as it may wait now.
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -87,6 +87,12 @@
         mQueuedByResultBytes.merge(piece.resultBytes(), 1, Integer::sum);
     }
 
+    /** Adds a piece whose call failed; its group is not refused any more. */
+    public void addAgain(P piece) {
+        add(piece);
+        mQueued.get(mQueued.size() - 1).group().markPartlyStarted();
+    }
+
     /** Returns the number of waiting pieces. */
     public int waitingCount() {
         return mQueued.size();
@@ -141,7 +147,8 @@
 
     /** Returns the mean time for which a result occupies memory, from the start of its call. */
     private double meanHeldNanos(PieceLimits limits) {
-        return mHeldNanos.valueOr(Clock.boundedNanos(limits.typicalCallTime()) + USUAL_READ_NANOS);
+        long callNanos = Clock.boundedNanos(limits.typicalCallTime());
+        return Math.max(callNanos, mHeldNanos.valueOr(callNanos + USUAL_READ_NANOS));
     }
 
     /** Forms the calls that can start now and counts them as running. */
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageAdmissionLoadTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageAdmissionLoadTest.java
@@ -169,4 +169,23 @@
             assertThat(tally.served()).isGreaterThan(1 - 1.5 / ARRIVALS.toSeconds() * 2);
         }
     }
+
+    @Test(dataProvider = "seeds")
+    public void every_caller_has_an_answer_when_answers_of_the_collector_are_lost(long seed) {
+        // given: a second of lost results, which occupy memory for their lifetime
+        List<Load> loads = List.of(audit(millis -> 50), summary(25));
+        // when
+        Map<String, Tally> tallies =
+                run(
+                        seed,
+                        true,
+                        loads,
+                        simulation ->
+                                simulation.after(4_000, () -> simulation.loseAnswersUntil(5_000)));
+        // then: no more is lost than what arrives in that second and during the lifetime
+        for (Tally tally : tallies.values()) {
+            assertThat(tally.mUnanswered).isZero();
+            assertThat(tally.served()).isGreaterThan(1 - 6.0 / ARRIVALS.toSeconds());
+        }
+    }
 }
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageLoadSimulation.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageLoadSimulation.java
@@ -92,6 +92,7 @@
         private final int mSize;
         private final long mFirstArrival = mClock.monotonicNanos();
         private long mArrival = mFirstArrival;
+        private long mLeaves;
         private int mTries;
         private int mMissing;
         private boolean mRefused;
@@ -173,6 +174,7 @@
     private ToDoubleFunction<Server> mSlowness = server -> 1;
     private long mEventNumber;
     private long mEndNanos;
+    private long mLostUntilMillis;
 
     StageLoadSimulation(long seed, boolean queueOn, boolean returnTimes, int servers) {
         mReturnTimes = returnTimes;
@@ -184,6 +186,11 @@
         startCollector();
     }
 
+    /** Sets until when the results that the collector sends to entries are lost. */
+    void loseAnswersUntil(long millis) {
+        mLostUntilMillis = millis;
+    }
+
     /**
      * Ends the collector: its queue and the results of its calls are lost. The entries send the
      * jobs to the next collector, which starts empty, after the silence limit.
@@ -275,6 +282,7 @@
                 Math.min(
                         request.mArrival + load.patience() * MILLI,
                         request.mFirstArrival + load.deadline() * MILLI);
+        request.mLeaves = leaves;
         long giveUp = leaves - following * MILLI;
         if (!mQueueOn) {
             long half = request.mArrival + (load.deadline() / 2 - following) * MILLI;
@@ -356,7 +364,7 @@
         call.server().recordFailure(mClock.monotonicNanos());
         queue.recordCallEnd(call.server().published().id());
         call.pieces().forEach(piece -> queue.releaseResult(piece.name()));
-        call.pieces().stream().filter(piece -> !piece.isAbandoned()).forEach(queue::add);
+        call.pieces().stream().filter(piece -> !piece.isAbandoned()).forEach(queue::addAgain);
         dispatch();
     }
 
@@ -368,7 +376,12 @@
         for (SimPiece piece : call.pieces()) {
             if (piece.isAbandoned() || piece.tries() != piece.request().mTries) {
                 queue.releaseResult(piece.name());
-            } else if (--piece.request().mMissing == 0) {
+            } else if (--piece.request().mMissing == 0 && millis() < mLostUntilMillis) {
+                // The entry answers at its own limit, and the servers drop the results by
+                // themselves.
+                long left = (piece.request().mLeaves - mClock.monotonicNanos()) / MILLI;
+                after(left, () -> refuse(piece.request(), piece.tries(), OptionalLong.empty()));
+            } else if (piece.request().mMissing == 0) {
                 after(FIRST_EVENT_MILLIS, () -> onFirstEvent(queue, piece));
             }
         }
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueTest.java
@@ -16,6 +16,7 @@
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.kernel.time.ManualClock;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -212,9 +213,15 @@
         assertThat(nextCalls().get(0).server().published().id()).isEqualTo("slow");
     }
 
-    @Test
-    public void random_schedules_never_overload_a_server_or_start_a_piece_twice() {
+    @DataProvider
+    public Object[][] orders() {
+        return new Object[][] {{StageOrder.TARGET_FIRST}, {StageOrder.RANK_FIRST}};
+    }
+
+    @Test(dataProvider = "orders")
+    public void random_schedules_never_overload_a_server_or_start_a_piece_twice(StageOrder order) {
         SplittableRandom random = new SplittableRandom(17);
+        mQueue = new StageQueue<>(mClock, RESULT_LIFETIME_NANOS, order);
         addServer("s", "a");
         addServer("t", "b");
         Map<String, Integer> running = new HashMap<>();
@@ -256,4 +263,69 @@
         // then
         assertThat(startedPieces.size()).isGreaterThan(500);
     }
+
+    @Test
+    public void rank_comes_before_time_and_late_jobs_come_last() {
+        // given
+        mQueue = new StageQueue<>(mClock, RESULT_LIFETIME_NANOS, StageOrder.RANK_FIRST);
+        addServer("s", "a");
+        addGroup("late", 2, 0, Duration.ofMillis(-10), "");
+        addGroup("soon", 2, 2, Duration.ofMillis(100), "");
+        addGroup("urgent", 2, 0, Duration.ofMillis(900), "");
+        // when, then
+        assertThat(groups(nextCalls().get(0))).containsExactlyInAnyOrder("urgent", "soon");
+    }
+
+    // Promotions must neither starve late jobs nor make the jobs in time late.
+    @Test
+    public void late_jobs_that_would_miss_their_last_start_get_at_most_a_fifth() {
+        // given: more jobs in time than the server can start
+        mQueue = new StageQueue<>(mClock, RESULT_LIFETIME_NANOS, StageOrder.RANK_FIRST);
+        addServer("s", "a");
+        int started = 0;
+        int promoted = 0;
+        // when
+        for (int step = 0; step < 500; step++) {
+            addGroup("in-time-" + step, 4, 0, Duration.ofSeconds(1), "");
+            addGroup("late-" + step, 1 + step % 4, 1, Duration.ofMillis(-1), "");
+            for (StageQueue.Call<TestPiece> call : nextCalls()) {
+                started += call.pieces().size();
+                for (TestPiece piece : call.pieces()) {
+                    promoted += call.promotedGroups().contains(piece.group()) ? 1 : 0;
+                    mQueue.releaseResult(piece.name());
+                }
+                mQueue.recordCallEnd("s");
+            }
+            mClock.advance(Duration.ofMillis(20));
+            mQueue.removeExpired();
+        }
+        // then
+        assertThat(promoted * 5).isBetween(started / 2, started);
+    }
+
+    @Test
+    public void a_job_that_needs_much_memory_starts_although_small_jobs_keep_arriving() {
+        // given: results that fill the memory, and then one release for each small job
+        mQueue = new StageQueue<>(mClock, RESULT_LIFETIME_NANOS, StageOrder.RANK_FIRST);
+        addServer("s", "a");
+        List<TestPiece> held = new ArrayList<>();
+        boolean largeStarted = false;
+        for (int step = 0; step < 40 && !largeStarted; step++) {
+            if (step == 10) {
+                addGroup("large", 4, 1, Duration.ofSeconds(9), "");
+            }
+            // when
+            addGroup("small-" + step, 1, 1, Duration.ofSeconds(10), "");
+            for (StageQueue.Call<TestPiece> call : nextCalls()) {
+                largeStarted |= groups(call).contains("large");
+                held.addAll(call.pieces());
+                mQueue.recordCallEnd("s");
+            }
+            if (step >= 10) {
+                mQueue.releaseResult(held.remove(0).name());
+            }
+        }
+        // then
+        assertThat(largeStarted).isTrue();
+    }
 }
