Choose servers by the expected time to the first event

Cause: an entry chose a server by its own outstanding requests only and learned nothing about the speed of servers.

Change: ServerChoice is an interface. AffinityChoice is the present policy. ExpectedCompletion (placement.policy = expected_completion) compares two servers by affinity and two random ones, or three random ones for plain services, by load, speed, pace, reading of the prompt and failure domain of the inputs. Leaving a prompt that is probably cached needs a gain of 20% beyond the cost of reading it, which is estimated from above: the whole time to the first event counts as reading. ServerSpeed learns speeds from first events; they approach a fast server's with age, so that each server is tried again. SpeedExchange shares 32 of them twice a second in the failure domain (below 0.5 KB per message). The send line gains the expected time, load with age and source, speed and pace.

--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/NoticeCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/NoticeCodec.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import org.bulrushvale.adapters.peer.PeerCodec.FieldReader;
 import org.bulrushvale.decision.forward.LeavingServer;
+import org.bulrushvale.decision.forward.ObservedSpeed;
 import org.bulrushvale.decision.forward.StatedRate;
 import org.bulrushvale.decision.retry.ContentFingerprint;
 import org.bulrushvale.decision.retry.CrashRecord;
@@ -76,6 +77,25 @@
                 in.list(() -> new LeavingServer(in.text(), unpacker.unpackLong())));
     }
 
+    static void writeSpeeds(PeerMessage.SpeedNotice notice, MessageBufferPacker out)
+            throws IOException {
+        out.packArrayHeader(notice.speeds().size());
+        for (ObservedSpeed speed : notice.speeds()) {
+            out.packLong(speed.process()).packInt(speed.percent()).packLong(speed.ageMillis());
+        }
+    }
+
+    static PeerMessage.SpeedNotice readSpeeds(FieldReader in) throws IOException {
+        MessageUnpacker unpacker = in.unpacker();
+        return new PeerMessage.SpeedNotice(
+                in.list(
+                        () ->
+                                new ObservedSpeed(
+                                        unpacker.unpackLong(),
+                                        unpacker.unpackInt(),
+                                        unpacker.unpackLong())));
+    }
+
     private static OptionalDouble rate(double value) {
         return value >= 0 ? OptionalDouble.of(value) : OptionalDouble.empty();
     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
@@ -107,6 +107,8 @@
             writeBytes(proof.mac(), out);
         } else if (message instanceof PeerMessage.Notice<?> notice) {
             NoticeCodec.write(notice, out);
+        } else if (message instanceof PeerMessage.SpeedNotice speeds) {
+            NoticeCodec.writeSpeeds(speeds, out);
         } else if (PublishedCodec.isHandled(message)) {
             PublishedCodec.write(message, out);
         } else {
@@ -214,7 +216,7 @@
             case STAGE_RELEASE -> StageCodec.readRelease(in);
             case PUBLISHED_FETCH -> PublishedCodec.readFetch(in);
             case PUBLISHED_CHANGES -> PublishedCodec.readChanges(in);
-            case CRASH_NOTICE, RATE_NOTICE, LEAVING_NOTICE -> readNotice(type, in);
+            case CRASH_NOTICE, RATE_NOTICE, LEAVING_NOTICE, SPEED_NOTICE -> readNotice(type, in);
         };
     }
 
@@ -223,6 +225,7 @@
             case CRASH_NOTICE -> NoticeCodec.readCrashes(in);
             case RATE_NOTICE -> NoticeCodec.readRates(in);
             case LEAVING_NOTICE -> NoticeCodec.readLeaving(in);
+            case SPEED_NOTICE -> NoticeCodec.readSpeeds(in);
             default -> throw new AssertionError(type);
         };
     }
@@ -271,7 +274,8 @@
         PUBLISHED_CHANGES(PeerMessage.PublishedChanges.class),
         CRASH_NOTICE(PeerMessage.CrashNotice.class),
         RATE_NOTICE(PeerMessage.RateNotice.class),
-        LEAVING_NOTICE(PeerMessage.LeavingNotice.class);
+        LEAVING_NOTICE(PeerMessage.LeavingNotice.class),
+        SPEED_NOTICE(PeerMessage.SpeedNotice.class);
 
         private final Class<? extends PeerMessage> mMessageClass;
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
 import org.bulrushvale.decision.forward.LeavingServer;
+import org.bulrushvale.decision.forward.ObservedSpeed;
 import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.decision.forward.StatedRate;
 import org.bulrushvale.decision.retry.CrashRecord;
@@ -350,6 +351,17 @@
         }
     }
 
+    /**
+     * How fast backend servers answer, as the sender knows it.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record SpeedNotice(List<ObservedSpeed> speeds) implements PeerMessage {
+        public SpeedNotice {
+            speeds = List.copyOf(speeds);
+        }
+    }
+
     /**
      * Announces that the sender shuts down.
      *
--- a/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
@@ -4,11 +4,13 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.bulrushvale.decision.forward.LeavingServer;
+import org.bulrushvale.decision.forward.ObservedSpeed;
 import org.bulrushvale.decision.forward.PublishedItem;
 import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.decision.forward.StatedRate;
@@ -80,6 +82,7 @@
                                 new StatedRate("i-1/5", OptionalDouble.of(1.5), 20),
                                 new StatedRate("i-2/5", OptionalDouble.empty(), 0)))
             },
+            {new PeerMessage.SpeedNotice(List.of(new ObservedSpeed(-7, 170, 400)))},
             {new PeerMessage.LeavingNotice(3, List.of(new LeavingServer("i-1/5", 20)))},
         };
     }
@@ -140,4 +143,18 @@
         PeerMessage large = new PeerMessage.KeyHandover(new byte[PeerCodec.MAX_FRAME_BYTES]);
         assertThatThrownBy(() -> PeerCodec.encode(0, large)).isInstanceOf(PeerException.class);
     }
+
+    @Test
+    public void full_notices_about_servers_stay_within_their_bounds() throws PeerException {
+        List<ObservedSpeed> speeds = new ArrayList<>();
+        List<LeavingServer> leaving = new ArrayList<>();
+        for (int i = 0; i < 64; i++) {
+            speeds.add(new ObservedSpeed(Long.MIN_VALUE + i, 1_000, 9_999));
+            leaving.add(new LeavingServer("i-0c1bb3654e" + i + "/1796548500000", 299_999));
+        }
+        // An entry sends two notices of speeds a second and may spend 1 KB/s on them.
+        int speedBytes = payload(new PeerMessage.SpeedNotice(speeds.subList(0, 32))).length;
+        assertThat(speedBytes).isLessThan(512);
+        assertThat(payload(new PeerMessage.LeavingNotice(1, leaving)).length).isLessThan(4_096);
+    }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -29,6 +29,7 @@
 import org.bulrushvale.daemon.FleetNotices;
 import org.bulrushvale.decision.forward.LeavingServer;
 import org.bulrushvale.decision.forward.MemberTable;
+import org.bulrushvale.decision.forward.ServerSpeed;
 import org.bulrushvale.decision.forward.StatedRate;
 import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.kernel.event.EventLoop;
@@ -87,6 +88,7 @@
             (fetch, reply) -> {};
     private Function<PeerMessage.CrashNotice, PeerMessage> mCrashNoticeHandler = notice -> notice;
     private Function<PeerMessage.RateNotice, PeerMessage> mRateNoticeHandler = notice -> notice;
+    private Consumer<PeerMessage.SpeedNotice> mSpeedNoticeHandler = notice -> {};
     private Function<PeerMessage.LeavingNotice, PeerMessage> mLeavingNoticeHandler =
             notice -> notice;
 
@@ -246,6 +248,8 @@
             reply.send(mRateNoticeHandler.apply(notice));
         } else if (message instanceof PeerMessage.LeavingNotice notice) {
             reply.send(mLeavingNoticeHandler.apply(notice));
+        } else if (message instanceof PeerMessage.SpeedNotice notice) {
+            mSpeedNoticeHandler.accept(notice);
         }
     }
 
@@ -260,6 +264,14 @@
         rates.start(mLoop, this);
     }
 
+    /** Begins to share the speed of servers with the members of the same failure domain. */
+    void shareSpeeds(ServerSpeed speed) {
+        SpeedExchange exchange =
+                new SpeedExchange(speed, mMembers, new SplittableRandom(), mTransport::send);
+        mLoop.execute(() -> mSpeedNoticeHandler = exchange::receive);
+        exchange.start(mLoop);
+    }
+
     /** Begins to exchange with the other members which servers leave. */
     void exchangeLeavingNotices(FleetNotices<LeavingServer> leaving) {
         mLoop.execute(() -> mLeavingNoticeHandler = leaving::receive);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -11,12 +11,17 @@
 import org.bulrushvale.adapters.forward.UndertowUpstreamClient;
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.adapters.settings.ForwardSettings.PlacementPolicy;
 import org.bulrushvale.daemon.forward.ForwardServices.ForwardTelemetry;
 import org.bulrushvale.decision.drain.GracePeriod;
+import org.bulrushvale.decision.forward.AffinityChoice;
 import org.bulrushvale.decision.forward.ColdServerRateLimit;
+import org.bulrushvale.decision.forward.ExpectedCompletion;
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
+import org.bulrushvale.decision.forward.SendLimits;
 import org.bulrushvale.decision.forward.ServerChoice;
+import org.bulrushvale.decision.forward.ServerSpeed;
 import org.bulrushvale.decision.forward.StatedRateLimits;
 import org.bulrushvale.decision.retry.CrashSuspects;
 import org.bulrushvale.kernel.event.EventLoop;
@@ -88,6 +93,7 @@
         StatedLimits statedLimits =
                 new StatedLimits(new StatedRateLimits(mClock, members), telemetry);
         mServerReports = new ServerReports(mClock, mPublishedState.directory(), telemetry);
+        ServerSpeed speed = new ServerSpeed(mClock);
         ForwardServices services =
                 new ForwardServices(
                         mLoop,
@@ -95,14 +101,13 @@
                         mUpstreamClient,
                         mProtocol,
                         mPublishedState,
-                        new ServerChoice(mClock, coldLimit, statedLimits.limits()),
+                        newServerChoice(
+                                new SendLimits(mClock, coldLimit, statedLimits.limits()),
+                                speed,
+                                members),
+                        speed,
                         coldLimit,
-                        new RepeatBudget(
-                                mClock,
-                                settings.limits().repeatRatio(),
-                                settings.limits().repeatSlack(),
-                                settings.limits().repeatWindow(),
-                                members::entryCount),
+                        newRepeatBudget(members),
                         crashGuard,
                         statedLimits,
                         mServerReports,
@@ -112,7 +117,7 @@
         mLocalExecutor = new LocalStageExecutor(services);
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
         mFleet.exchangeNotices(crashGuard.notices(), statedLimits.notices());
-        mFleet.exchangeLeavingNotices(mServerReports.leavingNotices());
+        exchangeServerFacts(speed);
         ForwardSettings.Drain drain = settings.drain();
         GracePeriod grace = new GracePeriod(mClock, drain.unreadyDelay(), drain.grace());
         mCore = new ForwardCore(services, mFleet, grace);
@@ -152,6 +157,32 @@
         relay.start(mSettings, mUpstreamClient);
     }
 
+    private void exchangeServerFacts(ServerSpeed speed) {
+        mFleet.exchangeLeavingNotices(mServerReports.leavingNotices());
+        if (mSettings.features().placement().policy() == PlacementPolicy.EXPECTED_COMPLETION) {
+            mFleet.shareSpeeds(speed);
+        }
+    }
+
+    private RepeatBudget newRepeatBudget(MemberTable members) {
+        ForwardSettings.Limits limits = mSettings.limits();
+        return new RepeatBudget(
+                mClock,
+                limits.repeatRatio(),
+                limits.repeatSlack(),
+                limits.repeatWindow(),
+                members::entryCount);
+    }
+
+    private ServerChoice newServerChoice(
+            SendLimits limits, ServerSpeed speed, MemberTable members) {
+        return switch (mSettings.features().placement().policy()) {
+            case AFFINITY -> new AffinityChoice(mClock, limits);
+            case EXPECTED_COMPLETION ->
+                    new ExpectedCompletion(mClock, limits, speed, members::entryCount);
+        };
+    }
+
     private CrashGuard newCrashGuard(ForwardTelemetry telemetry) {
         ServerLivenessCheck livenessCheck =
                 new ServerLivenessCheck(mLoop, mUpstreamClient, telemetry);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -8,6 +8,7 @@
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
 import org.bulrushvale.decision.forward.ServerChoice;
+import org.bulrushvale.decision.forward.ServerSpeed;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
@@ -25,6 +26,7 @@
         ForwardProtocol protocol,
         PublishedState publishedState,
         ServerChoice serverChoice,
+        ServerSpeed serverSpeed,
         ColdServerRateLimit coldLimit,
         RepeatBudget repeatBudget,
         CrashGuard crashGuard,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -61,7 +61,7 @@
     private final String mWorkspace;
     private final int mRank;
     private final String mService;
-    private final double mColdPerSecond;
+    private final ServerPlacement mPlacement;
     private final ForwardConfig mConfig;
     private final EndListener mOnEnd;
     private final RequestTimeLimits mTimeLimits;
@@ -104,8 +104,6 @@
         mWorkspace = workspace.map(Workspace::name).orElse("");
         mRank = workspace.flatMap(Workspace::priority).orElse(route.priority());
         mService = route.selectService(LongHashFunction.xx().hashChars(metadata.id()));
-        mColdPerSecond =
-                config.service(mService).map(ServiceSpec::coldRequestsPerSecond).orElse(0.0);
         mConfig = config;
         mOnEnd = onEnd;
         mTimeLimits =
@@ -116,10 +114,17 @@
                         services.crashGuard(),
                         services.clock(),
                         new RequestContents(caller, metadata, mService, mWorkspace));
+        mPlacement = new ServerPlacement(services, metadata, serviceSpec(config, mService));
         mLastEventId = metadata.resumeAfter();
         mStageScheduler = newScheduler();
     }
 
+    private static ServiceSpec serviceSpec(ForwardConfig config, String service) {
+        return config.service(service)
+                .orElseGet(
+                        () -> new ServiceSpec(service, 0, 0, Optional.empty(), Optional.empty()));
+    }
+
     /** Receives the end of a request. */
     interface EndListener {
         /** Called once, after the request has ended. */
@@ -260,15 +265,8 @@
 
     private @Nullable Server chooseServer() {
         // A request that may have crashed a server keeps away from those that others prefer.
-        String affinity = mCrashWatch.hasLostConnection() ? "" : mRequestMetadata.affinity();
-        return mServices
-                .serverChoice()
-                .choose(
-                        mServices.publishedState().directory().eligibleServers(mService),
-                        mTriedServers,
-                        mColdPerSecond,
-                        affinity,
-                        LongHashFunction.xx().hashChars(mRequestMetadata.id()));
+        boolean useAffinity = !mCrashWatch.hasLostConnection();
+        return mPlacement.choose(mTriedServers, useAffinity, domainOf(mInputs));
     }
 
     private void waitForServer() {
@@ -323,9 +321,12 @@
             mServices.coldLimit().recordSent(server);
         }
         mServices.statedLimits().limits().recordSent(server.published().processName());
-        mServices
-                .log()
-                .line("send")
+        if (!mStreaming) {
+            // The first event of a resumed stream says nothing about the speed of the server.
+            mPlacement.onSent(server);
+        }
+        mPlacement
+                .describe(server, mServices.log().line("send"))
                 .with("request", mRequestMetadata.id())
                 .with("route", mRoute.name())
                 .with("server", id)
@@ -370,6 +371,7 @@
         } else {
             server.recordSuccess();
             if (status / 100 == 2) {
+                mPlacement.onFirstEvent();
                 mCrashWatch.onAnswered();
             }
         }
@@ -429,6 +431,7 @@
         ByteArrayOutputStream newEvents = new ByteArrayOutputStream();
         for (EventSplitter.Event event : mSplitter.add(bytes)) {
             mCrashWatch.onEvent();
+            mPlacement.onFirstEvent();
             if (isNew(event)) {
                 newEvents.writeBytes(event.bytes());
             }
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
@@ -0,0 +1,112 @@
+package org.bulrushvale.daemon.forward;
+
+import java.util.Collection;
+import java.util.List;
+import net.openhft.hashing.LongHashFunction;
+import org.bulrushvale.adapters.forward.CallerRequestMetadata;
+import org.bulrushvale.adapters.settings.ForwardSettings.PlacementPolicy;
+import org.bulrushvale.decision.forward.BackendDirectory.Server;
+import org.bulrushvale.decision.forward.ServerChoice;
+import org.bulrushvale.decision.forward.ServiceSpec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the servers of one request and records how soon they send their first event.
+ *
+ * <p>Thread safety: used on the event loop.
+ */
+final class ServerPlacement {
+    private static final double PERCENT = 100.0;
+
+    private final ForwardServices mServices;
+    private final CallerRequestMetadata mRequest;
+    private final String mServiceName;
+    private final ServiceSpec mService;
+    private ServerChoice.Request mLastRequest = new ServerChoice.Request("", "", 0, 0, "", 0);
+    private ServerChoice.Estimate mEstimate = ServerChoice.Estimate.NONE;
+    private @Nullable Server mAwaited;
+    private long mSentNanos;
+
+    ServerPlacement(ForwardServices services, CallerRequestMetadata request, ServiceSpec service) {
+        mServices = services;
+        mRequest = request;
+        mServiceName = service.name();
+        mService = service;
+    }
+
+    /**
+     * Returns the server to send to, or null when none may receive the request now.
+     *
+     * @param tried ids of servers that must not be chosen
+     * @param useAffinity false to keep away from the servers that requests with the same prompt
+     *     prefer
+     * @param inputDomain failure domain that holds the stage results; empty for none
+     */
+    @Nullable Server choose(Collection<String> tried, boolean useAffinity, String inputDomain) {
+        List<Server> eligible =
+                mServices.publishedState().directory().eligibleServers(mServiceName);
+        mLastRequest =
+                new ServerChoice.Request(
+                        mServiceName,
+                        useAffinity ? mRequest.affinity() : "",
+                        mRequest.promptTokens(),
+                        mService.engine().map(ServiceSpec.EngineLimits::slots).orElse(0),
+                        inputDomain,
+                        LongHashFunction.xx().hashChars(mRequest.id()));
+        Server server =
+                mServices
+                        .serverChoice()
+                        .choose(eligible, tried, mService.coldRequestsPerSecond(), mLastRequest);
+        mEstimate = mServices.serverChoice().lastEstimate();
+        return server;
+    }
+
+    /** Records that an attempt is sent to the server that was chosen last. */
+    void onSent(Server server) {
+        if (mServices.features().placement().policy() != PlacementPolicy.EXPECTED_COMPLETION) {
+            return;
+        }
+        mServices.serverChoice().recordSent(server, mLastRequest);
+        mAwaited = server;
+        mSentNanos = mServices.clock().monotonicNanos();
+    }
+
+    /** Records the first event of a stream or a good answer; later ones change nothing. */
+    void onFirstEvent() {
+        Server server = mAwaited;
+        if (server != null) {
+            mAwaited = null;
+            mServices
+                    .serverSpeed()
+                    .recordFirstEvent(
+                            mServiceName,
+                            server.published().processName(),
+                            mLastRequest.promptTokens(),
+                            mEstimate.cached(),
+                            mServices.clock().monotonicNanos() - mSentNanos);
+        }
+    }
+
+    /** Adds what the choice of a server was based on to a log line. */
+    DecisionLog.Line describe(Server server, DecisionLog.Line line) {
+        long now = mServices.clock().monotonicNanos();
+        double speed = mServices.serverSpeed().ratio(server.published().processName());
+        line.with("expected_ms", mEstimate.millis())
+                .with("speed_percent", (long) (speed * PERCENT));
+        server.facts()
+                .load(now)
+                .ifPresent(
+                        load ->
+                                line.with("load", load)
+                                        .with(
+                                                "load_age_ms",
+                                                server.facts().loadAgeMillis(now).orElse(0))
+                                        .with(
+                                                "load_source",
+                                                server.facts().loadSource(now).name()));
+        server.facts()
+                .pace(now)
+                .ifPresent(pace -> line.with("pace_percent", (long) (pace * PERCENT)));
+        return line;
+    }
+}
--- a/decision/src/test/java/org/bulrushvale/decision/forward/ServerChoiceTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ServerChoiceTest.java
@@ -21,7 +21,7 @@
     private BackendDirectory mDirectory = new BackendDirectory(mClock);
     private ColdServerRateLimit mColdLimit = new ColdServerRateLimit(mClock, new SingleEntry());
     private StatedRateLimits mStatedLimits = new StatedRateLimits(mClock, new SingleEntry());
-    private ServerChoice mChoice = new ServerChoice(mClock, mColdLimit, mStatedLimits);
+    private ServerChoice mChoice = newChoice();
 
     @BeforeMethod
     public void startEmpty() {
@@ -29,7 +29,11 @@
         mDirectory = new BackendDirectory(mClock);
         mColdLimit = new ColdServerRateLimit(mClock, new SingleEntry());
         mStatedLimits = new StatedRateLimits(mClock, new SingleEntry());
-        mChoice = new ServerChoice(mClock, mColdLimit, mStatedLimits);
+        mChoice = newChoice();
+    }
+
+    private ServerChoice newChoice() {
+        return new AffinityChoice(mClock, new SendLimits(mClock, mColdLimit, mStatedLimits));
     }
 
     private static final class SingleEntry implements ColdServerRateLimit.FleetView {
@@ -46,7 +50,8 @@
 
     private Server choose(Set<String> tried, String affinity, long tieBreak) {
         List<Server> eligible = mDirectory.eligibleServers("pool");
-        return mChoice.choose(eligible, tried, 2, affinity, tieBreak);
+        return mChoice.choose(
+                eligible, tried, 2, new ServerChoice.Request("pool", affinity, 0, 0, "", tieBreak));
     }
 
     @Test
