--- a/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
@@ -1,6 +1,7 @@
 package org.bulrushvale.adapters.metrics;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -39,6 +40,11 @@
         Counter.builder(name).tag(label, value).register(mRegistry).increment();
     }
 
+    /** Records a value whose distribution matters. */
+    public void record(String name, double value) {
+        DistributionSummary.builder(name).register(mRegistry).record(value);
+    }
+
     /** Registers a gauge. */
     public void gauge(String name, Supplier<Number> value) {
         Gauge.builder(name, value).register(mRegistry);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
@@ -17,6 +17,7 @@
  */
 final class ServerPlacement {
     private static final double PERCENT = 100.0;
+    private static final double NANOS_PER_MILLI = 1e6;
 
     private final ForwardServices mServices;
     private final CallerRequestMetadata mRequest;
@@ -69,6 +70,9 @@
         mServices.serverChoice().recordSent(server, mLastRequest);
         mAwaited = server;
         mSentNanos = mServices.clock().monotonicNanos();
+        server.facts()
+                .loadAgeMillis(mSentNanos)
+                .ifPresent(age -> mServices.metrics().record("bulrushvale.load.age.ms", age));
     }
 
     /** Records the first event of a stream or a good answer; later ones change nothing. */
@@ -76,6 +80,9 @@
         Server server = mAwaited;
         if (server != null) {
             mAwaited = null;
+            long nanos = mServices.clock().monotonicNanos() - mSentNanos;
+            double expected = NANOS_PER_MILLI * Math.max(1, mEstimate.millis());
+            mServices.metrics().record("bulrushvale.first.event.ratio", nanos / expected);
             mServices
                     .serverSpeed()
                     .recordFirstEvent(
@@ -83,7 +90,7 @@
                             server.published().processName(),
                             mLastRequest.promptTokens(),
                             mEstimate.cached(),
-                            mServices.clock().monotonicNanos() - mSentNanos);
+                            nanos);
         }
     }
 
