Ask two servers for load reports when that can change the choice

Cause: model servers do not state their load in answers, so an entry knows only its own requests there.

Change: with placement.probes, a request to a model server asks at most two candidates for GET /report if both loads are unknown and the second, if idle, would be clearly better than the first, if twice full.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/ForwardProtocol.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/ForwardProtocol.java
@@ -2,7 +2,9 @@
 
 import io.undertow.util.HeaderMap;
 import java.util.List;
+import java.util.Optional;
 import org.bulrushvale.adapters.backend.BackendAddress;
+import org.bulrushvale.decision.forward.ServerLoad;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 
 /**
@@ -43,6 +45,12 @@
     /** Encodes the call that releases results on the server that stores them. */
     StageRequest releaseRequest(List<String> handles);
 
+    /** Returns the path at which a server reports its load. */
+    String loadReportPath();
+
+    /** Decodes the report of a server on its load; empty when it holds no usable figures. */
+    Optional<ServerLoad> parseLoadReport(byte[] body);
+
     /**
      * Path and body of a call to a stage server.
      *
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -106,6 +106,7 @@
                                 speed,
                                 members),
                         speed,
+                        new LoadProbes(mLoop, mClock, mUpstreamClient, mProtocol, metrics),
                         coldLimit,
                         newRepeatBudget(members),
                         crashGuard,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -27,6 +27,7 @@
         PublishedState publishedState,
         ServerChoice serverChoice,
         ServerSpeed serverSpeed,
+        LoadProbes loadProbes,
         ColdServerRateLimit coldLimit,
         RepeatBudget repeatBudget,
         CrashGuard crashGuard,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -244,6 +244,9 @@
         if (refuseIfHeldBack()) {
             return;
         }
+        if (mPlacement.probeFirst(mTriedServers, useAffinity(), domainOf(mInputs), this::send)) {
+            return;
+        }
         Server server = chooseServer();
         if (server == null) {
             waitForServer();
@@ -264,9 +267,12 @@
     }
 
     private @Nullable Server chooseServer() {
-        // A request that may have crashed a server keeps away from those that others prefer.
-        boolean useAffinity = !mCrashWatch.hasLostConnection();
-        return mPlacement.choose(mTriedServers, useAffinity, domainOf(mInputs));
+        return mPlacement.choose(mTriedServers, useAffinity(), domainOf(mInputs));
+    }
+
+    /** A request that may have crashed a server keeps away from those that others prefer. */
+    private boolean useAffinity() {
+        return !mCrashWatch.hasLostConnection();
     }
 
     private void waitForServer() {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
@@ -27,6 +27,7 @@
     private ServerChoice.Estimate mEstimate = ServerChoice.Estimate.NONE;
     private @Nullable Server mAwaited;
     private long mSentNanos;
+    private boolean mProbed;
 
     ServerPlacement(ForwardServices services, CallerRequestMetadata request, ServiceSpec service) {
         mServices = services;
@@ -44,24 +45,59 @@
      * @param inputDomain failure domain that holds the stage results; empty for none
      */
     @Nullable Server choose(Collection<String> tried, boolean useAffinity, String inputDomain) {
-        List<Server> eligible =
-                mServices.publishedState().directory().eligibleServers(mServiceName);
-        mLastRequest =
-                new ServerChoice.Request(
-                        mServiceName,
-                        useAffinity ? mRequest.affinity() : "",
-                        mRequest.promptTokens(),
-                        mService.engine().map(ServiceSpec.EngineLimits::slots).orElse(0),
-                        inputDomain,
-                        LongHashFunction.xx().hashChars(mRequest.id()));
+        mLastRequest = request(useAffinity, inputDomain);
         Server server =
                 mServices
                         .serverChoice()
-                        .choose(eligible, tried, mService.coldRequestsPerSecond(), mLastRequest);
+                        .choose(eligible(), tried, mService.coldRequestsPerSecond(), mLastRequest);
         mEstimate = mServices.serverChoice().lastEstimate();
         return server;
     }
 
+    private List<Server> eligible() {
+        return mServices.publishedState().directory().eligibleServers(mServiceName);
+    }
+
+    private ServerChoice.Request request(boolean useAffinity, String inputDomain) {
+        return new ServerChoice.Request(
+                mServiceName,
+                useAffinity ? mRequest.affinity() : "",
+                mRequest.promptTokens(),
+                mService.engine().map(ServiceSpec.EngineLimits::slots).orElse(0),
+                inputDomain,
+                LongHashFunction.xx().hashChars(mRequest.id()));
+    }
+
+    /**
+     * Asks servers for their load when this can change the choice, at most once for a request and
+     * only model servers, which do not state it otherwise.
+     *
+     * @param next runs after a short wait; not called when the result is false
+     * @return true when the choice has to wait
+     */
+    boolean probeFirst(
+            Collection<String> tried, boolean useAffinity, String inputDomain, Runnable next) {
+        int probes = mServices.features().placement().probes();
+        if (mProbed || probes == 0 || mService.engine().isEmpty()) {
+            return false;
+        }
+        mProbed = true;
+        List<Server> servers =
+                mServices
+                        .serverChoice()
+                        .serversToProbe(
+                                eligible(),
+                                tried,
+                                mService.coldRequestsPerSecond(),
+                                request(useAffinity, inputDomain));
+        if (servers.isEmpty()) {
+            return false;
+        }
+        return mServices
+                .loadProbes()
+                .ask(servers.subList(0, Math.min(probes, servers.size())), next);
+    }
+
     /** Records that an attempt is sent to the server that was chosen last. */
     void onSent(Server server) {
         if (mServices.features().placement().policy() != PlacementPolicy.EXPECTED_COMPLETION) {
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ExpectedCompletion.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ExpectedCompletion.java
@@ -29,6 +29,8 @@
     // Plain services have few servers, of which two may be slow at the same time.
     private static final int PLAIN_CANDIDATES = 3;
 
+    private static final int PROBED_SERVERS = 2;
+
     // How much longer work takes on a server whose slots are all occupied.
     private static final double FULL_LOAD_SLOWDOWN = 0.5;
 
@@ -68,14 +70,8 @@
             Collection<String> tried,
             double coldRequestsPerSecond,
             Request request) {
-        long now = mClock.monotonicNanos();
-        List<Server> allowed = mLimits.allowed(eligible, tried, coldRequestsPerSecond);
-        List<Server> good = allowed.stream().filter(server -> !server.isSuspect(now)).toList();
-        List<Server> usable = good.isEmpty() ? allowed : good;
-        if (usable.isEmpty()) {
-            return null;
-        }
-        double unknownLoad = meanKnownLoad(usable, now);
+        List<Server> usable = usable(eligible, tried, coldRequestsPerSecond);
+        double unknownLoad = meanKnownLoad(usable, mClock.monotonicNanos());
         List<Server> affine = affine(usable, request.affinity());
         Server first = affine.isEmpty() ? null : affine.get(0);
         Server best = null;
@@ -94,6 +90,46 @@
         return best;
     }
 
+    private List<Server> usable(
+            List<Server> eligible, Collection<String> tried, double coldRequestsPerSecond) {
+        long now = mClock.monotonicNanos();
+        List<Server> allowed = mLimits.allowed(eligible, tried, coldRequestsPerSecond);
+        List<Server> good = allowed.stream().filter(server -> !server.isSuspect(now)).toList();
+        return good.isEmpty() ? allowed : good;
+    }
+
+    @Override
+    public List<Server> serversToProbe(
+            List<Server> eligible,
+            Collection<String> tried,
+            double coldRequestsPerSecond,
+            Request request) {
+        long now = mClock.monotonicNanos();
+        List<Server> usable = usable(eligible, tried, coldRequestsPerSecond);
+        List<Server> affine = affine(usable, request.affinity());
+        Server first = affine.isEmpty() ? null : affine.get(0);
+        List<Server> best = new ArrayList<>(candidates(usable, affine, request));
+        best.sort(
+                Comparator.comparingDouble(
+                        server -> expectedNanos(server, server == first, request, 0)));
+        if (best.size() < PROBED_SERVERS) {
+            return List.of();
+        }
+        List<Server> probed = List.copyOf(best.subList(0, PROBED_SERVERS));
+        boolean unknown =
+                probed.stream().allMatch(s -> s.facts().load(now).isEmpty() && !s.isCold(now));
+        Server chosen = probed.get(0);
+        double ifFull = expectedNanos(chosen, chosen == first, request, fullLoad(chosen, request));
+        Server other = probed.get(1);
+        double otherIfIdle = expectedNanos(other, other == first, request, 0);
+        return unknown && otherIfIdle * (1 + CLEAR_GAIN) < ifFull ? probed : List.of();
+    }
+
+    /** Returns a load at which as many requests wait as run. */
+    private double fullLoad(Server server, Request request) {
+        return 2.0 * slots(server, request, mClock.monotonicNanos());
+    }
+
     private static List<Server> affine(List<Server> usable, String affinity) {
         return affinity.isEmpty()
                 ? List.of()
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ServerChoice.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ServerChoice.java
@@ -28,6 +28,18 @@
     /** Records that the request is sent to a server. */
     default void recordSent(Server server, Request request) {}
 
+    /**
+     * Returns the servers whose load reports could change the choice, at most two; empty when their
+     * loads are known well enough.
+     */
+    default List<Server> serversToProbe(
+            List<Server> eligible,
+            Collection<String> tried,
+            double coldRequestsPerSecond,
+            Request request) {
+        return List.of();
+    }
+
     /** Returns what was expected of the server that was chosen last. */
     default Estimate lastEstimate() {
         return Estimate.NONE;
