--- a/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
@@ -1,6 +1,7 @@
 package org.bulrushvale.adapters.metrics;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -39,6 +40,11 @@
         Counter.builder(name).tags(labels).register(mRegistry).increment();
     }
 
+    /** Records a value whose distribution matters. */
+    public void record(String name, double value) {
+        DistributionSummary.builder(name).register(mRegistry).record(value);
+    }
+
     /** Records a duration under labels, given as names and values, which come from fixed sets. */
     public void time(String name, Duration duration, String... labels) {
         Timer.builder(name).tags(labels).register(mRegistry).record(duration);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -11,13 +11,18 @@
 import org.bulrushvale.adapters.forward.UndertowUpstreamClient;
 import org.bulrushvale.adapters.metrics.EntryMetrics;
 import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.adapters.settings.ForwardSettings.PlacementPolicy;
 import org.bulrushvale.daemon.forward.ForwardServices.ForwardTelemetry;
 import org.bulrushvale.decision.admission.ReturnSchedule;
 import org.bulrushvale.decision.drain.GracePeriod;
+import org.bulrushvale.decision.forward.AffinityChoice;
 import org.bulrushvale.decision.forward.ColdServerRateLimit;
+import org.bulrushvale.decision.forward.ExpectedCompletion;
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
+import org.bulrushvale.decision.forward.SendLimits;
 import org.bulrushvale.decision.forward.ServerChoice;
+import org.bulrushvale.decision.forward.ServerSpeed;
 import org.bulrushvale.decision.forward.ServiceAdmission;
 import org.bulrushvale.decision.forward.StatedRateLimits;
 import org.bulrushvale.decision.retry.CrashSuspects;
@@ -90,6 +95,7 @@
         StatedLimits statedLimits =
                 new StatedLimits(new StatedRateLimits(mClock, members), telemetry);
         mServerReports = new ServerReports(mClock, mPublishedState.directory(), telemetry);
+        ServerSpeed speed = new ServerSpeed(mClock);
         ForwardServices services =
                 new ForwardServices(
                         mLoop,
@@ -97,16 +103,16 @@
                         mUpstreamClient,
                         mProtocol,
                         mPublishedState,
-                        new ServerChoice(mClock, coldLimit, statedLimits.limits()),
+                        newServerChoice(
+                                new SendLimits(mClock, coldLimit, statedLimits.limits()),
+                                speed,
+                                members),
+                        speed,
+                        new LoadProbes(mLoop, mClock, mUpstreamClient, mProtocol, metrics),
                         coldLimit,
                         new ServiceAdmission(mClock, coldLimit),
                         new ReturnSchedule(mClock),
-                        new RepeatBudget(
-                                mClock,
-                                settings.limits().repeatRatio(),
-                                settings.limits().repeatSlack(),
-                                settings.limits().repeatWindow(),
-                                members::entryCount),
+                        newRepeatBudget(members),
                         crashGuard,
                         statedLimits,
                         mServerReports,
@@ -116,7 +122,7 @@
         mLocalExecutor = new LocalStageExecutor(services);
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
         mFleet.exchangeNotices(crashGuard.notices(), statedLimits.notices());
-        mFleet.exchangeLeavingNotices(mServerReports.leavingNotices());
+        exchangeServerFacts(speed);
         ForwardSettings.Drain drain = settings.drain();
         GracePeriod grace = new GracePeriod(mClock, drain.unreadyDelay(), drain.grace());
         mCore = new ForwardCore(services, mFleet, grace);
@@ -156,6 +162,32 @@
         relay.start(mSettings, mUpstreamClient);
     }
 
+    private void exchangeServerFacts(ServerSpeed speed) {
+        mFleet.exchangeLeavingNotices(mServerReports.leavingNotices());
+        if (mSettings.features().placement().policy() == PlacementPolicy.EXPECTED_COMPLETION) {
+            mFleet.shareSpeeds(speed);
+        }
+    }
+
+    private RepeatBudget newRepeatBudget(MemberTable members) {
+        ForwardSettings.Limits limits = mSettings.limits();
+        return new RepeatBudget(
+                mClock,
+                limits.repeatRatio(),
+                limits.repeatSlack(),
+                limits.repeatWindow(),
+                members::entryCount);
+    }
+
+    private ServerChoice newServerChoice(
+            SendLimits limits, ServerSpeed speed, MemberTable members) {
+        return switch (mSettings.features().placement().policy()) {
+            case AFFINITY -> new AffinityChoice(mClock, limits);
+            case EXPECTED_COMPLETION ->
+                    new ExpectedCompletion(mClock, limits, speed, members::entryCount);
+        };
+    }
+
     private CrashGuard newCrashGuard(ForwardTelemetry telemetry) {
         ServerLivenessCheck livenessCheck =
                 new ServerLivenessCheck(mLoop, mUpstreamClient, telemetry);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -9,6 +9,7 @@
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.RepeatBudget;
 import org.bulrushvale.decision.forward.ServerChoice;
+import org.bulrushvale.decision.forward.ServerSpeed;
 import org.bulrushvale.decision.forward.ServiceAdmission;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
@@ -27,6 +28,8 @@
         ForwardProtocol protocol,
         PublishedState publishedState,
         ServerChoice serverChoice,
+        ServerSpeed serverSpeed,
+        LoadProbes loadProbes,
         ColdServerRateLimit coldLimit,
         ServiceAdmission serviceAdmission,
         ReturnSchedule returnSchedule,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -56,7 +56,7 @@
     private final Route mRoute;
     private final String mWorkspace;
     private final String mService;
-    private final double mColdPerSecond;
+    private final ServerPlacement mPlacement;
     private final EndListener mOnEnd;
     private final RequestTimeLimits mTimeLimits;
     private final RequestSchedule mSchedule;
@@ -98,8 +98,6 @@
         mRoute = route;
         mWorkspace = workspace.map(Workspace::name).orElse("");
         mService = route.selectService(LongHashFunction.xx().hashChars(metadata.id()));
-        mColdPerSecond =
-                config.service(mService).map(ServiceSpec::coldRequestsPerSecond).orElse(0.0);
         mOnEnd = onEnd;
         mTimeLimits =
                 new RequestTimeLimits(
@@ -118,10 +116,17 @@
                         services.crashGuard(),
                         services.clock(),
                         new RequestContents(caller, metadata, mService, mWorkspace));
+        mPlacement = new ServerPlacement(services, metadata, serviceSpec(config, mService));
         mLastEventId = metadata.resumeAfter();
         mStageScheduler = newScheduler();
     }
 
+    private static ServiceSpec serviceSpec(ForwardConfig config, String service) {
+        return config.service(service)
+                .orElseGet(
+                        () -> new ServiceSpec(service, 0, 0, Optional.empty(), Optional.empty()));
+    }
+
     /** Receives the end of a request. */
     interface EndListener {
         /** Called once, after the request has ended. */
@@ -222,6 +227,9 @@
         if (refuseIfHeldBack()) {
             return;
         }
+        if (mPlacement.probeFirst(mTriedServers, useAffinity(), domainOf(mInputs), this::send)) {
+            return;
+        }
         Server server = chooseServer();
         if (server == null) {
             waitForServer();
@@ -242,16 +250,12 @@
     }
 
     private @Nullable Server chooseServer() {
-        // A request that may have crashed a server keeps away from those that others prefer.
-        String affinity = mCrashWatch.hasLostConnection() ? "" : mRequestMetadata.affinity();
-        return mServices
-                .serverChoice()
-                .choose(
-                        mServices.publishedState().directory().eligibleServers(mService),
-                        mTriedServers,
-                        mColdPerSecond,
-                        affinity,
-                        LongHashFunction.xx().hashChars(mRequestMetadata.id()));
+        return mPlacement.choose(mTriedServers, useAffinity(), domainOf(mInputs));
+    }
+
+    /** A request that may have crashed a server keeps away from those that others prefer. */
+    private boolean useAffinity() {
+        return !mCrashWatch.hasLostConnection();
     }
 
     private void waitForServer() {
@@ -308,9 +312,12 @@
         }
         mServices.statedLimits().limits().recordSent(server.published().processName());
         OptionalInt urgency = mSchedule.urgency(mService);
-        mServices
-                .log()
-                .line("send")
+        if (!mStreaming) {
+            // The first event of a resumed stream says nothing about the speed of the server.
+            mPlacement.onSent(server);
+        }
+        mPlacement
+                .describe(server, mServices.log().line("send"))
                 .with("request", mRequestMetadata.id())
                 .with("route", mRoute.name())
                 .with("server", id)
@@ -357,6 +364,7 @@
         } else {
             server.recordSuccess();
             if (status / 100 == 2) {
+                mPlacement.onFirstEvent();
                 mCrashWatch.onAnswered();
             }
         }
@@ -416,6 +424,7 @@
         ByteArrayOutputStream newEvents = new ByteArrayOutputStream();
         for (EventSplitter.Event event : mSplitter.add(bytes)) {
             mCrashWatch.onEvent();
+            mPlacement.onFirstEvent();
             if (isNew(event)) {
                 newEvents.writeBytes(event.bytes());
             }
