--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -89,40 +89,12 @@
                         mLog,
                         this::onPublished);
         MemberTable members = FleetStageExecutor.createMemberTable(settings, mClock);
-        ColdServerRateLimit coldLimit = new ColdServerRateLimit(mClock, members);
-        ForwardTelemetry telemetry = new ForwardTelemetry(mLog, metrics);
-        CrashGuard crashGuard = newCrashGuard(telemetry);
-        StatedLimits statedLimits =
-                new StatedLimits(new StatedRateLimits(mClock, members), telemetry);
-        mServerReports = new ServerReports(mClock, mPublishedState.directory(), telemetry);
-        ServerSpeed speed = new ServerSpeed(mClock);
-        ForwardServices services =
-                new ForwardServices(
-                        mLoop,
-                        mClock,
-                        mUpstreamClient,
-                        mProtocol,
-                        mPublishedState,
-                        newServerChoice(
-                                new SendLimits(mClock, coldLimit, statedLimits.limits()),
-                                speed,
-                                members),
-                        speed,
-                        new LoadProbes(mLoop, mClock, mUpstreamClient, mProtocol, metrics),
-                        coldLimit,
-                        new ServiceAdmission(mClock, coldLimit),
-                        new ReturnSchedule(mClock),
-                        newRepeatBudget(members),
-                        crashGuard,
-                        statedLimits,
-                        mServerReports,
-                        members,
-                        settings.features(),
-                        telemetry);
+        ForwardServices services = newServices(members, new ForwardTelemetry(mLog, metrics));
+        mServerReports = services.serverReports();
         mLocalExecutor = new LocalStageExecutor(services);
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
-        mFleet.exchangeNotices(crashGuard.notices(), statedLimits.notices());
-        exchangeServerFacts(speed);
+        mFleet.exchangeNotices(services.crashGuard().notices(), services.statedLimits().notices());
+        exchangeServerFacts(services.serverSpeed());
         ForwardSettings.Drain drain = settings.drain();
         GracePeriod grace = new GracePeriod(mClock, drain.unreadyDelay(), drain.grace());
         mCore = new ForwardCore(services, mFleet, grace);
@@ -133,6 +105,34 @@
         startRelay(members);
     }
 
+    private ForwardServices newServices(MemberTable members, ForwardTelemetry telemetry) {
+        ColdServerRateLimit coldLimit = new ColdServerRateLimit(mClock, members);
+        CrashGuard crashGuard = newCrashGuard(telemetry);
+        StatedLimits statedLimits =
+                new StatedLimits(new StatedRateLimits(mClock, members), telemetry);
+        ServerSpeed speed = new ServerSpeed(mClock);
+        return new ForwardServices(
+                mLoop,
+                mClock,
+                mUpstreamClient,
+                mProtocol,
+                mPublishedState,
+                newServerChoice(
+                        new SendLimits(mClock, coldLimit, statedLimits.limits()), speed, members),
+                speed,
+                new LoadProbes(mLoop, mClock, mUpstreamClient, mProtocol, telemetry.metrics()),
+                coldLimit,
+                new ServiceAdmission(mClock, coldLimit),
+                new ReturnSchedule(mClock),
+                newRepeatBudget(members),
+                crashGuard,
+                statedLimits,
+                new ServerReports(mClock, mPublishedState.directory(), telemetry),
+                members,
+                mSettings.features(),
+                telemetry);
+    }
+
     private void dispatchPeriodically() {
         Duration delay = mClock.elapsedSince(mLastDispatchNanos).minus(DISPATCH_PERIOD);
         if (delay.compareTo(LOOP_DELAY_LIMIT) > 0) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -227,7 +227,8 @@
         if (refuseIfHeldBack()) {
             return;
         }
-        if (mPlacement.probeFirst(mTriedServers, useAffinity(), domainOf(mInputs), this::send)) {
+        if (mPlacement.probeFirst(
+                mTriedServers, useAffinity(), mSchedule.domainOf(mInputs), this::send)) {
             return;
         }
         Server server = chooseServer();
@@ -250,7 +251,7 @@
     }
 
     private @Nullable Server chooseServer() {
-        return mPlacement.choose(mTriedServers, useAffinity(), domainOf(mInputs));
+        return mPlacement.choose(mTriedServers, useAffinity(), mSchedule.domainOf(mInputs));
     }
 
     /** A request that may have crashed a server keeps away from those that others prefer. */
