Start short parallel stages late and release inputs once they are read

A result was held until the call of the next stage had ended, although a server reads the inputs of a call when it begins it. Requests whose routes have a short stage beside a chain started both at once; the result of the short stage waited for the chain for seconds and expired at times, so that the request repeated all its stages.

--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
@@ -200,20 +200,13 @@
             case HELLO ->
                     new PeerMessage.Hello(unpacker.unpackInt(), in.text(), in.sender(), in.bytes());
             case PROOF -> new PeerMessage.Proof(in.bytes());
-            case MEMBERS ->
-                    new PeerMessage.MemberList(
-                            in.list(
-                                    () ->
-                                            new PeerMessage.Member(
-                                                    in.text(),
-                                                    in.text(),
-                                                    unpacker.unpackBoolean(),
-                                                    unpacker.unpackLong(),
-                                                    unpacker.unpackInt())));
+            case MEMBERS -> StageCodec.readMembers(in);
             case STAGE_ORDER -> StageCodec.readOrder(in);
             case STAGE_RESULTS -> StageCodec.readResults(in);
             case STAGE_GIVE_UP -> new PeerMessage.StageCancel(in.text());
             case STAGE_RELEASE -> StageCodec.readRelease(in);
+            case STAGE_INPUTS_READ ->
+                    new PeerMessage.StageInputsRead(in.text(), unpacker.unpackInt());
             case PUBLISHED_FETCH -> PublishedCodec.readFetch(in);
             case PUBLISHED_CHANGES -> PublishedCodec.readChanges(in);
             case CRASH_NOTICE, RATE_NOTICE, LEAVING_NOTICE, SPEED_NOTICE -> readNotice(type, in);
@@ -275,7 +268,8 @@
         CRASH_NOTICE(PeerMessage.CrashNotice.class),
         RATE_NOTICE(PeerMessage.RateNotice.class),
         LEAVING_NOTICE(PeerMessage.LeavingNotice.class),
-        SPEED_NOTICE(PeerMessage.SpeedNotice.class);
+        SPEED_NOTICE(PeerMessage.SpeedNotice.class),
+        STAGE_INPUTS_READ(PeerMessage.StageInputsRead.class);
 
         private final Class<? extends PeerMessage> mMessageClass;
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -274,6 +274,14 @@
      */
     record StageCancel(String requestId) implements PeerMessage {}
 
+    /**
+     * States that the servers have read the inputs of all pieces of a stage, so that the results
+     * can be released.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record StageInputsRead(String requestId, int stage) implements PeerMessage {}
+
     /**
      * Releases stored results of a stage service.
      *
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/StageCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/StageCodec.java
@@ -34,6 +34,8 @@
             }
         } else if (message instanceof PeerMessage.StageCancel cancel) {
             out.packString(cancel.requestId());
+        } else if (message instanceof PeerMessage.StageInputsRead read) {
+            out.packString(read.requestId()).packInt(read.stage());
         } else if (message instanceof PeerMessage.StageRelease release) {
             out.packString(release.service()).packArrayHeader(release.pieces().size());
             for (CompletedPiece p : release.pieces()) {
@@ -43,6 +45,19 @@
         }
     }
 
+    static PeerMessage readMembers(FieldReader in) throws IOException {
+        MessageUnpacker unpacker = in.unpacker();
+        return new PeerMessage.MemberList(
+                in.list(
+                        () ->
+                                new PeerMessage.Member(
+                                        in.text(),
+                                        in.text(),
+                                        unpacker.unpackBoolean(),
+                                        unpacker.unpackLong(),
+                                        unpacker.unpackInt())));
+    }
+
     private static void writeJob(StageJob job, MessageBufferPacker out) throws IOException {
         out.packString(job.service()).packLong(job.startByMillis());
         out.packLong(job.giveUpMillis()).packInt(job.rank()).packString(job.workspace());
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.bulrushvale.decision.forward.StageStart;
 
 /**
  * Validated settings of the forwarding entry.
@@ -79,6 +80,12 @@
                     optional("vm", "link_mbps", "0", SettingKey.decimal(0, 1e6)),
                     optional("stages", "collectors", "one", nameOf(Collectors.values())),
                     optional("stages", "collector_vms", "any", nameOf(CollectorVms.values())),
+                    optional("stages", "start", "early", nameOf(StageStart.values())),
+                    optional(
+                            "stages",
+                            "release_inputs",
+                            "after_call",
+                            nameOf(InputRelease.values())),
                     optional("duplicates", "limit", "0", SettingKey.decimal(0, 100)),
                     optional("duplicates", "classes", "", value -> Optional.empty()));
 
@@ -142,7 +149,9 @@
                         table.decimal("vm", "link_mbps")),
                 new Stages(
                         valueOf(Collectors.class, table.text("stages", "collectors")),
-                        valueOf(CollectorVms.class, table.text("stages", "collector_vms"))),
+                        valueOf(CollectorVms.class, table.text("stages", "collector_vms")),
+                        valueOf(StageStart.class, table.text("stages", "start")),
+                        valueOf(InputRelease.class, table.text("stages", "release_inputs"))),
                 new Duplicates(
                         table.decimal("duplicates", "limit"),
                         SettingsTable.splitList(table.text("duplicates", "classes"))));
@@ -325,11 +334,28 @@
     public record Vm(double cores, int memoryMb, double linkMbps) {}
 
     /**
-     * Which members collect the pieces of a stage service.
+     * How the stages of requests are run.
      *
      * <p>Thread safety: immutable.
+     *
+     * @param collectors how many members collect the pieces of a stage service
+     * @param collectorVms which of them may
+     * @param start when a stage with available inputs starts
+     * @param inputRelease when the inputs of a stage are released
      */
-    public record Stages(Collectors collectors, CollectorVms collectorVms) {}
+    public record Stages(
+            Collectors collectors,
+            CollectorVms collectorVms,
+            StageStart start,
+            InputRelease inputRelease) {}
+
+    /** When the results that a stage reads are released at the servers that made them. */
+    public enum InputRelease {
+        /** When the stage is done. */
+        AFTER_CALL,
+        /** When the servers have read them. */
+        AFTER_READ
+    }
 
     /** How many members collect the pieces of one stage service. */
     public enum Collectors {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -21,6 +21,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.bulrushvale.adapters.forward.CompletedPiece;
+import org.bulrushvale.adapters.forward.PieceOrder;
 import org.bulrushvale.adapters.forward.StageJob;
 import org.bulrushvale.adapters.peer.PeerException;
 import org.bulrushvale.adapters.peer.PeerListener;
@@ -89,6 +90,7 @@
     private final LocalStageExecutor mLocalExecutor;
     private final PeerTransport mTransport;
     private final Map<String, Set<Runnable>> mPeerJobs = new HashMap<>();
+    private final Map<String, RemoteJob> mRemoteJobs = new HashMap<>();
     private Set<String> mLiveMembers = Set.of();
     private List<String> mRoundTargets = List.of();
     private BiConsumer<PeerMessage.PublishedFetch, PeerListener.Responder> mPublishedFetchHandler =
@@ -233,20 +235,25 @@
 
     private void onMessage(
             PeerMessage.Sender from, PeerMessage message, PeerListener.Responder reply) {
-        mLoop.execute(() -> handle(message, reply));
+        mLoop.execute(() -> handle(from.vm(), message, reply));
     }
 
-    private void handle(PeerMessage message, PeerListener.Responder reply) {
+    private void handle(String from, PeerMessage message, PeerListener.Responder reply) {
         if (message instanceof PeerMessage.MemberList members) {
             recordMembers(members);
             reply.send(memberList());
         } else if (message instanceof PeerMessage.StageOrder order) {
-            executeForPeer(order.job(), reply);
+            executeForPeer(from, order.job(), reply);
         } else if (message instanceof PeerMessage.StageCancel cancel) {
             Set<Runnable> jobs = mPeerJobs.remove(cancel.requestId());
             if (jobs != null) {
                 jobs.forEach(Runnable::run);
             }
+        } else if (message instanceof PeerMessage.StageInputsRead read) {
+            RemoteJob job = mRemoteJobs.get(jobName(read.requestId(), read.stage()));
+            if (job != null) {
+                job.onInputsRead(from);
+            }
         } else if (message instanceof PeerMessage.StageRelease release) {
             mLocalExecutor.release(release.service(), release.pieces());
         } else if (message instanceof PeerMessage.PublishedFetch fetch) {
@@ -326,18 +333,26 @@
                 .whenComplete((answer, error) -> mLoop.execute(() -> onAnswer.accept(answer)));
     }
 
-    private void executeForPeer(StageJob job, PeerListener.Responder reply) {
+    private static String jobName(String requestId, int stage) {
+        return requestId + "/" + stage;
+    }
+
+    private void executeForPeer(String from, StageJob job, PeerListener.Responder reply) {
         if (job.pieces().isEmpty()) {
             reply.send(new PeerMessage.StageResults(List.of(), NO_RETURN_TIME));
             return;
         }
         String request = job.pieces().get(0).requestId();
+        int stage = job.pieces().get(0).stage();
         PeerJob peerJob = new PeerJob();
         // Registers the job first, because execute() may deliver the results before it returns.
         mPeerJobs.computeIfAbsent(request, id -> new HashSet<>()).add(peerJob);
         peerJob.mCancel =
                 mLocalExecutor.execute(
                         job,
+                        () ->
+                                mTransport.send(
+                                        from, new PeerMessage.StageInputsRead(request, stage)),
                         results -> {
                             removePeerJob(request, peerJob);
                             reply.send(results);
@@ -352,8 +367,9 @@
     }
 
     @Override
-    public Runnable execute(StageJob job, Consumer<PeerMessage.StageResults> onDone) {
-        RemoteJob remote = new RemoteJob(job, onDone);
+    public Runnable execute(
+            StageJob job, Runnable onInputsRead, Consumer<PeerMessage.StageResults> onDone) {
+        RemoteJob remote = new RemoteJob(job, onInputsRead, onDone);
         remote.start();
         return remote::cancel;
     }
@@ -401,13 +417,16 @@
      */
     private final class RemoteJob {
         private final StageJob mJob;
+        private final Runnable mOnInputsRead;
         private final Consumer<PeerMessage.StageResults> mOnDone;
+        private String mCollector = "";
         private int mCollectorAttempts;
         private boolean mEnded;
         private Runnable mCancel = () -> {};
 
-        RemoteJob(StageJob job, Consumer<PeerMessage.StageResults> onDone) {
+        RemoteJob(StageJob job, Runnable onInputsRead, Consumer<PeerMessage.StageResults> onDone) {
             mJob = job;
+            mOnInputsRead = onInputsRead;
             mOnDone = onDone;
         }
 
@@ -422,10 +441,12 @@
             String collector = mMembers.collector(mJob.service());
             if (mCollectorAttempts >= MAX_COLLECTOR_ATTEMPTS
                     || collector.equals(ownName(mSettings))) {
-                mCancel = mLocalExecutor.execute(mJob, this::complete);
+                mCancel = mLocalExecutor.execute(mJob, mOnInputsRead, this::complete);
                 return;
             }
             mCollectorAttempts++;
+            mCollector = collector;
+            mRemoteJobs.put(name(), this);
             String request = mJob.pieces().get(0).requestId();
             mCancel = () -> mTransport.send(collector, new PeerMessage.StageCancel(request));
             Duration timeout =
@@ -438,6 +459,23 @@
                                             () -> onCollectorAnswer(collector, answer, error)));
         }
 
+        private String name() {
+            PieceOrder first = mJob.pieces().get(0);
+            return jobName(first.requestId(), first.stage());
+        }
+
+        /** A collector that was replaced states nothing about the pieces of its successor. */
+        void onInputsRead(String from) {
+            if (!mEnded && from.equals(mCollector)) {
+                mOnInputsRead.run();
+            }
+        }
+
+        private void end() {
+            mEnded = true;
+            mRemoteJobs.remove(name(), this);
+        }
+
         private void onCollectorAnswer(
                 String collector, @Nullable PeerMessage answer, @Nullable Throwable error) {
             if (mEnded) {
@@ -463,14 +501,14 @@
 
         private void complete(PeerMessage.StageResults results) {
             if (!mEnded) {
-                mEnded = true;
+                end();
                 mOnDone.accept(results);
             }
         }
 
         void cancel() {
             if (!mEnded) {
-                mEnded = true;
+                end();
                 mCancel.run();
             }
         }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
@@ -27,20 +27,22 @@
     }
 
     @Override
-    public Runnable execute(StageJob job, Consumer<StageResults> onDone) {
+    public Runnable execute(StageJob job, Runnable onInputsRead, Consumer<StageResults> onDone) {
         long now = mServices.clock().monotonicNanos();
         StageDispatcher dispatcher = dispatcher(job.service());
-        JobResults jobResults = new JobResults(job.pieces().size(), onDone);
+        JobResults jobResults = new JobResults(job.pieces().size(), onInputsRead, onDone);
         List<QueuedPiece> pieces = new ArrayList<>();
         for (int i = 0; i < job.pieces().size(); i++) {
             int index = i;
             PieceOrder order = job.pieces().get(i);
-            pieces.add(
+            QueuedPiece piece =
                     new QueuedPiece(
                             job,
                             order,
                             now,
-                            (result, returnMillis) -> jobResults.add(index, result, returnMillis)));
+                            (result, returnMillis) -> jobResults.add(index, result, returnMillis));
+            piece.onInputsRead(jobResults::recordInputsRead);
+            pieces.add(piece);
         }
         dispatcher.add(pieces);
         return () -> {
@@ -75,13 +77,17 @@
      */
     private static final class JobResults {
         private final @Nullable PieceResult[] mResults;
+        private final Runnable mOnInputsRead;
         private final Consumer<StageResults> mOnDone;
         private int mMissingResults;
+        private int mUnreadPieces;
         private long mReturnMillis = StageResults.NO_RETURN_TIME;
 
-        JobResults(int pieceCount, Consumer<StageResults> onDone) {
+        JobResults(int pieceCount, Runnable onInputsRead, Consumer<StageResults> onDone) {
             mResults = new PieceResult[pieceCount];
             mMissingResults = pieceCount;
+            mUnreadPieces = pieceCount;
+            mOnInputsRead = onInputsRead;
             mOnDone = onDone;
         }
 
@@ -92,6 +98,13 @@
             return mMissingResults > 0 ? job.completedPieces(Arrays.asList(mResults)) : List.of();
         }
 
+        void recordInputsRead() {
+            mUnreadPieces--;
+            if (mUnreadPieces == 0 && mMissingResults > 0) {
+                mOnInputsRead.run();
+            }
+        }
+
         void add(int index, PieceResult result, long returnMillis) {
             mResults[index] = result;
             mReturnMillis = Math.max(mReturnMillis, returnMillis);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
@@ -10,6 +10,7 @@
 import org.bulrushvale.adapters.forward.StageJob;
 import org.bulrushvale.adapters.peer.PeerMessage.StageResults;
 import org.bulrushvale.decision.forward.StageQueue;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A piece in the queue of its stage service, with the consumer of its result.
@@ -29,6 +30,7 @@
     private final String mGroup;
     private final Set<String> mAvoided = new HashSet<>();
     private boolean mDelivered;
+    private @Nullable Runnable mOnInputsRead;
 
     QueuedPiece(
             StageJob job, PieceOrder order, long nowNanos, ObjLongConsumer<PieceResult> onResult) {
@@ -51,6 +53,20 @@
         return mCreatedNanos;
     }
 
+    /** Sets what runs once, when a server has read the inputs of the piece. */
+    void onInputsRead(Runnable task) {
+        mOnInputsRead = task;
+    }
+
+    /** Records that a server has read the inputs. */
+    void recordInputsRead() {
+        Runnable task = mOnInputsRead;
+        mOnInputsRead = null;
+        if (task != null) {
+            task.run();
+        }
+    }
+
     /** Returns the number of servers that failed to make the piece. */
     int failedServerCount() {
         return mAvoided.size();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
@@ -145,6 +145,11 @@
         return mServices.publishedState().directory().eligibleServers(service);
     }
 
+    @Override
+    public ForwardSettings.Stages stages() {
+        return mServices.features().stages();
+    }
+
     @Override
     public ForwardSettings.Admission admission() {
         return mServices.features().admission();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -62,6 +62,7 @@
     private final StageQueue<QueuedPiece> mQueue;
     private final StageAdmission<QueuedPiece> mAdmission;
     private final StageQueueReport mReport;
+    private final InputReadTimer mInputReadTimer;
     private final ReceivedHandles mReceivedHandles = new ReceivedHandles();
     private final Map<StageQueue.Call<QueuedPiece>, ServerFacts.Work> mRunningWork =
             new IdentityHashMap<>();
@@ -69,6 +70,7 @@
 
     StageDispatcher(ForwardServices services, String service) {
         mServices = services;
+        mInputReadTimer = new InputReadTimer(services);
         mService = service;
         mQueue =
                 new StageQueue<>(
@@ -153,6 +155,7 @@
     private void start(StageQueue.Call<QueuedPiece> call) {
         long startedNanos = mServices.clock().monotonicNanos();
         mReport.started(call);
+        mInputReadTimer.onCallStarted(call);
         limits().map(limits -> limits.callTime(call.pieces().size()))
                 .map(Clock::boundedNanos)
                 .map(expected -> call.server().facts().recordWorkStart(expected, startedNanos))
@@ -272,6 +275,7 @@
     }
 
     private void onCallEnded(StageQueue.Call<QueuedPiece> call) {
+        mInputReadTimer.onCallEnded(call);
         mQueue.recordCallEnd(call.server().published().id());
         ServerFacts.Work work = mRunningWork.remove(call);
         if (work != null) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageExecutor.java
@@ -15,11 +15,12 @@
     /**
      * Executes a job.
      *
+     * @param onInputsRead called at most once, when the servers have read the inputs of all pieces
      * @param onDone called once with one result for each piece and, for a refused job, the time
      *     after which its caller should return
      * @return a task that cancels the job
      */
-    Runnable execute(StageJob job, Consumer<StageResults> onDone);
+    Runnable execute(StageJob job, Runnable onInputsRead, Consumer<StageResults> onDone);
 
     /** Releases results that a service made. */
     void release(String service, List<CompletedPiece> pieces);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.bulrushvale.adapters.forward.CompletedPiece;
 import org.bulrushvale.adapters.forward.PieceOrder;
 import org.bulrushvale.adapters.forward.PieceResult;
@@ -37,6 +39,7 @@
     private final Listener mListener;
     private final Map<Integer, List<String>> mHandlesByStage = new HashMap<>();
     private final Map<Integer, Runnable> mCancelByStage = new HashMap<>();
+    private final Set<Integer> mStagesWithInputsRead = new HashSet<>();
     private boolean mEnded;
 
     StageScheduler(
@@ -71,7 +74,10 @@
             if (mPieceCounts.get(stage) > 0
                     && !isDone(stage)
                     && !mCancelByStage.containsKey(stage)) {
-                if (mRoute.stages().get(stage).dependencies().stream().allMatch(this::isDone)) {
+                if (mRoute.stages().get(stage).dependencies().stream().allMatch(this::isDone)
+                        && mRequest.stages()
+                                .start()
+                                .mayStart(pathMillis(stage), longestOtherPathMillis(stage))) {
                     start(stage);
                 }
             }
@@ -87,6 +93,22 @@
         return mPieceCounts.stream().anyMatch(pieces -> pieces > 0);
     }
 
+    private long longestOtherPathMillis(int stage) {
+        long longest = 0;
+        for (int other = 0; other < mPieceCounts.size(); other++) {
+            if (other != stage && !isDone(other)) {
+                longest = Math.max(longest, pathMillis(other));
+            }
+        }
+        return longest;
+    }
+
+    /** Returns the typical time of a stage and of those that depend on it, in ms. */
+    private long pathMillis(int stage) {
+        return mRequest.typicalStageMillis(mRoute.stages().get(stage).service())
+                + followingStagesMillis(stage);
+    }
+
     private boolean isDone(int stage) {
         return mPieceCounts.get(stage) == 0 || mHandlesByStage.containsKey(stage);
     }
@@ -136,7 +158,9 @@
         // Marks the stage as running first, because execute() may deliver the results before it
         // returns.
         mCancelByStage.put(stage, () -> {});
-        Runnable cancel = mExecutor.execute(job, results -> onResults(stage, job, results));
+        Runnable cancel =
+                mExecutor.execute(
+                        job, () -> onInputsRead(stage), results -> onResults(stage, job, results));
         mCancelByStage.replace(stage, cancel);
     }
 
@@ -174,6 +198,13 @@
         return longest;
     }
 
+    private void onInputsRead(int stage) {
+        if (!mEnded) {
+            mStagesWithInputsRead.add(stage);
+            releaseConsumedResults();
+        }
+    }
+
     private void onResults(int stage, StageJob job, StageResults answer) {
         List<PieceResult> results = answer.results();
         mCancelByStage.remove(stage);
@@ -205,13 +236,17 @@
             boolean consumed =
                     !finalStages.contains(stage)
                             && mHandlesByStage.containsKey(stage)
-                            && dependents(candidate).stream().allMatch(this::isDone);
+                            && dependents(candidate).stream().allMatch(this::hasReadInputs);
             if (consumed) {
                 releaseStage(stage);
             }
         }
     }
 
+    private boolean hasReadInputs(int stage) {
+        return isDone(stage) || mStagesWithInputsRead.contains(stage);
+    }
+
     private List<Integer> dependents(int stage) {
         List<Integer> dependents = new ArrayList<>();
         for (int i = 0; i < mPieceCounts.size(); i++) {
@@ -249,6 +284,9 @@
         /** Returns the priority rank of the request; 0 is the most important. */
         int rank();
 
+        /** Returns how the stages of requests are run. */
+        ForwardSettings.Stages stages();
+
         /** Returns the name of the caller's workspace; empty when it has none. */
         String workspace();
 
