Avoid linkage at runtime on the path of a start

Cause: the hash code of a record as a map key, lambdas of a class that the self-test does not run, and Comparator.comparing are linked at runtime, outside the archive.

Change: settings are kept by identity, the two signal tasks of the main class are written out, and a comparison is a lambda of the archive.

--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsTable.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/SettingsTable.java
@@ -5,7 +5,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +26,10 @@
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final List<SettingKey> mKeys;
-    private final Map<SettingKey, String> mValues = new HashMap<>();
+
+    // By identity: the generated hash code of a record is linked at runtime, which takes some 20 ms
+    // of a start.
+    private final Map<SettingKey, String> mValues = new IdentityHashMap<>();
     private final List<SettingsFault> mFaults = new ArrayList<>();
 
     private SettingsTable(List<SettingKey> keys) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
@@ -4,16 +4,19 @@
 import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.adapters.settings.SettingsFault;
 import org.bulrushvale.daemon.LogSetup;
 import org.bulrushvale.kernel.time.Clock;
 import org.bulrushvale.kernel.verdict.BulrushvaleException;
 import org.jspecify.annotations.Nullable;
 import picocli.CommandLine;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * Starts the forwarding entry and stops it on SIGTERM.
@@ -57,8 +60,7 @@
         SettingsFile file = new SettingsFile(path);
         // A signal may arrive before the start has ended.
         CompletableFuture<ForwardDaemon> started = new CompletableFuture<>();
-        Signal.handle(
-                new Signal("HUP"), signal -> started.thenAccept(daemon -> reload(daemon, file)));
+        Signal.handle(new Signal("HUP"), new ReloadOnSignal(started, file));
         ForwardSettings.Result result;
         try {
             result = file.read();
@@ -66,7 +68,9 @@
             err.println("settings file cannot be read: " + path);
             return EXIT_BAD_SETTINGS;
         }
-        result.faults().forEach(fault -> err.println(path + ": " + fault));
+        for (SettingsFault fault : result.faults()) {
+            err.println(path + ": " + fault);
+        }
         if (result.settings().isEmpty()) {
             return EXIT_BAD_SETTINGS;
         }
@@ -80,12 +84,14 @@
             PrintWriter err)
             throws InterruptedException {
         LogSetup.configure(true, settings.log().level());
-        Thread onSignal = new Thread(() -> drainOnSignal(started), "drain-on-signal");
-        Runtime.getRuntime().addShutdownHook(onSignal);
+        Runtime.getRuntime().addShutdownHook(new DrainOnSignal(started));
         try (ForwardDaemon daemon = ForwardDaemon.start(settings)) {
             started.complete(daemon);
             while (!daemon.awaitDrained(SETTINGS_POLL_PERIOD)) {
-                file.readChanged().ifPresent(daemon::reload);
+                Optional<ForwardSettings.Result> changed = file.readChanged();
+                if (changed.isPresent()) {
+                    daemon.reload(changed.get());
+                }
             }
             return 0;
         } catch (BulrushvaleException e) {
@@ -104,17 +110,57 @@
         }
     }
 
-    private static void drainOnSignal(CompletableFuture<ForwardDaemon> started) {
-        long requestedNanos = Clock.system().monotonicNanos();
-        try {
-            ForwardDaemon daemon = started.get();
-            daemon.drain(requestedNanos);
-            daemon.awaitDrainedWithinGrace();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } catch (ExecutionException | CancellationException e) {
-            // The entry did not start, so there is nothing to drain.
-            return;
+    // The self-test does not run this class, so the archive lacks its lambdas. The first lambda
+    // outside
+    // the archive loads and compiles the whole machinery that creates such classes, so the classes
+    // below are written out.
+
+    /**
+     * Reads the settings again, also when the signal arrives before the start has ended.
+     *
+     * <p>Thread safety: immutable.
+     */
+    private static final class ReloadOnSignal implements SignalHandler {
+        private final CompletableFuture<ForwardDaemon> mStarted;
+        private final SettingsFile mFile;
+
+        ReloadOnSignal(CompletableFuture<ForwardDaemon> started, SettingsFile file) {
+            mStarted = started;
+            mFile = file;
+        }
+
+        @Override
+        public void handle(Signal signal) {
+            mStarted.thenAccept(daemon -> reload(daemon, mFile));
+        }
+    }
+
+    /**
+     * Drains the entry when the process is asked to end.
+     *
+     * <p>Thread safety: immutable.
+     */
+    private static final class DrainOnSignal extends Thread {
+        private final CompletableFuture<ForwardDaemon> mStarted;
+
+        DrainOnSignal(CompletableFuture<ForwardDaemon> started) {
+            super("drain-on-signal");
+            mStarted = started;
+        }
+
+        @Override
+        public void run() {
+            long requestedNanos = Clock.system().monotonicNanos();
+            try {
+                ForwardDaemon daemon = mStarted.get();
+                daemon.drain(requestedNanos);
+                daemon.awaitDrainedWithinGrace();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } catch (ExecutionException | CancellationException e) {
+                // The entry did not start, so there is nothing to drain.
+                return;
+            }
         }
     }
 }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
@@ -281,7 +281,7 @@
                         others.add(new MemberReport(name, member.domain(), member.leaving(), age));
                     }
                 });
-        others.sort(Comparator.comparing(MemberReport::age));
+        others.sort((a, b) -> a.age().compareTo(b.age()));
         List<MemberReport> reported = new ArrayList<>();
         reported.add(new MemberReport(mSelf, mSelfDomain, mLeaving, Duration.ZERO));
         reported.addAll(others.subList(0, Math.min(MAX_REPORTED_MEMBERS, others.size())));
