--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardMain.java
@@ -4,12 +4,14 @@
 import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.adapters.settings.SettingsFault;
 import org.bulrushvale.daemon.LogSetup;
 import org.bulrushvale.decision.drain.GracePeriod;
 import org.bulrushvale.kernel.time.Clock;
@@ -17,6 +19,7 @@
 import org.jspecify.annotations.Nullable;
 import picocli.CommandLine;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * Starts the forwarding entry and stops it on SIGTERM.
@@ -66,8 +69,7 @@
         SettingsFile file = new SettingsFile(path);
         // A signal may arrive before the start has ended.
         CompletableFuture<ForwardDaemon> started = new CompletableFuture<>();
-        Signal.handle(
-                new Signal("HUP"), signal -> started.thenAccept(daemon -> reload(daemon, file)));
+        Signal.handle(new Signal("HUP"), new ReloadOnSignal(started, file));
         ForwardSettings.Result result;
         try {
             result = file.read();
@@ -75,7 +77,9 @@
             err.println("settings file cannot be read: " + path);
             return EXIT_BAD_SETTINGS;
         }
-        result.faults().forEach(fault -> err.println(path + ": " + fault));
+        for (SettingsFault fault : result.faults()) {
+            err.println(path + ": " + fault);
+        }
         if (result.settings().isEmpty()) {
             return EXIT_BAD_SETTINGS;
         }
@@ -91,13 +95,14 @@
         LogSetup.configure(true, settings.log().level());
         CountDownLatch closed = new CountDownLatch(1);
         Duration endAfter = endAfter(settings.drain());
-        Thread onSignal =
-                new Thread(() -> drainOnSignal(started, closed, endAfter), "drain-on-signal");
-        Runtime.getRuntime().addShutdownHook(onSignal);
+        Runtime.getRuntime().addShutdownHook(new DrainOnSignal(started, closed, endAfter));
         try (ForwardDaemon daemon = ForwardDaemon.start(settings)) {
             started.complete(daemon);
             while (!daemon.awaitDrained(SETTINGS_POLL_PERIOD)) {
-                file.readChanged().ifPresent(daemon::reload);
+                Optional<ForwardSettings.Result> changed = file.readChanged();
+                if (changed.isPresent()) {
+                    daemon.reload(changed.get());
+                }
             }
             return 0;
         } catch (BulrushvaleException e) {
@@ -122,24 +127,69 @@
         }
     }
 
-    private static void drainOnSignal(
-            CompletableFuture<ForwardDaemon> started, CountDownLatch closed, Duration endAfter) {
-        long requestedNanos = Clock.system().monotonicNanos();
-        HaltTimer.start(
-                Clock.system(),
-                requestedNanos + endAfter.plus(EXIT_LIMIT).toNanos(),
-                () -> Runtime.getRuntime().halt(EXIT_TERMINATED));
-        try {
-            ForwardDaemon daemon = started.get();
-            daemon.drain(requestedNanos);
-            daemon.awaitDrainedWithinGrace();
-            // The JVM waits 300 ms at its exit for threads that wait for sockets.
-            closed.await(CLOSE_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } catch (ExecutionException | CancellationException e) {
-            // The entry did not start, so there is nothing to drain.
-            return;
+    // The self-test does not run this class, so the archive lacks its lambdas. The first lambda
+    // outside the archive loads and compiles the whole machinery that creates such classes, so the
+    // classes below are written out.
+
+    /**
+     * Reads the settings again, also when the signal arrives before the start has ended.
+     *
+     * <p>Thread safety: immutable.
+     */
+    private static final class ReloadOnSignal implements SignalHandler {
+        private final CompletableFuture<ForwardDaemon> mStarted;
+        private final SettingsFile mFile;
+
+        ReloadOnSignal(CompletableFuture<ForwardDaemon> started, SettingsFile file) {
+            mStarted = started;
+            mFile = file;
+        }
+
+        @Override
+        public void handle(Signal signal) {
+            mStarted.thenAccept(daemon -> reload(daemon, mFile));
+        }
+    }
+
+    /**
+     * Drains the entry when the process is asked to end.
+     *
+     * <p>Thread safety: immutable.
+     */
+    private static final class DrainOnSignal extends Thread {
+        private final CompletableFuture<ForwardDaemon> mStarted;
+        private final CountDownLatch mClosed;
+        private final Duration mEndAfter;
+
+        DrainOnSignal(
+                CompletableFuture<ForwardDaemon> started,
+                CountDownLatch closed,
+                Duration endAfter) {
+            super("drain-on-signal");
+            mStarted = started;
+            mClosed = closed;
+            mEndAfter = endAfter;
+        }
+
+        @Override
+        public void run() {
+            long requestedNanos = Clock.system().monotonicNanos();
+            HaltTimer.start(
+                    Clock.system(),
+                    requestedNanos + mEndAfter.plus(EXIT_LIMIT).toNanos(),
+                    () -> Runtime.getRuntime().halt(EXIT_TERMINATED));
+            try {
+                ForwardDaemon daemon = mStarted.get();
+                daemon.drain(requestedNanos);
+                daemon.awaitDrainedWithinGrace();
+                // The JVM waits 300 ms at its exit for threads that wait for sockets.
+                mClosed.await(CLOSE_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } catch (ExecutionException | CancellationException e) {
+                // The entry did not start, so there is nothing to drain.
+                return;
+            }
         }
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -120,6 +120,10 @@
 
     /** Fails the pieces that have expired and starts the calls that can start now. */
     void dispatch() {
+        if (mQueue.waitingCount() == 0) {
+            mReport.setWaiting(0);
+            return;
+        }
         BackendDirectory directory = mServices.publishedState().directory();
         long now = mServices.clock().monotonicNanos();
         // While all servers are paused, no piece starts before the earliest end.
@@ -136,11 +140,13 @@
         if (isAdmissionOn()) {
             mAdmission.refuseHopeless(servers, limits).forEach(this::refuse);
         }
-        mQueue.nextCalls(servers, limits, this::permits).forEach(this::start);
+        // Looked up once, because it hashes the names of all members.
+        boolean onlySender = mServices.isCollector(mService);
+        mQueue.nextCalls(servers, limits, server -> permits(server, onlySender))
+                .forEach(this::start);
     }
 
-    private int permits(Server server) {
-        boolean onlySender = mServices.isCollector(mService);
+    private int permits(Server server, boolean onlySender) {
         String process = server.published().processName();
         return mServices.statedLimits().limits().permits(process, onlySender);
     }
