Start groups that need more memory than a stage server has

Cause: a server that was held for such a group had to have as much free memory as the whole group needs, which it never has. It started nothing until the group had expired, and the group was not split.

Change: the memory that a hold waits for is at most the memory of the server.

Measured: the new test of StageQueueTest got no call before and one call with the two pieces that fit after; StageQueueTest, StageQueueBacklogTest and StageAdmissionLoadTest pass.

--- a/decision/src/main/java/org/bulrushvale/decision/forward/ServerHolds.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ServerHolds.java
@@ -22,11 +22,16 @@
         return hold == null ? smallestBytes : hold.bytes();
     }
 
-    /** Holds the server for the group, if neither is taken; returns true when it holds it then. */
-    boolean hold(String server, WaitingGroup group) {
+    /**
+     * Holds the server for the group, if neither is taken; returns true when it holds it then.
+     *
+     * @param memoryBytes memory of the server; a group that needs more starts in parts once all of
+     *     it is free
+     */
+    boolean hold(String server, WaitingGroup group, long memoryBytes) {
         String held = mServerByGroup.get(group.name());
         if (held == null && !mByServer.containsKey(server)) {
-            mByServer.put(server, new Hold(group.name(), group.bytes()));
+            mByServer.put(server, new Hold(group.name(), Math.min(group.bytes(), memoryBytes)));
             mServerByGroup.put(group.name(), server);
             return true;
         }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -281,7 +281,7 @@
                 if (fitting == 0
                         && mOrder.servesLateGroups()
                         && group.get(0).group().bytes() > freeBytes
-                        && mHolds.hold(id, group.get(0).group())) {
+                        && mHolds.hold(id, group.get(0).group(), limits.resultMemoryBytes())) {
                     break;
                 }
                 taken.addAll(group.subList(0, fitting));
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueTest.java
@@ -328,4 +328,24 @@
         // then
         assertThat(largeStarted).isTrue();
     }
+
+    @Test
+    public void a_group_larger_than_the_memory_of_a_server_starts_once_the_memory_is_free() {
+        // given a server that is held for the group while another result occupies memory
+        mQueue = new StageQueue<>(mClock, RESULT_LIFETIME_NANOS, StageOrder.RANK_FIRST);
+        addServer("s1", "a");
+        long startBy = mClock.monotonicNanos() + Duration.ofSeconds(1).toNanos();
+        mQueue.add(new TestPiece("small", 0, 0, startBy, 400, ""));
+        for (int piece = 0; piece < 3; piece++) {
+            mQueue.add(new TestPiece("large", piece, 1, startBy, 400, ""));
+        }
+        assertThat(nextCalls()).hasSize(1);
+        // when
+        mQueue.recordCallEnd("s1");
+        mQueue.releaseResult("small/0");
+        List<StageQueue.Call<TestPiece>> calls = nextCalls();
+        // then
+        assertThat(calls).hasSize(1);
+        assertThat(calls.get(0).pieces()).hasSize(2);
+    }
 }
