Start a short stage beside a single long one in time

Cause: with start = just_in_time a stage waited while the longest path beside it was more than half as long again. Stages are only considered when another one ends, so a stage of 200 ms beside a single one of 600 ms started after it and the request took the sum of both.

Change: a stage also starts when the stages that depend on the others take less time than its own path.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageScheduler.java
@@ -75,9 +75,7 @@
                     && !isDone(stage)
                     && !mCancelByStage.containsKey(stage)) {
                 if (mRoute.stages().get(stage).dependencies().stream().allMatch(this::isDone)
-                        && mRequest.stages()
-                                .start()
-                                .mayStart(pathMillis(stage), longestOtherPathMillis(stage))) {
+                        && mayStart(stage)) {
                     start(stage);
                 }
             }
@@ -93,14 +91,18 @@
         return mPieceCounts.stream().anyMatch(pieces -> pieces > 0);
     }
 
-    private long longestOtherPathMillis(int stage) {
-        long longest = 0;
+    private boolean mayStart(int stage) {
+        long longestOther = 0;
+        long longestFollowing = 0;
         for (int other = 0; other < mPieceCounts.size(); other++) {
             if (other != stage && !isDone(other)) {
-                longest = Math.max(longest, pathMillis(other));
+                longestOther = Math.max(longestOther, pathMillis(other));
+                longestFollowing = Math.max(longestFollowing, followingStagesMillis(other));
             }
         }
-        return longest;
+        return mRequest.stages()
+                .start()
+                .mayStart(pathMillis(stage), longestOther, longestFollowing);
     }
 
     /** Returns the typical time of a stage and of those that depend on it, in ms. */
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageStart.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageStart.java
@@ -13,7 +13,8 @@
     /** As soon as its inputs are available. */
     EARLY {
         @Override
-        public boolean mayStart(long pathMillis, long longestOtherMillis) {
+        public boolean mayStart(
+                long pathMillis, long longestOtherMillis, long longestFollowingMillis) {
             return true;
         }
     },
@@ -21,8 +22,12 @@
     /** Late enough that its results are ready at about the same time as those beside it. */
     JUST_IN_TIME {
         @Override
-        public boolean mayStart(long pathMillis, long longestOtherMillis) {
-            return longestOtherMillis <= pathMillis * MAX_PATH_RATIO;
+        public boolean mayStart(
+                long pathMillis, long longestOtherMillis, long longestFollowingMillis) {
+            // The next decision is made when a stage ends. A stage that would then be the longest
+            // part of what is left must start now.
+            return longestOtherMillis <= pathMillis * MAX_PATH_RATIO
+                    || longestFollowingMillis < pathMillis;
         }
     };
 
@@ -34,6 +39,9 @@
      *
      * @param pathMillis typical time of the stage and of the stages that depend on it, in ms
      * @param longestOtherMillis the longest such time of the other stages that are not done, in ms
+     * @param longestFollowingMillis the longest typical time of the stages that depend on one of
+     *     the other stages that are not done, in ms
      */
-    public abstract boolean mayStart(long pathMillis, long longestOtherMillis);
+    public abstract boolean mayStart(
+            long pathMillis, long longestOtherMillis, long longestFollowingMillis);
 }
