Keep the inputs of a stage piece that waits to be repeated

Cause: a piece of a job counted as having read its inputs also after its call was lost. The read of the last other piece then released the inputs that the repeated piece still needed. A piece that was repeated after the release took a call and a repeat from the budget although its inputs were gone, and ended as FAILED instead of INPUT_GONE when the budget was used up until its last start.

Change: a repeated piece counts as unread again. StageJobResults is split from LocalStageExecutor.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/InputReadTimer.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/InputReadTimer.java
@@ -13,7 +13,8 @@
  *
  * <p>Load: chains of stages whose result memory is short. A server reads the inputs of a call when
  * the call begins; held until its end, they occupy the memory of their maker for the time of a
- * whole further call. If the call is lost after the release, the request repeats its stages.
+ * whole further call. A piece whose call is lost after the release ends as {@code INPUT_GONE}, and
+ * the request repeats its stages.
  *
  * <p>Invariant: nothing is reported for a call that ended before. Thread safety: used on the event
  * loop.
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
@@ -1,17 +1,14 @@
 package org.bulrushvale.daemon.forward;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.bulrushvale.adapters.forward.CompletedPiece;
 import org.bulrushvale.adapters.forward.PieceOrder;
-import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
 import org.bulrushvale.adapters.peer.PeerMessage.StageResults;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Executes stage jobs in this process, with one dispatcher per stage service.
@@ -30,7 +27,7 @@
     public Runnable execute(StageJob job, Runnable onInputsRead, Consumer<StageResults> onDone) {
         long now = mServices.clock().monotonicNanos();
         StageDispatcher dispatcher = dispatcher(job.service());
-        JobResults jobResults = new JobResults(job.pieces().size(), onInputsRead, onDone);
+        StageJobResults jobResults = new StageJobResults(job.pieces().size(), onInputsRead, onDone);
         List<QueuedPiece> pieces = new ArrayList<>();
         for (int i = 0; i < job.pieces().size(); i++) {
             int index = i;
@@ -41,7 +38,7 @@
                             order,
                             now,
                             (result, returnMillis) -> jobResults.add(index, result, returnMillis));
-            piece.onInputsRead(jobResults::recordInputsRead);
+            piece.setInputReads(jobResults);
             pieces.add(piece);
         }
         dispatcher.add(pieces);
@@ -69,49 +66,4 @@
     private StageDispatcher dispatcher(String service) {
         return mDispatchers.computeIfAbsent(service, name -> new StageDispatcher(mServices, name));
     }
-
-    /**
-     * Collects the results of one job.
-     *
-     * <p>Thread safety: used on the event loop.
-     */
-    private static final class JobResults {
-        private final @Nullable PieceResult[] mResults;
-        private final Runnable mOnInputsRead;
-        private final Consumer<StageResults> mOnDone;
-        private int mMissingResults;
-        private int mUnreadPieces;
-        private long mReturnMillis = StageResults.NO_RETURN_TIME;
-
-        JobResults(int pieceCount, Runnable onInputsRead, Consumer<StageResults> onDone) {
-            mResults = new PieceResult[pieceCount];
-            mMissingResults = pieceCount;
-            mUnreadPieces = pieceCount;
-            mOnInputsRead = onInputsRead;
-            mOnDone = onDone;
-        }
-
-        /**
-         * Returns the results made so far while the job is incomplete, an empty list after that.
-         */
-        List<CompletedPiece> partialResults(StageJob job) {
-            return mMissingResults > 0 ? job.completedPieces(Arrays.asList(mResults)) : List.of();
-        }
-
-        void recordInputsRead() {
-            mUnreadPieces--;
-            if (mUnreadPieces == 0 && mMissingResults > 0) {
-                mOnInputsRead.run();
-            }
-        }
-
-        void add(int index, PieceResult result, long returnMillis) {
-            mResults[index] = result;
-            mReturnMillis = Math.max(mReturnMillis, returnMillis);
-            mMissingResults--;
-            if (mMissingResults == 0) {
-                mOnDone.accept(new StageResults(Arrays.asList(mResults), mReturnMillis));
-            }
-        }
-    }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
@@ -30,7 +30,8 @@
     private final String mGroup;
     private final Set<String> mAvoided = new HashSet<>();
     private boolean mDelivered;
-    private @Nullable Runnable mOnInputsRead;
+    private boolean mInputsRead;
+    private @Nullable StageJobResults mInputReads;
 
     QueuedPiece(
             StageJob job, PieceOrder order, long nowNanos, ObjLongConsumer<PieceResult> onResult) {
@@ -53,20 +54,34 @@
         return mCreatedNanos;
     }
 
-    /** Sets what runs once, when a server has read the inputs of the piece. */
-    void onInputsRead(Runnable task) {
-        mOnInputsRead = task;
+    /** Sets what counts the pieces of the job whose inputs were read. */
+    void setInputReads(StageJobResults inputReads) {
+        mInputReads = inputReads;
     }
 
     /** Records that a server has read the inputs. */
     void recordInputsRead() {
-        Runnable task = mOnInputsRead;
-        mOnInputsRead = null;
-        if (task != null) {
-            task.run();
+        StageJobResults inputReads = mInputReads;
+        if (inputReads != null && !mInputsRead && !mDelivered) {
+            mInputsRead = true;
+            inputReads.recordInputsRead();
         }
     }
 
+    /** Records that another server has to read the inputs; returns false when they are released. */
+    boolean recordRepeat() {
+        StageJobResults inputReads = mInputReads;
+        if (inputReads == null || !mInputsRead) {
+            return true;
+        }
+        if (inputReads.areInputsReported()) {
+            return false;
+        }
+        mInputsRead = false;
+        inputReads.recordInputsUnread();
+        return true;
+    }
+
     /** Returns the number of servers that failed to make the piece. */
     int failedServerCount() {
         return mAvoided.size();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -305,6 +305,8 @@
         if (piece.failedServerCount() > MAX_FAILED_SERVERS
                 || piece.giveUpNanos() - mServices.clock().monotonicNanos() <= 0) {
             piece.deliver(result);
+        } else if (!piece.recordRepeat()) {
+            piece.deliver(PieceResult.failed(PieceResult.Outcome.INPUT_GONE));
         } else if (mServices.repeatBudget().tryRepeat(mService)) {
             mQueue.addAgain(piece);
         } else {
