Forget lapsed observations of a server's speed

Cause: a new time to a first event was added to those of the same process that had lapsed, and renewed them: a server that was slow ten minutes ago still counted as four times slower after three usual answers.

Change: observations that have lapsed are dropped when a new one is recorded.

--- a/decision/src/main/java/org/bulrushvale/decision/forward/ServerSpeed.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ServerSpeed.java
@@ -83,9 +83,16 @@
         if (mOwn.size() >= MAX_RECORDS) {
             removeExpired();
         }
-        Own own = mOwn.computeIfAbsent(hash(process), key -> new Own());
+        long now = mClock.monotonicNanos();
+        Own own =
+                mOwn.compute(
+                        hash(process),
+                        (key, known) ->
+                                known == null || isExpired(known.mAtNanos, now)
+                                        ? new Own()
+                                        : known);
         own.mRatios.add(bounded(nanos / times.value()));
-        own.mAtNanos = mClock.monotonicNanos();
+        own.mAtNanos = now;
     }
 
     private MovingMedian serviceTimes(String service, long promptTokens) {
--- a/decision/src/test/java/org/bulrushvale/decision/forward/ExpectedCompletionTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ExpectedCompletionTest.java
@@ -193,4 +193,28 @@
         assertThat(other.ratio("s0/1")).isLessThan(1);
         assertThat(other.records(64)).isEmpty();
     }
+
+    @Test
+    public void lapsed_observations_do_not_count_together_with_a_new_one() {
+        // given a server that was slow
+        ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
+        ServerSpeed speed = new ServerSpeed(clock);
+        observe(speed, 9, 400);
+        assertThat(speed.ratio("s/1")).isGreaterThan(3);
+        // when it is tried again much later and has recovered
+        clock.advance(Duration.ofMinutes(10));
+        observe(speed, 3, 100);
+        // then
+        assertThat(speed.ratio("s/1")).isBetween(0.9, 1.1);
+    }
+
+    /** Records answers of a server beside three usual ones each. */
+    private static void observe(ServerSpeed speed, int count, long nanos) {
+        for (int i = 0; i < count; i++) {
+            for (int other = 0; other < 3; other++) {
+                speed.recordFirstEvent("pool", "usual/" + other, 500, true, 100);
+            }
+            speed.recordFirstEvent("pool", "s/1", 500, true, nanos);
+        }
+    }
 }
