Let stage work wait for the end of a pause of all stage servers

Cause: paused servers are not eligible, so with queue = on the forecast saw no server and refused every job at once, also when the pause ends long before the last start of the job.

Change: while all servers of a stage service are paused, jobs are queued without a forecast; those that cannot start after the earliest end are refused by the next dispatch, as without admission control.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -89,7 +89,11 @@
 
     /** Adds the pieces of one job, or refuses them when they cannot start in time. */
     void add(List<QueuedPiece> pieces) {
-        Optional<PieceLimits> limits = limits().filter(known -> isAdmissionOn());
+        // Paused servers are not eligible, so the forecast would refuse pieces that can start after
+        // the pause; dispatch() refuses those that cannot.
+        boolean paused =
+                mServices.publishedState().directory().earliestPauseEnd(mService).isPresent();
+        Optional<PieceLimits> limits = limits().filter(known -> isAdmissionOn() && !paused);
         if (limits.isPresent()) {
             Forecast forecast = mAdmission.offer(pieces, eligibleServers(), limits.get());
             if (!forecast.admitted()) {
