Forecast for stage services without stated result memory

Cause: for a service whose results have no size and that states no result memory, the forecast divided zero by zero. The comparisons with NaN admitted every job, however late.

Change: no work takes no part of a capacity, also where it is zero.

Measured: the new test of StageCapacityTest got NaN before; StageCapacityTest, StageAdmissionLoadTest and StageQueueBacklogTest pass.

--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageCapacity.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageCapacity.java
@@ -33,17 +33,22 @@
         if (servers == 0) {
             return Double.POSITIVE_INFINITY;
         }
-        double byCalls = Math.max(0, pieces - freePieces) / piecesPerSecond;
-        double byMemory = Math.max(0, bytes - freeBytes) / bytesPerSecond;
+        double byCalls = ratio(Math.max(0, pieces - freePieces), piecesPerSecond);
+        double byMemory = ratio(Math.max(0, bytes - freeBytes), bytesPerSecond);
         double untilFree = freePieces > 0 ? 0 : callSeconds / (servers + 1);
         return untilFree + Math.max(byCalls, byMemory);
     }
 
+    /** No work takes no time, also where nothing is provided for it. */
+    private static double ratio(double work, double perSecond) {
+        return work == 0 ? 0 : work / perSecond;
+    }
+
     /** Returns the part of the capacity that a rate of work needs; more than 1 in an overload. */
     double load(double pieceRate, double byteRate) {
         return servers == 0
                 ? Double.POSITIVE_INFINITY
-                : Math.max(pieceRate / piecesPerSecond, byteRate / bytesPerSecond);
+                : Math.max(ratio(pieceRate, piecesPerSecond), ratio(byteRate, bytesPerSecond));
     }
 
     /**
