Tell callers when to return after a failed stage call

Cause: with return times on, the answer of a collector replaced the return time also when a stage was not refused but failed. Such an answer has no time, so the refusal carried no Retry-After although the caller could be served later.

Change: only a refusal by the forecast or by expiry uses the time of the collector; other failures use that of the entry.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -194,7 +194,9 @@
         if (outcome == PieceResult.Outcome.INPUT_GONE && repeatStages()) {
             return;
         }
-        mSchedule.setStageReturnMillis(returnMillis);
+        if (outcome == PieceResult.Outcome.LATE) {
+            mSchedule.setStageReturnMillis(returnMillis);
+        }
         giveUp(
                 outcome == PieceResult.Outcome.LATE ? ErrorCode.OVERLOADED : ErrorCode.NO_BACKEND,
                 "a stage of the request failed: " + outcome);
