--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -89,7 +89,11 @@
 
     /** Adds the pieces of one job, or refuses them when they cannot start in time. */
     void add(List<QueuedPiece> pieces) {
-        Optional<PieceLimits> limits = limits().filter(known -> isAdmissionOn());
+        // Paused servers are not eligible, so the forecast would refuse pieces that can start after
+        // the pause; dispatch() refuses those that cannot.
+        boolean paused =
+                mServices.publishedState().directory().earliestPauseEnd(mService).isPresent();
+        Optional<PieceLimits> limits = limits().filter(known -> isAdmissionOn() && !paused);
         if (limits.isPresent()) {
             Forecast forecast = mAdmission.offer(pieces, eligibleServers(), limits.get());
             if (!forecast.admitted()) {
@@ -311,6 +315,8 @@
         if (piece.failedServerCount() > MAX_FAILED_SERVERS
                 || piece.giveUpNanos() - mServices.clock().monotonicNanos() <= 0) {
             piece.deliver(result);
+        } else if (!piece.recordRepeat()) {
+            piece.deliver(PieceResult.failed(PieceResult.Outcome.INPUT_GONE));
         } else if (mServices.repeatBudget().tryRepeat(mService)) {
             mQueue.addAgain(piece);
         } else {
