Choose collectors and store readers among strong VMs

Cause: one member collects the pieces of a stage service for the whole fleet, on whichever VM ranks first, also on one with 0.27 cores or a link of 7 Mbit/s.

Change: [vm] cpu_share x core_count and link_mbps give a capacity, which members exchange. With collector_vms = strong, the collector is chosen among the live members that are not leaving and have at least half of the largest known capacity; readers of the store are ordered with these first. Without known capacities, or with equal ones, the choice is as before. Member lists always report the collectors that the sender chooses, and ages count as older by the time of the exchange, or by 100 ms where it is unknown: without it, relayed messages brought back a member whose calls had failed. A change of a collector is logged and counted.

MemberTableTest, FleetLimitsTest, StoreReadingPlanTest, ForwardSettingsTest, PeerCodecTest, SpeedExchangeTest, SettingsFileTest, StagesTest and StoreReadsTest pass.

--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
@@ -75,8 +75,9 @@
                     optional("admission", "fair_shares", OFF, SWITCH),
                     optional("placement", "policy", "affinity", nameOf(PlacementPolicy.values())),
                     optional("placement", "probes", "0", SettingKey.range(0, 2)),
-                    optional("vm", "cores", "0", SettingKey.decimal(0, 4_096)),
-                    optional("vm", "memory_mb", "0", SettingKey.range(0, 1 << 24)),
+                    optional("vm", "cpu_share", "1", SettingKey.decimal(0, 1)),
+                    optional("vm", "core_count", "0", SettingKey.decimal(0, 4_096)),
+                    optional("vm", "memory_mb", "0", SettingKey.decimal(0, 1 << 24)),
                     optional("vm", "link_mbps", "0", SettingKey.decimal(0, 1e6)),
                     optional("stages", "collectors", "one", nameOf(Collectors.values())),
                     optional("stages", "collector_vms", "any", nameOf(CollectorVms.values())),
@@ -144,8 +145,8 @@
                         valueOf(PlacementPolicy.class, table.text("placement", "policy")),
                         table.number("placement", "probes")),
                 new Vm(
-                        table.decimal("vm", "cores"),
-                        table.number("vm", "memory_mb"),
+                        table.decimal("vm", "cpu_share") * table.decimal("vm", "core_count"),
+                        table.decimal("vm", "memory_mb"),
                         table.decimal("vm", "link_mbps")),
                 new Stages(
                         valueOf(Collectors.class, table.text("stages", "collectors")),
@@ -329,9 +330,21 @@
      *
      * <p>Thread safety: immutable.
      *
+     * @param cores share of the CPU time multiplied by the number of cores
      * @param linkMbps bandwidth of the network link in Mbit/s
      */
-    public record Vm(double cores, int memoryMb, double linkMbps) {}
+    public record Vm(double cores, double memoryMb, double linkMbps) {
+        /**
+         * Returns the capacity by which VMs are compared: the smaller of the cores in hundredths
+         * and the link in Mbit/s, at least 1; 0 if one of them is unknown.
+         */
+        public int capacity() {
+            if (cores <= 0 || linkMbps <= 0) {
+                return 0;
+            }
+            return Math.max(1, (int) Math.round(Math.min(100 * cores, linkMbps)));
+        }
+    }
 
     /**
      * How the stages of requests are run.
--- a/adapters/src/test/java/org/bulrushvale/adapters/settings/ForwardSettingsTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/settings/ForwardSettingsTest.java
@@ -36,7 +36,11 @@
                     Map.entry("bounds.budgetWindowS", "10"),
                     Map.entry("bounds.graceS", "8"),
                     Map.entry("bounds.configDeadlineMs", "4000"),
-                    Map.entry("bounds.drainMs", "3000"));
+                    Map.entry("bounds.drainMs", "3000"),
+                    Map.entry("limits.cpuShare", "0.36"),
+                    Map.entry("limits.cores", "2"),
+                    Map.entry("limits.memoryMb", "409.6"),
+                    Map.entry("limits.linkMbps", "140"));
 
     @DataProvider
     public Object[][] renderings() {
@@ -63,6 +67,14 @@
             {"bounds.configDeadlineMs", ""},
             {"bounds.drainMs", "3e3"},
             {"bounds.drainMs", ""},
+            {"limits.cpuShare", "1"},
+            {"limits.cpuShare", ""},
+            {"limits.cores", "1.5"},
+            {"limits.cores", ""},
+            {"limits.memoryMb", "682"},
+            {"limits.memoryMb", ""},
+            {"limits.linkMbps", "7.5"},
+            {"limits.linkMbps", ""},
             {"seeds", ""},
             {"seeds", "10.1.0.4:8628"},
         };
@@ -74,6 +86,16 @@
         assertThat(ForwardSettings.check(render(name, value)).faults()).isEmpty();
     }
 
+    // A VM of unknown size that counted as a small or large one would shift the choice of
+    // collectors.
+    @Test
+    public void the_capacity_is_the_smaller_of_cores_and_link_or_unknown() throws IOException {
+        assertThat(settings("seeds", "").features().vm().capacity()).isEqualTo(72);
+        assertThat(settings("limits.linkMbps", "7.5").features().vm().capacity()).isEqualTo(8);
+        assertThat(settings("limits.linkMbps", "").features().vm().capacity()).isZero();
+        assertThat(settings("limits.cores", "").features().vm().capacity()).isZero();
+    }
+
     @Test
     public void fractions_are_read_exactly() throws IOException {
         ForwardSettings settings = settings("bounds.budgetWindowS", "2.5");
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -28,6 +28,7 @@
 import org.bulrushvale.adapters.peer.PeerMessage;
 import org.bulrushvale.adapters.peer.PeerTransport;
 import org.bulrushvale.adapters.settings.ForwardSettings;
+import org.bulrushvale.adapters.settings.ForwardSettings.CollectorVms;
 import org.bulrushvale.daemon.FleetNotices;
 import org.bulrushvale.decision.forward.LeavingServer;
 import org.bulrushvale.decision.forward.MemberTable;
@@ -81,10 +82,10 @@
     // detected earlier, by the silence limit.
     private static final Duration REPLY_TIMEOUT_MARGIN = Duration.ofSeconds(4);
     private static final int MAX_COLLECTOR_ATTEMPTS = 2;
-    private static final int UNKNOWN_CAPACITY = 0;
 
     private final ForwardSettings mSettings;
     private final EventLoop mLoop;
+    private final Clock mClock;
     private final DecisionLog mLog;
     private final MemberTable mMembers;
     private final LocalStageExecutor mLocalExecutor;
@@ -111,6 +112,7 @@
             throws PeerException {
         mSettings = settings;
         mLoop = loop;
+        mClock = clock;
         mLog = log;
         mMembers = members;
         mLocalExecutor = localExecutor;
@@ -138,7 +140,10 @@
                 new SplittableRandom(),
                 ownName(settings),
                 settings.entry().failureDomain(),
-                seedNames(settings));
+                seedNames(settings),
+                new MemberTable.VmChoice(
+                        settings.features().vm().capacity(),
+                        settings.features().stages().collectorVms() == CollectorVms.STRONG));
     }
 
     static FleetStageExecutor start(
@@ -187,15 +192,21 @@
 
     private void exchangeMemberLists() {
         logMembershipChange();
+        mLocalExecutor.updateCollectors();
         PeerMessage message = memberList();
         mRoundTargets = List.copyOf(mMembers.gossipTargets());
+        long sentNanos = mClock.monotonicNanos();
         for (String member : mRoundTargets) {
             mTransport
                     .request(member, message, SILENCE_LIMIT)
                     .whenComplete(
                             (answer, error) -> {
                                 if (answer instanceof PeerMessage.MemberList members) {
-                                    mLoop.execute(() -> recordMembers(members));
+                                    mLoop.execute(
+                                            () ->
+                                                    recordMembers(
+                                                            members,
+                                                            mClock.elapsedSince(sentNanos)));
                                 }
                             });
         }
@@ -211,15 +222,22 @@
                                                 heard.domain(),
                                                 heard.leaving(),
                                                 heard.age().toMillis(),
-                                                UNKNOWN_CAPACITY))
+                                                heard.capacity()))
                         .toList());
     }
 
-    private void recordMembers(PeerMessage.MemberList members) {
+    private void recordMembers(PeerMessage.MemberList members, Duration transit) {
+        List<MemberTable.MemberReport> reports = new ArrayList<>();
         for (PeerMessage.Member member : members.members()) {
-            Duration age = Duration.ofMillis(Math.max(0, member.ageMillis()));
-            mMembers.recordHeard(member.vm(), member.failureDomain(), member.leaving(), age);
+            reports.add(
+                    new MemberTable.MemberReport(
+                            member.vm(),
+                            member.failureDomain(),
+                            member.leaving(),
+                            Duration.ofMillis(Math.max(0, member.ageMillis())),
+                            member.capacity()));
         }
+        mMembers.recordReports(reports, transit);
     }
 
     private void logMembershipChange() {
@@ -240,7 +258,7 @@
 
     private void handle(String from, PeerMessage message, PeerListener.Responder reply) {
         if (message instanceof PeerMessage.MemberList members) {
-            recordMembers(members);
+            recordMembers(members, MemberTable.TRANSIT_ALLOWANCE);
             reply.send(memberList());
         } else if (message instanceof PeerMessage.StageOrder order) {
             executeForPeer(from, order.job(), reply);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
@@ -21,9 +21,11 @@
 final class LocalStageExecutor implements StageExecutor {
     private final ForwardServices mServices;
     private final Map<String, StageDispatcher> mDispatchers = new HashMap<>();
+    private final CollectorReport mCollectorReport;
 
     LocalStageExecutor(ForwardServices services) {
         mServices = services;
+        mCollectorReport = new CollectorReport(services);
     }
 
     @Override
@@ -61,6 +63,11 @@
         mDispatchers.values().forEach(StageDispatcher::dispatch);
     }
 
+    /** Determines the collectors of all stage services and logs changes. */
+    void updateCollectors() {
+        mCollectorReport.update();
+    }
+
     /** Returns the number of pieces that wait for a call. */
     int waitingPieces() {
         return mDispatchers.values().stream().mapToInt(StageDispatcher::waiting).sum();
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ForwardConfig.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ForwardConfig.java
@@ -77,6 +77,14 @@
         return Optional.ofNullable(mServices.get(name));
     }
 
+    /** Returns the names of the stage services. */
+    public List<String> stageServices() {
+        return mServices.values().stream()
+                .filter(service -> service.pieces().isPresent())
+                .map(ServiceSpec::name)
+                .toList();
+    }
+
     /** Returns the workspace that an API key belongs to; none for an empty key. */
     public Optional<Workspace> workspace(String apiKey) {
         return apiKey.isEmpty()
--- a/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 import net.openhft.hashing.LongHashFunction;
 import org.bulrushvale.kernel.time.Clock;
 
@@ -29,17 +30,29 @@
      */
     public static final Duration JOIN_TIME = Duration.ofMillis(500);
 
+    /**
+     * Time by which ages in a message without a known transit time count as older. Without it each
+     * relay makes a lost member appear younger, so that a member whose calls failed is used again.
+     */
+    public static final Duration TRANSIT_ALLOWANCE = Duration.ofMillis(100);
+
     private static final Duration LARGEST_COUNT_HOLD_TIME = Duration.ofMinutes(1);
 
     // Both numbers are fixed, so that the cost of gossip per entry does not grow with the fleet.
     private static final int GOSSIP_TARGETS_PER_ROUND = 4;
     private static final int MAX_REPORTED_MEMBERS = 64;
 
+    // Collectors are always reported, because entries that do not know them choose others. The
+    // number bounds their part of the message.
+    private static final int MAX_REPORTED_COLLECTORS = 16;
+
     private final Clock mClock;
     private final SplittableRandom mRandom;
     private final String mSelf;
     private final String mSelfDomain;
+    private final VmChoice mVmChoice;
     private final Map<String, MemberState> mMembers = new HashMap<>();
+    private final Map<String, String> mCollectors = new HashMap<>();
     private Set<String> mSeeds;
     private final long mStartNanos;
     private boolean mLeaving;
@@ -51,17 +64,30 @@
         this(clock, random, self, "", seeds);
     }
 
+    /** As the constructor with a {@link VmChoice}, for VMs of unknown capacity. */
+    public MemberTable(
+            Clock clock,
+            SplittableRandom random,
+            String self,
+            String selfDomain,
+            Set<String> seeds) {
+        this(clock, random, self, selfDomain, seeds, VmChoice.ANY);
+    }
+
     /**
      * Creates the table of the entry {@code self}, which knows only the seeds.
      *
      * @param selfDomain failure domain of this entry
+     * @param vmChoice capacity of the VM of this entry, and how capacities are used
      */
     public MemberTable(
             Clock clock,
             SplittableRandom random,
             String self,
             String selfDomain,
-            Set<String> seeds) {
+            Set<String> seeds,
+            VmChoice vmChoice) {
+        mVmChoice = vmChoice;
         mClock = clock;
         mRandom = random;
         mSelf = self;
@@ -97,6 +123,15 @@
 
     /** As {@link #recordHeard(String, boolean, Duration)}, with the member's failure domain. */
     public void recordHeard(String member, String domain, boolean leaving, Duration age) {
+        recordHeard(member, domain, leaving, age, capacity(member));
+    }
+
+    /**
+     * As {@link #recordHeard(String, String, boolean, Duration)}, with the capacity of the member's
+     * VM; 0 or less if it is unknown.
+     */
+    public void recordHeard(
+            String member, String domain, boolean leaving, Duration age, int capacity) {
         if (member.equals(mSelf)) {
             return;
         }
@@ -105,7 +140,22 @@
         if (known != null && heardNanos - Math.max(known.heardNanos(), known.failedNanos()) <= 0) {
             return;
         }
-        mMembers.put(member, new MemberState(domain, heardNanos, heardNanos, leaving));
+        mMembers.put(
+                member,
+                new MemberState(domain, heardNanos, heardNanos, leaving, Math.max(0, capacity)));
+    }
+
+    /**
+     * Records the reports of a gossip message.
+     *
+     * @param transit upper bound of the time since the message was sent, or {@link
+     *     #TRANSIT_ALLOWANCE} if it is unknown
+     */
+    public void recordReports(List<MemberReport> reports, Duration transit) {
+        for (MemberReport report : reports) {
+            Duration age = report.age().plus(transit);
+            recordHeard(report.name(), report.domain(), report.leaving(), age, report.capacity());
+        }
     }
 
     /** Records that a call to a member failed. */
@@ -115,7 +165,12 @@
             long now = mClock.monotonicNanos();
             mMembers.put(
                     member,
-                    new MemberState(known.domain(), known.heardNanos(), now, known.leaving()));
+                    new MemberState(
+                            known.domain(),
+                            known.heardNanos(),
+                            now,
+                            known.leaving(),
+                            known.capacity()));
         }
     }
 
@@ -167,23 +222,61 @@
     /**
      * Returns the member that collects the pieces of a stage service: the one that ranks highest in
      * the rendezvous order of the service among those that are not leaving, or this entry if there
-     * is none.
+     * is none. If strong VMs are preferred, only members with at least half of the largest known
+     * capacity count.
      */
     public String collector(String service) {
         LongHashFunction hash = LongHashFunction.xx(LongHashFunction.xx().hashChars(service));
+        List<String> live = live();
+        int largest = capacityOfStrongest(live);
         String best = null;
-        for (String member : live()) {
-            boolean leaving = member.equals(mSelf) ? mLeaving : isLeaving(member);
-            if (!leaving && (best == null || hash.hashChars(member) > hash.hashChars(best))) {
+        for (String member : live) {
+            if (!isLeaving(member)
+                    && isStrong(member, largest)
+                    && (best == null || hash.hashChars(member) > hash.hashChars(best))) {
                 best = member;
             }
         }
-        return best == null ? mSelf : best;
+        String collector = best == null ? mSelf : best;
+        mCollectors.put(service, collector);
+        return collector;
+    }
+
+    /** Returns the capacity of a member's VM, or 0 if it is unknown. */
+    public int capacity(String member) {
+        if (member.equals(mSelf)) {
+            return mVmChoice.capacity();
+        }
+        MemberState known = mMembers.get(member);
+        return known == null ? 0 : known.capacity();
+    }
+
+    /** Returns the largest known capacity of the live members that are not leaving, or 0. */
+    public int largestCapacity() {
+        return knownLargest(live());
+    }
+
+    private int knownLargest(List<String> members) {
+        return members.stream()
+                .filter(member -> !isLeaving(member))
+                .mapToInt(this::capacity)
+                .max()
+                .orElse(0);
+    }
+
+    /** Returns the capacity that a strong member has at least half of; 0 if all are strong. */
+    private int capacityOfStrongest(List<String> members) {
+        return mVmChoice.strongOnly() ? knownLargest(members) : 0;
+    }
+
+    private boolean isStrong(String member, int largest) {
+        return 2L * capacity(member) >= largest;
     }
 
     /**
      * Returns the live members of this entry's failure domain that are not leaving, in the order in
-     * which they should read the store for the others; this entry is always included.
+     * which they should read the store for the others; this entry is always included. If strong VMs
+     * are preferred, they come first.
      */
     public List<String> domainReaders() {
         return readers(true);
@@ -203,14 +296,17 @@
         LongHashFunction hash =
                 LongHashFunction.xx(LongHashFunction.xx().hashChars("readers " + mSelfDomain));
         List<String> readers = new ArrayList<>();
-        for (String member : live()) {
-            boolean isSelf = member.equals(mSelf);
-            boolean inDomain = isSelf || domain(member).equals(mSelfDomain);
-            if (inDomain == ownDomain && (isSelf ? !mLeaving : !isLeaving(member))) {
+        List<String> live = live();
+        for (String member : live) {
+            boolean inDomain = member.equals(mSelf) || domain(member).equals(mSelfDomain);
+            if (inDomain == ownDomain && !isLeaving(member)) {
                 readers.add(member);
             }
         }
-        readers.sort(Comparator.comparingLong(hash::hashChars));
+        int largest = capacityOfStrongest(live);
+        readers.sort(
+                Comparator.comparing((String member) -> !isStrong(member, largest))
+                        .thenComparingLong(hash::hashChars));
         if (ownDomain && mLeaving) {
             readers.add(mSelf);
         }
@@ -230,6 +326,9 @@
     }
 
     private boolean isLeaving(String name) {
+        if (name.equals(mSelf)) {
+            return mLeaving;
+        }
         MemberState member = mMembers.get(name);
         return member != null && member.leaving();
     }
@@ -269,7 +368,7 @@
 
     /**
      * Returns the members to report in a gossip message: this entry, then the other members that
-     * have not failed, most recently heard of first.
+     * have not failed, collectors first, then by the time at which they were last heard of.
      */
     public List<MemberReport> knownMembers() {
         long now = mClock.monotonicNanos();
@@ -278,16 +377,44 @@
                 (name, member) -> {
                     if (member.failedNanos() - member.heardNanos() <= 0) {
                         Duration age = Duration.ofNanos(now - member.heardNanos());
-                        others.add(new MemberReport(name, member.domain(), member.leaving(), age));
+                        others.add(
+                                new MemberReport(
+                                        name,
+                                        member.domain(),
+                                        member.leaving(),
+                                        age,
+                                        member.capacity()));
                     }
                 });
-        others.sort(Comparator.comparing(MemberReport::age));
+        Set<String> collectors =
+                mCollectors.values().stream()
+                        .distinct()
+                        .limit(MAX_REPORTED_COLLECTORS)
+                        .collect(Collectors.toUnmodifiableSet());
+        others.sort(
+                Comparator.comparing((MemberReport report) -> !collectors.contains(report.name()))
+                        .thenComparing(MemberReport::age));
         List<MemberReport> reported = new ArrayList<>();
-        reported.add(new MemberReport(mSelf, mSelfDomain, mLeaving, Duration.ZERO));
+        reported.add(
+                new MemberReport(
+                        mSelf, mSelfDomain, mLeaving, Duration.ZERO, mVmChoice.capacity()));
         reported.addAll(others.subList(0, Math.min(MAX_REPORTED_MEMBERS, others.size())));
         return reported;
     }
 
+    /**
+     * Which VMs collect pieces and read the store.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param capacity capacity of the VM of this entry; 0 if it is unknown
+     * @param strongOnly true to prefer VMs with at least half of the largest known capacity
+     */
+    public record VmChoice(int capacity, boolean strongOnly) {
+        /** All VMs, whatever their capacity. */
+        public static final VmChoice ANY = new VmChoice(0, false);
+    }
+
     /**
      * What a gossip message says about a member.
      *
@@ -296,8 +423,10 @@
      * @param domain failure domain of the member; empty when it is not known
      * @param leaving true when the member takes no new work
      * @param age time since the member was last heard of
+     * @param capacity capacity of the member's VM; 0 if it is unknown
      */
-    public record MemberReport(String name, String domain, boolean leaving, Duration age) {}
+    public record MemberReport(
+            String name, String domain, boolean leaving, Duration age, int capacity) {}
 
     /**
      * What this entry knows about another member.
@@ -309,6 +438,8 @@
      * @param failedNanos monotonic time of the last failed call; {@code heardNanos} or earlier when
      *     no call has failed since
      * @param leaving true when the member takes no new work
+     * @param capacity capacity of the member's VM; 0 if it is unknown
      */
-    private record MemberState(String domain, long heardNanos, long failedNanos, boolean leaving) {}
+    private record MemberState(
+            String domain, long heardNanos, long failedNanos, boolean leaving, int capacity) {}
 }
