Let an overloaded entry hand work over

Cause: an entry whose event loop runs late, or whose memory is full, goes on collecting stage pieces for the fleet and keeps the connections of its callers.

Change: with [vm] shed_load = on (off by default), three periods in a row that are more than 250 ms late, or an old generation above 90% after its last collection, make an entry overloaded until 5 s have passed without a sign. It then gossips as leaving, so that another member collects, while most live members take work; if all are overloaded, the choice is the one without overload, not each entry for itself. It closes the idle connections of callers at most once in 10 s, and reports not ready for at most 2 s in 10 s, while three quarters of the known members of its failure domain are ready. Entries that do not yet know of each other's overload are kept apart by time: in each 10 s another quarter of the domain, by rendezvous order, may.

An overload of a whole process was not run.

--- a/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerConnections.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/caller/CallerConnections.java
@@ -151,6 +151,13 @@
         reportIfAllClosed();
     }
 
+    /** Closes the connections that are idle now; others stay open after their last answer. */
+    public void closeIdle() {
+        for (Source source : mOpen) {
+            source.connection().getIoThread().execute(() -> closeIfIdle(source));
+        }
+    }
+
     /**
      * Answers with the problem, from now on, each request of which only a part was read, and reads
      * nothing more from its connection. {@link #closeWhenIdle} must have been called.
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/ForwardServer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/ForwardServer.java
@@ -147,6 +147,11 @@
         mDraining = true;
     }
 
+    /** Closes the connections of callers that are idle now. */
+    public void closeIdleConnections() {
+        mConnections.closeIdle();
+    }
+
     /**
      * Accepts no further callers, closes the idle connections and the others after their last
      * response; runs {@code onAllClosed} when none is left.
--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
@@ -79,6 +79,7 @@
                     optional("vm", "core_count", "0", SettingKey.decimal(0, 4_096)),
                     optional("vm", "memory_mb", "0", SettingKey.decimal(0, 1 << 24)),
                     optional("vm", "link_mbps", "0", SettingKey.decimal(0, 1e6)),
+                    optional("vm", "shed_load", OFF, SWITCH),
                     optional("stages", "collectors", "one", nameOf(Collectors.values())),
                     optional("stages", "collector_vms", "any", nameOf(CollectorVms.values())),
                     optional("stages", "start", "early", nameOf(StageStart.values())),
@@ -147,7 +148,8 @@
                 new Vm(
                         table.decimal("vm", "cpu_share") * table.decimal("vm", "core_count"),
                         table.decimal("vm", "memory_mb"),
-                        table.decimal("vm", "link_mbps")),
+                        table.decimal("vm", "link_mbps"),
+                        table.text("vm", "shed_load").equals(ON)),
                 new Stages(
                         valueOf(Collectors.class, table.text("stages", "collectors")),
                         valueOf(CollectorVms.class, table.text("stages", "collector_vms")),
@@ -326,14 +328,15 @@
     }
 
     /**
-     * Size of the VM; 0 for figures that are not known.
+     * Size of the VM, 0 for figures that are not known, and what an overloaded entry does.
      *
      * <p>Thread safety: immutable.
      *
      * @param cores share of the CPU time multiplied by the number of cores
      * @param linkMbps bandwidth of the network link in Mbit/s
+     * @param shedLoad true to hand work over to other entries while this one is overloaded
      */
-    public record Vm(double cores, double memoryMb, double linkMbps) {
+    public record Vm(double cores, double memoryMb, double linkMbps, boolean shedLoad) {
         /**
          * Returns the capacity by which VMs are compared: the smaller of the cores in hundredths
          * and the link in Mbit/s, at least 1; 0 if one of them is unknown.
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -190,6 +190,12 @@
         exchangeMemberLists();
     }
 
+    /** Hands the stage collection of this entry over to other members, or takes part again. */
+    void setOverloaded(boolean overloaded) {
+        mMembers.setOverloaded(overloaded);
+        exchangeMemberLists();
+    }
+
     private void exchangeMemberLists() {
         logMembershipChange();
         mLocalExecutor.updateCollectors();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardCore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.bulrushvale.adapters.forward.CallerExchange;
 import org.bulrushvale.adapters.forward.CallerRequestMetadata;
 import org.bulrushvale.adapters.forward.ForwardRequestHandler;
@@ -32,6 +33,7 @@
     private final GracePeriod mGracePeriod;
     private final Set<ForwardedRequest> mRequestsInProgress = new HashSet<>();
     private volatile String mNotReadyReason = "no published configuration yet";
+    private volatile BooleanSupplier mShedsLoad = () -> false;
 
     ForwardCore(ForwardServices services, StageExecutor stageExecutor, GracePeriod gracePeriod) {
         mServices = services;
@@ -46,7 +48,13 @@
 
     @Override
     public String notReadyReason() {
-        return mNotReadyReason;
+        String reason = mNotReadyReason;
+        return reason.isEmpty() && mShedsLoad.getAsBoolean() ? "overloaded" : reason;
+    }
+
+    /** Sets what states, on any thread, that the entry reports not ready because of its load. */
+    void onLoad(BooleanSupplier shedsLoad) {
+        mShedsLoad = shedsLoad;
     }
 
     /** Reports the entry as ready when the published state has become complete. */
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.ServiceLoader;
 import org.bulrushvale.adapters.forward.ForwardProtocol;
 import org.bulrushvale.adapters.forward.ForwardServer;
@@ -19,6 +20,7 @@
 import org.bulrushvale.decision.forward.ColdServerRateLimit;
 import org.bulrushvale.decision.forward.ExpectedCompletion;
 import org.bulrushvale.decision.forward.MemberTable;
+import org.bulrushvale.decision.forward.OverloadPolicy;
 import org.bulrushvale.decision.forward.RepeatBudget;
 import org.bulrushvale.decision.forward.SendLimits;
 import org.bulrushvale.decision.forward.ServerChoice;
@@ -52,7 +54,7 @@
     // server that was busy.
     private static final Duration DISPATCH_PERIOD = Duration.ofMillis(50);
     // A loop that runs its tasks this late delays every request of the entry.
-    private static final Duration LOOP_DELAY_LIMIT = Duration.ofMillis(250);
+    private static final Duration LOOP_DELAY_LIMIT = OverloadPolicy.DELAY_LIMIT;
 
     private final ForwardSettings mSettings;
     private final Clock mClock = Clock.system();
@@ -69,6 +71,7 @@
     private final FleetStageExecutor mFleet;
     private final ForwardServer mServer;
     private final ForwardStop mStop;
+    private final Optional<LoadShedding> mLoadShedding;
     private long mLastDispatchNanos;
 
     private ForwardDaemon(ForwardSettings settings) throws BulrushvaleException {
@@ -100,6 +103,11 @@
         mCore = new ForwardCore(services, mFleet, grace);
         mServer = ForwardServer.start(settings, mWorker, mCore, metrics::scrape, mClock);
         mStop = new ForwardStop(mLoop, mClock, grace, mLog, mCore, mFleet, mServer);
+        mLoadShedding =
+                settings.features().vm().shedLoad()
+                        ? Optional.of(new LoadShedding(services, mFleet, mServer))
+                        : Optional.empty();
+        mLoadShedding.ifPresent(shedding -> mCore.onLoad(shedding::isNotReady));
         mLastDispatchNanos = mClock.monotonicNanos();
         mLoop.scheduleWithFixedDelay(DISPATCH_PERIOD, this::dispatchPeriodically);
         startRelay(members);
@@ -142,6 +150,7 @@
                     .with("running", mCore.requestsInProgress())
                     .write();
         }
+        mLoadShedding.ifPresent(shedding -> shedding.recordPeriod(delay));
         mLastDispatchNanos = mClock.monotonicNanos();
         mLocalExecutor.dispatch();
         mServerReports.updateMetrics();
--- a/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
@@ -56,6 +56,7 @@
     private Set<String> mSeeds;
     private final long mStartNanos;
     private boolean mLeaving;
+    private boolean mOverloaded;
     private int mLargestCount = 1;
     private long mLargestCountAtNanos;
 
@@ -112,6 +113,11 @@
         mLeaving = true;
     }
 
+    /** Marks this entry as overloaded or not; while it is, it counts as leaving for the others. */
+    public void setOverloaded(boolean overloaded) {
+        mOverloaded = overloaded;
+    }
+
     /**
      * Records that a member was last heard of {@code age} ago. Has no effect if that is before the
      * last time recorded, or before the last failed call to the member.
@@ -221,23 +227,25 @@
 
     /**
      * Returns the member that collects the pieces of a stage service: the one that ranks highest in
-     * the rendezvous order of the service among those that are not leaving, or this entry if there
-     * is none. If strong VMs are preferred, only members with at least half of the largest known
-     * capacity count.
+     * the rendezvous order of the service among those that are not leaving. If there is none, it is
+     * this entry when it leaves, or one of all members when this entry is only overloaded. If
+     * strong VMs are preferred, only members with at least half of the largest known capacity
+     * count.
      */
     public String collector(String service) {
         LongHashFunction hash = LongHashFunction.xx(LongHashFunction.xx().hashChars(service));
         List<String> live = live();
-        int largest = capacityOfStrongest(live);
-        String best = null;
-        for (String member : live) {
-            if (!isLeaving(member)
-                    && isStrong(member, largest)
-                    && (best == null || hash.hashChars(member) > hash.hashChars(best))) {
-                best = member;
-            }
+        List<String> candidates = live.stream().filter(member -> !isLeaving(member)).toList();
+        if (candidates.isEmpty()) {
+            // Overloaded entries must not all collect for themselves.
+            candidates = mLeaving ? List.of(mSelf) : live;
         }
-        String collector = best == null ? mSelf : best;
+        int largest = capacityOfStrongest(candidates);
+        String collector =
+                candidates.stream()
+                        .filter(member -> isStrong(member, largest))
+                        .max(Comparator.comparingLong(hash::hashChars))
+                        .orElse(mSelf);
         mCollectors.put(service, collector);
         return collector;
     }
@@ -253,15 +261,11 @@
 
     /** Returns the largest known capacity of the live members that are not leaving, or 0. */
     public int largestCapacity() {
-        return knownLargest(live());
+        return knownLargest(live().stream().filter(member -> !isLeaving(member)).toList());
     }
 
     private int knownLargest(List<String> members) {
-        return members.stream()
-                .filter(member -> !isLeaving(member))
-                .mapToInt(this::capacity)
-                .max()
-                .orElse(0);
+        return members.stream().mapToInt(this::capacity).max().orElse(0);
     }
 
     /** Returns the capacity that a strong member has at least half of; 0 if all are strong. */
@@ -270,7 +274,7 @@
     }
 
     private boolean isStrong(String member, int largest) {
-        return 2L * capacity(member) >= largest;
+        return largest == 0 || 2L * capacity(member) >= largest;
     }
 
     /**
@@ -303,16 +307,41 @@
                 readers.add(member);
             }
         }
-        int largest = capacityOfStrongest(live);
+        int largest =
+                capacityOfStrongest(live.stream().filter(member -> !isLeaving(member)).toList());
         readers.sort(
                 Comparator.comparing((String member) -> !isStrong(member, largest))
                         .thenComparingLong(hash::hashChars));
-        if (ownDomain && mLeaving) {
+        if (ownDomain && isLeaving(mSelf)) {
             readers.add(mSelf);
         }
         return readers;
     }
 
+    /** Returns what is known about the failure domain of this entry. */
+    public OverloadPolicy.Domain ownDomain() {
+        live();
+        List<String> members = new ArrayList<>();
+        members.add(mSelf);
+        int readyOthers = 0;
+        for (Map.Entry<String, MemberState> entry : mMembers.entrySet()) {
+            MemberState member = entry.getValue();
+            if (member.domain().equals(mSelfDomain)) {
+                members.add(entry.getKey());
+                boolean live = member.failedNanos() - member.heardNanos() <= 0;
+                readyOthers += live && !member.leaving() ? 1 : 0;
+            }
+        }
+        return new OverloadPolicy.Domain(members, readyOthers);
+    }
+
+    /** Returns true when more than half of the live members are other ones that take new work. */
+    public boolean mostTakeWork() {
+        List<String> live = live();
+        long others = live.stream().filter(name -> !name.equals(mSelf) && !isLeaving(name)).count();
+        return 2 * others > live.size();
+    }
+
     private String domain(String name) {
         MemberState member = mMembers.get(name);
         return member == null ? "" : member.domain();
@@ -327,7 +356,7 @@
 
     private boolean isLeaving(String name) {
         if (name.equals(mSelf)) {
-            return mLeaving;
+            return mLeaving || mOverloaded;
         }
         MemberState member = mMembers.get(name);
         return member != null && member.leaving();
@@ -397,7 +426,7 @@
         List<MemberReport> reported = new ArrayList<>();
         reported.add(
                 new MemberReport(
-                        mSelf, mSelfDomain, mLeaving, Duration.ZERO, mVmChoice.capacity()));
+                        mSelf, mSelfDomain, isLeaving(mSelf), Duration.ZERO, mVmChoice.capacity()));
         reported.addAll(others.subList(0, Math.min(MAX_REPORTED_MEMBERS, others.size())));
         return reported;
     }
