--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
@@ -75,9 +75,11 @@
                     optional("admission", "fair_shares", OFF, SWITCH),
                     optional("placement", "policy", "affinity", nameOf(PlacementPolicy.values())),
                     optional("placement", "probes", "0", SettingKey.range(0, 2)),
-                    optional("vm", "cores", "0", SettingKey.decimal(0, 4_096)),
-                    optional("vm", "memory_mb", "0", SettingKey.range(0, 1 << 24)),
+                    optional("vm", "cpu_share", "1", SettingKey.decimal(0, 1)),
+                    optional("vm", "core_count", "0", SettingKey.decimal(0, 4_096)),
+                    optional("vm", "memory_mb", "0", SettingKey.decimal(0, 1 << 24)),
                     optional("vm", "link_mbps", "0", SettingKey.decimal(0, 1e6)),
+                    optional("vm", "shed_load", OFF, SWITCH),
                     optional("stages", "collectors", "one", nameOf(Collectors.values())),
                     optional("stages", "collector_vms", "any", nameOf(CollectorVms.values())),
                     optional("stages", "start", "early", nameOf(StageStart.values())),
@@ -144,9 +146,10 @@
                         valueOf(PlacementPolicy.class, table.text("placement", "policy")),
                         table.number("placement", "probes")),
                 new Vm(
-                        table.decimal("vm", "cores"),
-                        table.number("vm", "memory_mb"),
-                        table.decimal("vm", "link_mbps")),
+                        table.decimal("vm", "cpu_share") * table.decimal("vm", "core_count"),
+                        table.decimal("vm", "memory_mb"),
+                        table.decimal("vm", "link_mbps"),
+                        table.text("vm", "shed_load").equals(ON)),
                 new Stages(
                         valueOf(Collectors.class, table.text("stages", "collectors")),
                         valueOf(CollectorVms.class, table.text("stages", "collector_vms")),
@@ -325,13 +328,26 @@
     }
 
     /**
-     * Size of the VM; 0 for figures that are not known.
+     * Size of the VM, 0 for figures that are not known, and what an overloaded entry does.
      *
      * <p>Thread safety: immutable.
      *
+     * @param cores share of the CPU time multiplied by the number of cores
      * @param linkMbps bandwidth of the network link in Mbit/s
+     * @param shedLoad true to hand work over to other entries while this one is overloaded
      */
-    public record Vm(double cores, int memoryMb, double linkMbps) {}
+    public record Vm(double cores, double memoryMb, double linkMbps, boolean shedLoad) {
+        /**
+         * Returns the capacity by which VMs are compared: the smaller of the cores in hundredths
+         * and the link in Mbit/s, at least 1; 0 if one of them is unknown.
+         */
+        public int capacity() {
+            if (cores <= 0 || linkMbps <= 0) {
+                return 0;
+            }
+            return Math.max(1, (int) Math.round(Math.min(100 * cores, linkMbps)));
+        }
+    }
 
     /**
      * How the stages of requests are run.
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.ServiceLoader;
 import org.bulrushvale.adapters.forward.ForwardProtocol;
 import org.bulrushvale.adapters.forward.ForwardServer;
@@ -74,6 +75,7 @@
     private final FleetStageExecutor mFleet;
     private final ForwardServer mServer;
     private final ForwardStop mStop;
+    private final Optional<LoadShedding> mLoadShedding;
     private long mLastCheckNanos;
 
     private ForwardDaemon(ForwardSettings settings) throws BulrushvaleException {
@@ -105,6 +107,11 @@
         mCore = new ForwardCore(services, mFleet, grace);
         mServer = ForwardServer.start(settings, mWorker, mCore, metrics::scrape, mClock);
         mStop = new ForwardStop(mLoop, mClock, grace, mLog, mCore, mFleet, mServer);
+        mLoadShedding =
+                settings.features().vm().shedLoad()
+                        ? Optional.of(new LoadShedding(services, mFleet, mServer))
+                        : Optional.empty();
+        mLoadShedding.ifPresent(shedding -> mCore.onLoad(shedding::isNotReady));
         mLastCheckNanos = mClock.monotonicNanos();
         mLoop.scheduleWithFixedDelay(CHECK_PERIOD, this::checkLoop);
         startRelay(members);
@@ -147,6 +154,7 @@
                     .with("running", mCore.requestsInProgress())
                     .write();
         }
+        mLoadShedding.ifPresent(shedding -> shedding.recordPeriod(elapsed.minus(CHECK_PERIOD)));
         mLastCheckNanos = mClock.monotonicNanos();
         mLocalExecutor.dispatch();
         if (mLocalExecutor.waitingPieces() > 0) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
@@ -18,9 +18,11 @@
 final class LocalStageExecutor implements StageExecutor {
     private final ForwardServices mServices;
     private final Map<String, StageDispatcher> mDispatchers = new HashMap<>();
+    private final CollectorReport mCollectorReport;
 
     LocalStageExecutor(ForwardServices services) {
         mServices = services;
+        mCollectorReport = new CollectorReport(services);
     }
 
     @Override
@@ -58,6 +60,11 @@
         mDispatchers.values().forEach(StageDispatcher::dispatch);
     }
 
+    /** Determines the collectors of all stage services and logs changes. */
+    void updateCollectors() {
+        mCollectorReport.update();
+    }
+
     /** Returns the number of pieces that wait for a call. */
     int waitingPieces() {
         return mDispatchers.values().stream().mapToInt(StageDispatcher::waiting).sum();
