Divide a stage service that is short of capacity among workspaces

Cause: one workspace with ten times its usual load lengthens the queue of a stage service for all. Of the others, 15 to 19 in 100 requests are lost.

Change: with [admission] fair_shares = on (and queue = on) the groups of a rank start by the virtual times of their workspaces while more groups wait than can start at once. Otherwise, and with the setting off, the order is as before. Started pieces are charged with their time and their part of the call. When not all can be served, promotions and refusals take the workspaces of a rank in the same order; the places of the ranks stay. The groups of one workspace keep their order, so that a workspace alone sees no difference. Virtual starts are computed once per dispatch, and for a new group from those of its workspace.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
@@ -116,6 +116,11 @@
         return mJob.rank();
     }
 
+    @Override
+    public String workspace() {
+        return mJob.workspace();
+    }
+
     @Override
     public long latestStartNanos() {
         return mStartByNanos;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -20,6 +20,7 @@
 import org.bulrushvale.adapters.forward.ForwardProtocol.StageRequest;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.UpstreamClient;
+import org.bulrushvale.decision.admission.FairShares;
 import org.bulrushvale.decision.forward.BackendDirectory;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ForwardConfig;
@@ -59,6 +60,7 @@
 
     private final ForwardServices mServices;
     private final String mService;
+    private final Optional<FairShares> mShares;
     private final StageQueue<QueuedPiece> mQueue;
     private final StageAdmission<QueuedPiece> mAdmission;
     private final StageQueueReport mReport;
@@ -72,11 +74,16 @@
         mServices = services;
         mInputReadTimer = new InputReadTimer(services);
         mService = service;
+        mShares =
+                isAdmissionOn() && services.features().admission().fairShares()
+                        ? Optional.of(new FairShares(services.clock()))
+                        : Optional.empty();
         mQueue =
                 new StageQueue<>(
                         services.clock(),
                         RESULT_LIFETIME.toNanos(),
-                        isAdmissionOn() ? StageOrder.RANK_FIRST : StageOrder.TARGET_FIRST);
+                        isAdmissionOn() ? StageOrder.RANK_FIRST : StageOrder.TARGET_FIRST,
+                        mShares);
         mAdmission =
                 new StageAdmission<>(
                         services.clock(), mQueue, services.features().admission().returnTimes());
--- a/decision/src/main/java/org/bulrushvale/decision/admission/FairShares.java
+++ b/decision/src/main/java/org/bulrushvale/decision/admission/FairShares.java
@@ -85,8 +85,10 @@
         RankAccounts accounts = accounts(rank);
         Account account = accounts.mByWorkspace.get(workspace);
         if (account != null && account.mWaiting > 0) {
-            // Kept before the last one leaves, so that the next newcomer is not behind it.
-            accounts.mLeast = startOfNewcomer(accounts);
+            if (account.mWaiting == 1) {
+                // Kept for the next newcomer, which would otherwise begin behind it.
+                accounts.mLeast = startOfNewcomer(accounts);
+            }
             account.mWaiting--;
         }
     }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageAdmission.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageAdmission.java
@@ -65,6 +65,7 @@
     public Forecast offer(List<P> group, List<Server> servers, PieceLimits limits) {
         long now = mClock.monotonicNanos();
         WaitingGroup candidate = WaitingGroup.of(group.get(0), group.size());
+        mQueue.assignShare(candidate);
         StageCapacity capacity = mQueue.capacity(servers, limits);
         boolean unknown = capacity.servers() == 0 && !servers.isEmpty();
         StageForecast.Estimate estimate =
@@ -145,6 +146,7 @@
         if (capacity.servers() == 0) {
             return List.of();
         }
+        mQueue.assignShares(now);
         Map<String, Double> hopeless =
                 mForecast.findHopeless(mQueue.groups(), mQueue.order(now), capacity, now);
         Map<String, List<P>> removed = new LinkedHashMap<>();
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageBacklog.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageBacklog.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 
 /**
  * The groups of the pieces that wait in a {@link StageQueue}.
@@ -17,11 +18,25 @@
 final class StageBacklog {
     private final Map<String, WaitingGroup> mGroups = new LinkedHashMap<>();
     private final PromotionBudget mPromotions = new PromotionBudget();
+    private final StageShares mShares;
 
-    /** Adds a piece and returns its group. */
-    WaitingGroup add(StageQueue.Piece piece) {
-        WaitingGroup group =
-                mGroups.computeIfAbsent(piece.group(), name -> new WaitingGroup(piece));
+    StageBacklog(StageShares shares) {
+        mShares = shares;
+    }
+
+    /**
+     * Adds a piece and returns its group.
+     *
+     * @param order order of the groups of a workspace
+     */
+    WaitingGroup add(StageQueue.Piece piece, Comparator<WaitingGroup> order) {
+        WaitingGroup group = mGroups.get(piece.group());
+        if (group == null) {
+            group = new WaitingGroup(piece);
+            mShares.onGroupAdded(group);
+            mShares.assign(group, order);
+            mGroups.put(piece.group(), group);
+        }
         group.addPiece();
         return group;
     }
@@ -31,11 +46,13 @@
         group.removePiece();
         if (group.pieces() == 0) {
             mGroups.remove(group.name());
+            mShares.onGroupRemoved(group);
         }
     }
 
-    /** Removes a piece that starts. */
-    void start(WaitingGroup group) {
+    /** Removes a piece that starts in a call of the given number of pieces. */
+    void start(WaitingGroup group, int callPieces, PieceLimits limits) {
+        mShares.charge(group, callPieces, limits);
         mPromotions.recordStarted(group.isPromoted());
         group.markPartlyStarted();
         remove(group);
@@ -51,8 +68,9 @@
 
     /**
      * Promotes the late groups that miss their last start unless they start soon, in the order of
-     * their last starts. When the budget does not cover a group, the groups after it are not
-     * promoted either; otherwise small groups would use up the budget of large ones.
+     * their last starts and, at equal rank, of the shares of their workspaces. When the budget does
+     * not cover a group, the groups after it are not promoted either; otherwise small groups would
+     * use up the budget of large ones.
      *
      * @param soonNanos time within which a group that comes first can expect to start
      */
@@ -65,6 +83,7 @@
             }
         }
         due.sort(Comparator.comparingLong(group -> group.giveUpNanos() - nowNanos));
+        StageShares.orderWithinRanks(due);
         int planned = 0;
         for (WaitingGroup group : due) {
             if (!mPromotions.allows(planned, group.pieces())) {
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageForecast.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageForecast.java
@@ -92,7 +92,7 @@
         Work late = new Work();
         for (WaitingGroup other : waiting) {
             if (other.isExpectedLate(nowNanos)) {
-                if (other.giveUpNanos() - group.giveUpNanos() <= 0) {
+                if (comesBeforeWhenLate(other, group)) {
                     late.add(other);
                 }
             } else {
@@ -110,6 +110,14 @@
                 : new Estimate(seconds, true, true);
     }
 
+    private static boolean comesBeforeWhenLate(WaitingGroup other, WaitingGroup group) {
+        int byShare =
+                other.rank() == group.rank() && !other.isOfSameWorkspace(group)
+                        ? Double.compare(other.virtualStart(), group.virtualStart())
+                        : 0;
+        return byShare < 0 || byShare == 0 && other.giveUpNanos() - group.giveUpNanos() <= 0;
+    }
+
     private Estimate lateEstimate(
             WaitingGroup group,
             Work inTime,
@@ -150,6 +158,7 @@
             }
         }
         lateGroups.sort(Comparator.comparingLong(group -> group.giveUpNanos() - nowNanos));
+        StageShares.orderWithinRanks(lateGroups);
         Work late = new Work();
         Map<String, Double> hopeless = new HashMap<>();
         for (WaitingGroup group : lateGroups) {
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageOrder.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageOrder.java
@@ -30,6 +30,17 @@
                     .thenComparingLong(group -> timeLeft(group, nowNanos))
                     .thenComparing(WaitingGroup::name);
         }
+
+        @Override
+        Comparator<WaitingGroup> sharedComparator(long nowNanos) {
+            Comparator<WaitingGroup> alone = comparator(nowNanos);
+            Comparator<WaitingGroup> shared =
+                    Comparator.comparingInt((WaitingGroup group) -> phase(group, nowNanos))
+                            .thenComparingInt(WaitingGroup::rank)
+                            .thenComparingDouble(WaitingGroup::virtualStart)
+                            .thenComparing(alone);
+            return (a, b) -> a.isOfSameWorkspace(b) ? alone.compare(a, b) : shared.compare(a, b);
+        }
     };
 
     // Times within the period in which a queue is checked count as equal.
@@ -44,6 +55,14 @@
     /** Returns the order at a monotonic time. */
     abstract Comparator<WaitingGroup> comparator(long nowNanos);
 
+    /**
+     * Returns the order at a monotonic time that compares the groups of different workspaces by
+     * their virtual starts before their times.
+     */
+    Comparator<WaitingGroup> sharedComparator(long nowNanos) {
+        return comparator(nowNanos);
+    }
+
     /**
      * Returns true when late groups are promoted, and servers are held for groups that need much
      * memory.
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -10,10 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
+import org.bulrushvale.decision.admission.FairShares;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.kernel.time.Clock;
@@ -55,7 +57,8 @@
     private final Map<String, ReservedMemory> mReservations = new HashMap<>();
     private final Map<String, ForeignMemory> mForeignMemory = new HashMap<>();
     private final StageOrder mOrder;
-    private final StageBacklog mBacklog = new StageBacklog();
+    private final StageShares mShares;
+    private final StageBacklog mBacklog;
     private final ServerHolds mHolds = new ServerHolds();
     private final MovingAverage mHeldNanos = new MovingAverage();
     private long mLastCallEndNanos;
@@ -75,6 +78,20 @@
      * @param resultLifetimeNanos time after which a server drops a result by itself
      */
     public StageQueue(Clock clock, long resultLifetimeNanos, StageOrder order) {
+        this(clock, resultLifetimeNanos, order, Optional.empty());
+    }
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param resultLifetimeNanos time after which a server drops a result by itself
+     * @param shares accounts of the workspaces, which order the groups of a rank while more groups
+     *     wait than can start at once; only {@link StageOrder#RANK_FIRST} uses them
+     */
+    public StageQueue(
+            Clock clock, long resultLifetimeNanos, StageOrder order, Optional<FairShares> shares) {
+        mShares = new StageShares(shares.filter(given -> order.servesLateGroups()));
+        mBacklog = new StageBacklog(mShares);
         mClock = clock;
         mResultLifetimeNanos = resultLifetimeNanos;
         mOrder = order;
@@ -83,7 +100,8 @@
 
     /** Adds a piece to the queue. */
     public void add(P piece) {
-        mQueued.add(new QueuedPiece<>(piece, mClock.monotonicNanos(), mBacklog.add(piece)));
+        long now = mClock.monotonicNanos();
+        mQueued.add(new QueuedPiece<>(piece, now, mBacklog.add(piece, mOrder.comparator(now))));
         mQueuedByResultBytes.merge(piece.resultBytes(), 1, Integer::sum);
     }
 
@@ -134,9 +152,21 @@
         return mBacklog.groups();
     }
 
+    /** Sets the virtual start of a group that does not wait yet. */
+    void assignShare(WaitingGroup group) {
+        mShares.assign(group, mOrder.comparator(mClock.monotonicNanos()));
+    }
+
+    /** Sets the virtual starts of the waiting groups. */
+    void assignShares(long nowNanos) {
+        if (mShares.isOn()) {
+            mShares.assign(mBacklog.groups(), mOrder.comparator(nowNanos));
+        }
+    }
+
     /** Returns the order of the groups at a monotonic time. */
     Comparator<WaitingGroup> order(long nowNanos) {
-        return mOrder.comparator(nowNanos);
+        return mShares.isOn() ? mOrder.sharedComparator(nowNanos) : mOrder.comparator(nowNanos);
     }
 
     /** Returns the capacity of the servers that can be used now. */
@@ -181,6 +211,12 @@
             usable.forEach(server -> ids.add(server.published().id()));
             mHolds.retain(mBacklog::contains, ids);
         }
+        if (mShares.isOn()) {
+            boolean changed = mShares.setShort(isShort(usable, limits, now), limits);
+            if (changed) {
+                assignShares(now);
+            }
+        }
         if (usable.stream().noneMatch(server -> canTakePieces(server, limits, now))) {
             return calls;
         }
@@ -201,6 +237,27 @@
         return calls;
     }
 
+    /** Returns true when more groups wait than can start at once. */
+    private boolean isShort(List<Server> usable, PieceLimits limits, long now) {
+        long places = 0;
+        long bytes = 0;
+        for (Server server : usable) {
+            if (hasFreeSlot(server, limits)) {
+                int slots = limits.slots() - runningCalls(server.published().id());
+                places += (long) slots * limits.maxBatch();
+                bytes += freeBytes(server, limits, now);
+            }
+        }
+        if (mQueued.size() > places) {
+            return true;
+        }
+        long waitingBytes = 0;
+        for (WaitingGroup group : mBacklog.groups()) {
+            waitingBytes += group.bytes();
+        }
+        return waitingBytes > bytes;
+    }
+
     private boolean hasFreeSlot(Server server, PieceLimits limits) {
         return runningCalls(server.published().id()) < limits.slots();
     }
@@ -220,7 +277,8 @@
         if (mOrder.servesLateGroups()) {
             mBacklog.promoteLateGroups(now, (long) meanHeldNanos(limits));
         }
-        mQueued.sort(Comparator.comparing(QueuedPiece::group, mOrder.comparator(now)));
+        assignShares(now);
+        mQueued.sort(Comparator.comparing(QueuedPiece::group, order(now)));
     }
 
     /**
@@ -291,7 +349,7 @@
         Set<QueuedPiece<P>> takenSet = Collections.newSetFromMap(new IdentityHashMap<>());
         takenSet.addAll(taken);
         mQueued.removeIf(takenSet::contains);
-        taken.forEach(queued -> mBacklog.start(queued.group()));
+        taken.forEach(queued -> mBacklog.start(queued.group(), taken.size(), limits));
         for (QueuedPiece<P> queued : taken) {
             onRemoved(queued.piece());
             reserve(id, queued.piece(), now);
@@ -419,6 +477,11 @@
         /** Returns the rank of its request; 0 is the most important. */
         int rank();
 
+        /** Returns the workspace of its request; empty when it has none. */
+        default String workspace() {
+            return "";
+        }
+
         /** Returns the latest monotonic start time that still meets the target of its request. */
         long latestStartNanos();
 
--- a/decision/src/main/java/org/bulrushvale/decision/forward/WaitingGroup.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/WaitingGroup.java
@@ -11,6 +11,7 @@
     private boolean mPromoted;
     private boolean mExpectedLate;
     private boolean mPartlyStarted;
+    private double mVirtualStart;
 
     WaitingGroup(StageQueue.Piece first) {
         mFirst = first;
@@ -31,6 +32,27 @@
         return mFirst.rank();
     }
 
+    String workspace() {
+        return mFirst.workspace();
+    }
+
+    /** Returns true when both groups use the same share of the same rank. */
+    boolean isOfSameWorkspace(WaitingGroup other) {
+        return rank() == other.rank() && workspace().equals(other.workspace());
+    }
+
+    /**
+     * Returns the virtual time at which the share of its workspace lets the group start; zero while
+     * the service is not short of capacity.
+     */
+    double virtualStart() {
+        return mVirtualStart;
+    }
+
+    void setVirtualStart(double virtualStart) {
+        mVirtualStart = virtualStart;
+    }
+
     boolean hasInputs() {
         return mFirst.hasInputs();
     }
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageLoadSimulation.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageLoadSimulation.java
@@ -8,11 +8,13 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.ToDoubleFunction;
+import org.bulrushvale.decision.admission.FairShares;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.kernel.time.ManualClock;
@@ -127,6 +129,12 @@
             return request.mLoad.rank();
         }
 
+        /** Each load is that of a workspace. */
+        @Override
+        public String workspace() {
+            return request.mLoad.name();
+        }
+
         @Override
         public long latestStartNanos() {
             return startBy;
@@ -175,6 +183,7 @@
     private long mEventNumber;
     private long mEndNanos;
     private long mLostUntilMillis;
+    private boolean mFairShares;
 
     StageLoadSimulation(long seed, boolean queueOn, boolean returnTimes, int servers) {
         mReturnTimes = returnTimes;
@@ -186,6 +195,12 @@
         startCollector();
     }
 
+    /** Divides the service among the loads by equal shares. */
+    void useFairShares() {
+        mFairShares = true;
+        startCollector();
+    }
+
     /** Sets until when the results that the collector sends to entries are lost. */
     void loseAnswersUntil(long millis) {
         mLostUntilMillis = millis;
@@ -208,7 +223,9 @@
 
     private void startCollector() {
         StageOrder order = mQueueOn ? StageOrder.RANK_FIRST : StageOrder.TARGET_FIRST;
-        mQueue = new StageQueue<>(mClock, Duration.ofSeconds(5).toNanos(), order);
+        Optional<FairShares> shares =
+                mFairShares ? Optional.of(new FairShares(mClock)) : Optional.empty();
+        mQueue = new StageQueue<>(mClock, Duration.ofSeconds(5).toNanos(), order, shares);
         mAdmission = new StageAdmission<>(mClock, mQueue, mReturnTimes);
     }
 
@@ -231,8 +248,7 @@
     /** Runs until all callers have an answer; requests arrive for the given time. */
     Map<String, Tally> run(Duration arrivals, List<Load> loads) {
         mEndNanos = mClock.monotonicNanos() + arrivals.toNanos();
-        loads.forEach(load -> mTallies.put(load.name(), new Tally()));
-        loads.forEach(load -> scheduleArrival(load, 0));
+        loads.forEach(this::add);
         after(50, this::dispatchPeriodically);
         long last = mEndNanos + Duration.ofSeconds(20).toNanos();
         while (!mEvents.isEmpty() && mEvents.peek().at() <= last) {
@@ -244,6 +260,12 @@
         return mTallies;
     }
 
+    /** Adds a load whose requests arrive from now on. */
+    void add(Load load) {
+        mTallies.put(load.name(), new Tally());
+        scheduleArrival(load, 0);
+    }
+
     private void scheduleArrival(Load load, int number) {
         double rate = load.perSecondAtMillis().applyAsDouble(millis());
         long gap = (long) (-Math.log(1 - mRandom.nextDouble()) * 1_000 / rate);
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueBacklogTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueBacklogTest.java
@@ -6,6 +6,8 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import org.bulrushvale.decision.admission.FairShares;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.kernel.time.ManualClock;
@@ -20,6 +22,7 @@
     private static final String SERVICE = "rerankers";
     private static final int PIECES_PER_JOB = 10;
     private static final int BATCH = 90;
+    private static final int WORKSPACES = 50;
     private static final PieceLimits LIMITS =
             new PieceLimits(
                     1, BATCH, Duration.ofMillis(200), Duration.ofMillis(2), Long.MAX_VALUE / 2);
@@ -39,6 +42,11 @@
             return 1;
         }
 
+        @Override
+        public String workspace() {
+            return "w" + latestStartNanos / 1_000_000 % WORKSPACES;
+        }
+
         @Override
         public long giveUpNanos() {
             return latestStartNanos + Duration.ofSeconds(60).toNanos();
@@ -141,11 +149,21 @@
         assertThat(needed).isLessThan(EVENTS_LIMIT.dividedBy(10));
     }
 
-    @Test(dataProvider = "backlogs")
-    public void admitting_a_job_costs_little_whatever_waits(int waitingJobs) {
+    @DataProvider
+    public Object[][] admissions() {
+        return new Object[][] {
+            {10, false}, {400, false}, {1_600, false}, {10, true}, {400, true}, {1_600, true}
+        };
+    }
+
+    @Test(dataProvider = "admissions")
+    public void admitting_a_job_costs_little_whatever_waits(int waitingJobs, boolean fairShares) {
         // given: every server is busy, and all jobs can still be in time
+        Optional<FairShares> shares =
+                fairShares ? Optional.of(new FairShares(mClock)) : Optional.empty();
         StageQueue<TestPiece> queue =
-                new StageQueue<>(mClock, Duration.ofSeconds(5).toNanos(), StageOrder.RANK_FIRST);
+                new StageQueue<>(
+                        mClock, Duration.ofSeconds(5).toNanos(), StageOrder.RANK_FIRST, shares);
         StageAdmission<TestPiece> admission = new StageAdmission<>(mClock, queue, true);
         List<Server> servers = servers(18);
         addJobs(queue, 0, 18 * BATCH / PIECES_PER_JOB + waitingJobs);
