Report the queue of stage services by workspace

Cause: whether a workspace slows others down, or waits for its share, cannot be seen from the metrics and log lines of a collector.

Change: with fair_shares = on, queue length and wait by service, rank and workspace, and the share used and owed by service and workspace. The 16 largest workspaces have label values of their own, which are replaced at most once a minute; the series of a replaced name end. stage_queued and stage_refused carry the workspace. The load test also covers a flood of a worse rank and the largest requests; the refusals by forecast run with the setting off and on.

--- a/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
@@ -3,10 +3,14 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Meter;
+import io.micrometer.core.instrument.Tag;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.util.List;
 import java.util.function.Supplier;
 
 /**
@@ -55,6 +59,16 @@
         Gauge.builder(name, value).tags(labels).register(mRegistry);
     }
 
+    /** Removes all metrics that have the labels, given as names and values. */
+    public void remove(String... labels) {
+        List<Tag> tags = Tags.of(labels).stream().toList();
+        for (Meter meter : mRegistry.getMeters()) {
+            if (meter.getId().getTags().containsAll(tags)) {
+                mRegistry.remove(meter);
+            }
+        }
+    }
+
     /** Returns all metrics in Prometheus text format. */
     public String scrape() {
         return mRegistry.scrape();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -60,7 +60,6 @@
 
     private final ForwardServices mServices;
     private final String mService;
-    private final Optional<FairShares> mShares;
     private final StageQueue<QueuedPiece> mQueue;
     private final StageAdmission<QueuedPiece> mAdmission;
     private final StageQueueReport mReport;
@@ -74,7 +73,7 @@
         mServices = services;
         mInputReadTimer = new InputReadTimer(services);
         mService = service;
-        mShares =
+        Optional<FairShares> shares =
                 isAdmissionOn() && services.features().admission().fairShares()
                         ? Optional.of(new FairShares(services.clock()))
                         : Optional.empty();
@@ -83,11 +82,11 @@
                         services.clock(),
                         RESULT_LIFETIME.toNanos(),
                         isAdmissionOn() ? StageOrder.RANK_FIRST : StageOrder.TARGET_FIRST,
-                        mShares);
+                        shares);
         mAdmission =
                 new StageAdmission<>(
                         services.clock(), mQueue, services.features().admission().returnTimes());
-        mReport = new StageQueueReport(services, service);
+        mReport = new StageQueueReport(services, service, shares);
     }
 
     private boolean isAdmissionOn() {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageQueueReport.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageQueueReport.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.bulrushvale.adapters.metrics.EntryMetrics;
+import org.bulrushvale.decision.admission.FairShares;
 import org.bulrushvale.decision.forward.StageAdmission;
 import org.bulrushvale.decision.forward.StageAdmission.Forecast;
 import org.bulrushvale.decision.forward.StageQueue;
@@ -22,11 +24,20 @@
 
     private final ForwardServices mServices;
     private final String mService;
+    private final Optional<WorkspaceReport> mWorkspaces;
     private volatile int mWaiting;
 
-    StageQueueReport(ForwardServices services, String service) {
+    /**
+     * Creates a report.
+     *
+     * @param shares accounts of the workspaces; without them no metrics by workspace
+     */
+    StageQueueReport(ForwardServices services, String service, Optional<FairShares> shares) {
         mServices = services;
         mService = service;
+        mWorkspaces =
+                shares.map(
+                        given -> new WorkspaceReport(services.clock(), metrics(), service, given));
         metrics().gauge("bulrushvale.stage.queue.pieces", () -> mWaiting, SERVICE, service);
     }
 
@@ -36,6 +47,7 @@
 
     void setWaiting(int pieces) {
         mWaiting = pieces;
+        mWorkspaces.ifPresent(WorkspaceReport::update);
     }
 
     /** Reports a group that was admitted; groups that start at once have no line. */
@@ -92,6 +104,8 @@
                             mService,
                             RANK,
                             rankOf(piece));
+            mWorkspaces.ifPresent(
+                    report -> report.waited(piece.workspace(), rankOf(piece), waited(piece)));
             if (call.promotedGroups().contains(piece.group())) {
                 mServices
                         .log()
@@ -112,6 +126,7 @@
                 .with("service", mService)
                 .with("stage", first.order().stage())
                 .with("rank", first.rank())
+                .with("workspace", first.workspace())
                 .with("forecast_ms", forecast.delay().toMillis())
                 .with("waiting_groups", forecast.waitingGroups())
                 .with("figures_age_ms", forecast.figuresAge().toMillis());
--- a/decision/src/main/java/org/bulrushvale/decision/admission/FairShares.java
+++ b/decision/src/main/java/org/bulrushvale/decision/admission/FairShares.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,7 +25,8 @@
  * Thread safety: not safe; used by the event loop.
  */
 public final class FairShares {
-    private static final int RANKS = 5;
+    /** Number of ranks with accounts of their own; worse ranks share the last one. */
+    public static final int RANKS = 5;
 
     // Covers a burst of 3 to 10 s, so that the part used is that of the burst.
     private static final Duration RECENT = Duration.ofSeconds(10);
@@ -155,23 +157,31 @@
     /** Returns what each workspace that waits or started work lately used and was owed, by name. */
     public Map<String, Use> use() {
         long now = mClock.monotonicNanos();
-        Map<String, Double> work = new HashMap<>();
-        Map<String, Integer> waiting = new TreeMap<>();
-        for (RankAccounts accounts : mRanks) {
-            accounts.mByWorkspace.values().removeIf(account -> account.isIdle(now));
-            accounts.mByWorkspace.forEach(
+        Map<String, Double> work = new TreeMap<>();
+        Map<String, int[]> waiting = new HashMap<>();
+        for (int rank = 0; rank < RANKS; rank++) {
+            int index = rank;
+            Map<String, Account> accounts = mRanks.get(rank).mByWorkspace;
+            accounts.values().removeIf(account -> account.isIdle(now));
+            accounts.forEach(
                     (workspace, account) -> {
                         work.merge(workspace, account.recentWork(now), Double::sum);
-                        waiting.merge(workspace, account.mWaiting, Integer::sum);
+                        waiting.computeIfAbsent(workspace, name -> new int[RANKS])[index] =
+                                account.mWaiting;
                     });
         }
         double allWork = work.values().stream().mapToDouble(each -> each).sum();
-        double allShares = waiting.keySet().stream().mapToDouble(this::share).sum();
+        double allShares = work.keySet().stream().mapToDouble(this::share).sum();
         Map<String, Use> use = new TreeMap<>();
-        waiting.forEach(
-                (workspace, groups) -> {
-                    double used = allWork > 0 ? work.getOrDefault(workspace, 0.0) / allWork : 0;
-                    use.put(workspace, new Use(groups, used, share(workspace) / allShares));
+        work.forEach(
+                (workspace, each) -> {
+                    int[] groups = waiting.getOrDefault(workspace, new int[RANKS]);
+                    use.put(
+                            workspace,
+                            new Use(
+                                    Arrays.stream(groups).boxed().toList(),
+                                    allWork > 0 ? each / allWork : 0,
+                                    share(workspace) / allShares));
                 });
         return use;
     }
@@ -181,11 +191,29 @@
      *
      * <p>Thread safety: immutable.
      *
-     * @param waitingGroups number of its groups that wait
+     * @param waitingGroups number of its groups that wait, by rank; worse ranks than 4 count as 4
      * @param used its part of the work that was started lately, 0 to 1
      * @param owed its part by shares among the workspaces that wait or started work lately, 0 to 1
      */
-    public record Use(int waitingGroups, double used, double owed) {}
+    public record Use(List<Integer> waitingGroups, double used, double owed) {
+        public Use {
+            waitingGroups = List.copyOf(waitingGroups);
+        }
+
+        /** Returns the number of its groups that wait. */
+        public int allWaitingGroups() {
+            return waitingGroups.stream().mapToInt(groups -> groups).sum();
+        }
+
+        /** Returns the use of two workspaces together. */
+        public Use plus(Use other) {
+            List<Integer> groups = new ArrayList<>();
+            for (int rank = 0; rank < waitingGroups.size(); rank++) {
+                groups.add(waitingGroups.get(rank) + other.waitingGroups.get(rank));
+            }
+            return new Use(groups, used + other.used, owed + other.owed);
+        }
+    }
 
     /**
      * The accounts of one rank.
--- a/decision/src/test/java/org/bulrushvale/decision/forward/FairSharesLoadTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/FairSharesLoadTest.java
@@ -15,7 +15,7 @@
 
 /**
  * Guards against a workspace with ten times its usual load that takes the capacity of the others.
- * Each load is that of a workspace; all have the same rank.
+ * Each load is that of a workspace.
  */
 public class FairSharesLoadTest {
     // Of the requirements: what the other workspaces may lose.
@@ -25,6 +25,9 @@
 
     // Six workspaces use about 60% of the result memory.
     private static final double USUAL = 10;
+
+    // Callers of the worse rank wait for longer, so that it takes more to push them out.
+    private static final double FLOODER = 1.5 * USUAL;
     private static final List<String> OTHERS = List.of("a", "b", "c", "d", "e");
 
     @DataProvider
@@ -93,12 +96,45 @@
         assertNotPushedOut(calm, tallies, OTHERS);
         // Without shares the load must push them out, or the test would show nothing.
         assertThat(inTime(before, OTHERS)).isLessThan(inTime(calm, OTHERS) - MARGIN);
-        tallies.values().forEach(tally -> assertThat(tally.mUnanswered).isZero());
+        for (Tally tally : tallies.values()) {
+            assertThat(tally.mUnanswered).isZero();
+            // Sizes 7 and 8 are a tenth of the requests, 5 and 6 the part below it.
+            assertThat(tally.servedOfSizes(7, 8)).isGreaterThanOrEqualTo(tally.served() / 2);
+            assertThat(tally.servedOfSizes(5, 6)).isGreaterThanOrEqualTo(tally.served() / 2);
+        }
         // then: what the others leave goes to the flood
         List<String> all = List.copyOf(tallies.keySet());
         assertThat(served(tallies, all)).isGreaterThanOrEqualTo(served(before, all) - MARGIN);
     }
 
+    @Test(dataProvider = "seeds")
+    public void a_flood_of_a_worse_rank_pushes_out_nobody(long seed) {
+        // given: two workspaces with requests of two ranks beside the flood
+        List<String> names = List.of("a/audit", "a/summary", "b/audit", "b/summary");
+        // when
+        Map<String, Tally> calm = run(seed, false, twoRanks(FLOODER), simulation -> {});
+        Map<String, Tally> before = run(seed, false, twoRanks(10 * FLOODER), simulation -> {});
+        Map<String, Tally> tallies = run(seed, true, twoRanks(10 * FLOODER), simulation -> {});
+        // then
+        assertNotPushedOut(calm, tallies, names);
+        List<String> summaries = List.of("a/summary", "b/summary");
+        assertThat(inTime(before, summaries)).isLessThan(inTime(calm, summaries) - MARGIN);
+    }
+
+    private static List<Load> twoRanks(double floodPerSecond) {
+        List<Load> loads = new ArrayList<>();
+        loads.add(summary("flood", floodPerSecond));
+        for (String name : List.of("a", "b")) {
+            loads.add(load(name + "/audit", millis -> USUAL));
+            loads.add(summary(name + "/summary", USUAL));
+        }
+        return loads;
+    }
+
+    private static Load summary(String name, double perSecond) {
+        return new Load(name, 2, 4_006, 15_024, 15_024, 0.24, 0.053, 200, millis -> perSecond);
+    }
+
     @Test(dataProvider = "seeds")
     public void a_workspace_alone_uses_everything(long seed) {
         List<Load> alone = loads(15 * USUAL).subList(0, 1);
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageLoadSimulation.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageLoadSimulation.java
@@ -129,10 +129,10 @@
             return request.mLoad.rank();
         }
 
-        /** Each load is that of a workspace. */
+        /** The workspace of a load is the part of its name before a slash. */
         @Override
         public String workspace() {
-            return request.mLoad.name();
+            return request.mLoad.name().replaceFirst("/.*", "");
         }
 
         @Override
