--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -20,6 +20,7 @@
 import org.bulrushvale.adapters.forward.ForwardProtocol.StageRequest;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.UpstreamClient;
+import org.bulrushvale.decision.admission.FairShares;
 import org.bulrushvale.decision.forward.BackendDirectory;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ForwardConfig;
@@ -72,15 +73,20 @@
         mServices = services;
         mInputReadTimer = new InputReadTimer(services);
         mService = service;
+        Optional<FairShares> shares =
+                isAdmissionOn() && services.features().admission().fairShares()
+                        ? Optional.of(new FairShares(services.clock()))
+                        : Optional.empty();
         mQueue =
                 new StageQueue<>(
                         services.clock(),
                         RESULT_LIFETIME.toNanos(),
-                        isAdmissionOn() ? StageOrder.RANK_FIRST : StageOrder.TARGET_FIRST);
+                        isAdmissionOn() ? StageOrder.RANK_FIRST : StageOrder.TARGET_FIRST,
+                        shares);
         mAdmission =
                 new StageAdmission<>(
                         services.clock(), mQueue, services.features().admission().returnTimes());
-        mReport = new StageQueueReport(services, service);
+        mReport = new StageQueueReport(services, service, shares);
     }
 
     private boolean isAdmissionOn() {
