--- a/decision/src/main/java/org/bulrushvale/decision/forward/RepeatBudget.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/RepeatBudget.java
@@ -49,12 +49,21 @@
 
     /** Takes one repeat from the budget; returns false when none is left. */
     public boolean tryRepeat(String service) {
+        return tryRepeat(service, 1);
+    }
+
+    /**
+     * Takes several repeats from the budget; takes none and returns false when too few are left.
+     */
+    public boolean tryRepeat(String service, int count) {
         Window window = window(service);
         double share = mSlack / 2 / Math.max(1, mEntryCount.getAsInt());
-        if (window.mRepeatNanos.size() + 1 > mRatio * window.mRequestNanos.size() + share) {
+        if (window.mRepeatNanos.size() + count > mRatio * window.mRequestNanos.size() + share) {
             return false;
         }
-        window.mRepeatNanos.addLast(mClock.monotonicNanos());
+        for (int i = 0; i < count; i++) {
+            window.mRepeatNanos.addLast(mClock.monotonicNanos());
+        }
         return true;
     }
 
--- a/decision/src/main/java/org/bulrushvale/decision/request/StageLatency.java
+++ b/decision/src/main/java/org/bulrushvale/decision/request/StageLatency.java
@@ -39,12 +39,26 @@
 
     private final Clock mClock;
     private final long mWindowNanos;
+    private final int mMinSamples;
+    private final int mMaxSeries;
     private final Map<Key, Series> mSeries = new LinkedHashMap<>();
 
     /** Creates an empty table that replaces its histograms once per window. */
     public StageLatency(Clock clock, Duration window) {
+        this(clock, window, MIN_SAMPLES, MAX_SERIES);
+    }
+
+    /**
+     * Creates an empty table with limits of its own.
+     *
+     * @param minSamples minimum number of samples of a quantile; at least {@value #MIN_SAMPLES}
+     * @param maxSeries maximum number of pairs; at most {@value #MAX_SERIES}
+     */
+    public StageLatency(Clock clock, Duration window, int minSamples, int maxSeries) {
         mClock = clock;
         mWindowNanos = window.toNanos();
+        mMinSamples = Math.max(minSamples, MIN_SAMPLES);
+        mMaxSeries = Math.min(maxSeries, MAX_SERIES);
     }
 
     /**
@@ -55,7 +69,7 @@
         Key key = new Key(workClass, stage);
         Series series = mSeries.get(key);
         if (series == null) {
-            if (mSeries.size() >= MAX_SERIES) {
+            if (mSeries.size() >= mMaxSeries) {
                 return;
             }
             series = new Series(mClock.monotonicNanos());
@@ -82,10 +96,10 @@
             return Optional.of(Duration.ofNanos(cached * UNIT_NANOS));
         }
         IntCountsHistogram histogram = series.mCurrent;
-        if (histogram.getTotalCount() < MIN_SAMPLES) {
+        if (histogram.getTotalCount() < mMinSamples) {
             histogram = series.mPrevious;
         }
-        if (histogram.getTotalCount() < MIN_SAMPLES) {
+        if (histogram.getTotalCount() < mMinSamples) {
             return Optional.empty();
         }
         long latencyUnits = histogram.getValueAtPercentile(quantile * PERCENT);
