Send slow requests that may be repeated to a second server

Cause: one slow server determines the slowest answers although others are free, and a request had at most one attempt in progress.

Change: RequestDuplicator watches the first attempt and sends a second one when DuplicatePolicy allows it. Each attempt is a RunningAttempt with its own events, crash record and server, so a lost connection is blamed on the server that lost it, and events after its end are dropped. The first good answer or first event wins, and the connection of the other attempt is closed at once. Failures, refusals and error responses wait for the other attempt; an error response is passed on when that has no better one. "Not run" needs both attempts not to have run. Requests that lost a connection, or whose content was at a crash, are never duplicated. A repeat now waits for all crash checks of its request. Lines duplicate and duplicate_end and counters say what was sent and what it cost.

--- a/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
@@ -36,7 +36,12 @@
 
     /** Counts an event under one label, whose values come from a fixed set. */
     public void count(String name, String label, String value) {
-        Counter.builder(name).tag(label, value).register(mRegistry).increment();
+        add(name, label, value, 1);
+    }
+
+    /** Adds an amount to a counter under one label, whose values come from a fixed set. */
+    public void add(String name, String label, String value, double amount) {
+        Counter.builder(name).tag(label, value).register(mRegistry).increment(amount);
     }
 
     /** Registers a gauge. */
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
@@ -40,19 +40,31 @@
     }
 
     /**
-     * Sends the request to a server.
+     * Sends the request to the server of an attempt, which receives the events of the call.
      *
+     * @param number number of the attempt, from 1
      * @param remaining time until the deadline of the request
      * @param inputs handles of the stage results that the server reads
      * @param resumeAfter id of the last event that the caller has received
-     * @param handler receives the events of the attempt
      */
-    UpstreamClient.Call start(
-            PublishedBackend server,
+    void start(
+            RunningAttempt attempt,
+            int number,
             Duration remaining,
             List<String> inputs,
-            long resumeAfter,
-            ForwardAttempt.Handler handler) {
+            long resumeAfter) {
+        PublishedBackend server = attempt.server().published();
+        mServices
+                .log()
+                .line("send")
+                .with("request", mRequestMetadata.id())
+                .with("route", mRoute.name())
+                .with("server", server.id())
+                .with("attempt", number)
+                .with("left_ms", remaining.toMillis())
+                .with("outstanding", attempt.server().outstanding())
+                .with("parts", String.join(",", mRequestMetadata.promptParts()))
+                .write();
         HeaderMap headers =
                 EndToEndHeaders.copyEndToEnd(mCaller.headers(), mServices.protocol()::isReserved);
         if (mCaller.headers().contains(Headers.CONTENT_LENGTH)
@@ -78,9 +90,9 @@
                         mCaller.body(),
                         remaining,
                         mRoute.mayRepeat());
-        ForwardAttempt attempt =
+        ForwardAttempt listener =
                 new ForwardAttempt(
-                        mServices.loop(), mServices.protocol(), mRequestMetadata.id(), handler);
-        return mServices.upstreamClient().start(request, attempt);
+                        mServices.loop(), mServices.protocol(), mRequestMetadata.id(), attempt);
+        attempt.setCall(mServices.upstreamClient().start(request, listener));
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashGuard.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashGuard.java
@@ -63,6 +63,11 @@
                 : mSuspects.findHeldBack(contents.all(), contents);
     }
 
+    /** Returns true when a content of the request is known to have been at a crash. */
+    boolean isSuspect(RequestContents contents) {
+        return !mSuspects.isEmpty() && mSuspects.isSuspect(contents.all());
+    }
+
     /**
      * Records that an attempt lost its connection before it was well into its answer.
      *
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashWatch.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/CrashWatch.java
@@ -1,6 +1,8 @@
 package org.bulrushvale.daemon.forward;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.decision.forward.PublishedBackend;
@@ -9,8 +11,9 @@
 /**
  * Tells the crash guard what happens to the attempts of one request.
  *
- * <p>Invariant: each attempt is reported as answered at most once. Thread safety: used on the event
- * loop.
+ * <p>Invariant: each attempt is reported as answered at most once; a lost connection is reported
+ * for the server of the attempt that lost it, with the crashes that were known when that attempt
+ * began. Thread safety: used on the event loop.
  */
 final class CrashWatch {
     // A server that crashes on the answer to a request does so when it begins to write it.
@@ -19,11 +22,9 @@
     private final CrashGuard mGuard;
     private final Clock mClock;
     private final RequestContents mContents;
-    private int mEventsReceived;
-    private long mFirstEventNanos;
-    private long mKnownCrashes;
+    private final List<Runnable> mAfterChecks = new ArrayList<>();
+    private int mChecksInProgress;
     private boolean mConnectionLost;
-    private boolean mAnswerReported;
 
     CrashWatch(CrashGuard guard, Clock clock, RequestContents contents) {
         mGuard = guard;
@@ -36,54 +37,92 @@
         return mGuard.findHeldBack(mContents).map(mContents::nameOf);
     }
 
-    void onAttemptStarted() {
-        mEventsReceived = 0;
-        mAnswerReported = false;
-        mKnownCrashes = mGuard.onAttemptStarted(mContents);
+    Attempt onAttemptStarted() {
+        return new Attempt(mGuard.onAttemptStarted(mContents));
     }
 
-    /** Records that an event of the answer has arrived. */
-    void onEvent() {
-        if (mEventsReceived == 0) {
-            mFirstEventNanos = mClock.monotonicNanos();
-        }
-        mEventsReceived++;
-        if (isWellIntoAnswer()) {
-            onAnswered();
-        }
+    /** Returns true when a server may have crashed on the request. */
+    boolean hasLostConnection() {
+        return mConnectionLost;
     }
 
-    /** Records that the server has written an answer without a crash. */
-    void onAnswered() {
-        if (!mAnswerReported) {
-            mAnswerReported = true;
-            mGuard.onAnswered(mContents);
-        }
+    /** Returns true when the request, or a part of it, may be what crashes servers. */
+    boolean mayCrashServers() {
+        return mConnectionLost || mGuard.isSuspect(mContents);
     }
 
-    private boolean isWellIntoAnswer() {
-        return mEventsReceived > 0
-                && mClock.elapsedSince(mFirstEventNanos).compareTo(ANSWER_BEGIN) >= 0;
+    /** Runs a task once, when no check of a lost connection is in progress. */
+    void afterChecks(Runnable task) {
+        if (mChecksInProgress == 0) {
+            task.run();
+        } else {
+            mAfterChecks.add(task);
+        }
     }
 
-    /** Returns the number of events that the present attempt has received. */
-    int eventsReceived() {
-        return mEventsReceived;
+    private void onChecked() {
+        mChecksInProgress--;
+        if (mChecksInProgress == 0) {
+            List<Runnable> tasks = List.copyOf(mAfterChecks);
+            mAfterChecks.clear();
+            tasks.forEach(Runnable::run);
+        }
     }
 
-    /** Returns true when a server may have crashed on the request. */
-    boolean hasLostConnection() {
-        return mConnectionLost;
-    }
+    /**
+     * One attempt of the request.
+     *
+     * <p>Thread safety: used on the event loop.
+     */
+    final class Attempt {
+        private final long mKnownCrashes;
+        private int mEventsReceived;
+        private long mFirstEventNanos;
+        private boolean mAnswerReported;
 
-    /** Returns true when a failure of an attempt that was sent may be the crash of its server. */
-    boolean mayBeCrash(BackendFailure failure) {
-        return failure.isConnectionLoss() && !isWellIntoAnswer();
-    }
+        private Attempt(long knownCrashes) {
+            mKnownCrashes = knownCrashes;
+        }
+
+        /** Records that an event of the answer has arrived. */
+        void onEvent() {
+            if (mEventsReceived == 0) {
+                mFirstEventNanos = mClock.monotonicNanos();
+            }
+            mEventsReceived++;
+            if (isWellIntoAnswer()) {
+                onAnswered();
+            }
+        }
+
+        /** Records that the server has written an answer without a crash. */
+        void onAnswered() {
+            if (!mAnswerReported) {
+                mAnswerReported = true;
+                mGuard.onAnswered(mContents);
+            }
+        }
+
+        private boolean isWellIntoAnswer() {
+            return mEventsReceived > 0
+                    && mClock.elapsedSince(mFirstEventNanos).compareTo(ANSWER_BEGIN) >= 0;
+        }
+
+        /** Returns the number of events that the attempt has received. */
+        int eventsReceived() {
+            return mEventsReceived;
+        }
 
-    /** Finds out whether the server crashed, then runs {@code continuation} once. */
-    void onConnectionLost(PublishedBackend server, Runnable continuation) {
-        mConnectionLost = true;
-        mGuard.onConnectionLost(server, mContents, mKnownCrashes, continuation);
+        /** Returns true when a failure of the attempt may be the crash of its server. */
+        boolean mayBeCrash(BackendFailure failure) {
+            return failure.isConnectionLoss() && !isWellIntoAnswer();
+        }
+
+        /** Begins to find out whether the server crashed; see {@link #afterChecks}. */
+        void onConnectionLost(PublishedBackend server) {
+            mConnectionLost = true;
+            mChecksInProgress++;
+            mGuard.onConnectionLost(server, mContents, mKnownCrashes, CrashWatch.this::onChecked);
+        }
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -86,6 +86,13 @@
         CrashGuard crashGuard = newCrashGuard(telemetry);
         StatedLimits statedLimits =
                 new StatedLimits(new StatedRateLimits(mClock, members), telemetry);
+        RepeatBudget repeatBudget =
+                new RepeatBudget(
+                        mClock,
+                        settings.limits().repeatRatio(),
+                        settings.limits().repeatSlack(),
+                        settings.limits().repeatWindow(),
+                        members::entryCount);
         ForwardServices services =
                 new ForwardServices(
                         mLoop,
@@ -95,12 +102,9 @@
                         mPublishedState,
                         new ServerChoice(mClock, coldLimit, statedLimits.limits()),
                         coldLimit,
-                        new RepeatBudget(
-                                mClock,
-                                settings.limits().repeatRatio(),
-                                settings.limits().repeatSlack(),
-                                settings.limits().repeatWindow(),
-                                members::entryCount),
+                        repeatBudget,
+                        new Duplicates(
+                                mClock, settings.features().duplicates(), repeatBudget, telemetry),
                         crashGuard,
                         statedLimits,
                         members,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -27,6 +27,7 @@
         ServerChoice serverChoice,
         ColdServerRateLimit coldLimit,
         RepeatBudget repeatBudget,
+        Duplicates duplicates,
         CrashGuard crashGuard,
         StatedLimits statedLimits,
         MemberTable members,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -1,6 +1,5 @@
 package org.bulrushvale.daemon.forward;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,7 +14,6 @@
 import org.bulrushvale.adapters.forward.CallerRequestMetadata;
 import org.bulrushvale.adapters.forward.EndToEndHeaders;
 import org.bulrushvale.adapters.forward.PieceResult;
-import org.bulrushvale.adapters.forward.UpstreamClient;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.EventSplitter;
 import org.bulrushvale.decision.forward.ForwardConfig;
@@ -31,12 +29,16 @@
 /**
  * One admitted request: runs its stages, sends it to backend servers and answers the caller.
  *
- * <p>Invariants: at most one attempt is in progress; a request that may have run is sent again only
- * if its route allows that; the caller receives one answer, which says "not run" only when no
- * attempt may have run; no event is delivered twice. Thread safety: used on the event loop.
+ * <p>Invariants: at most two attempts are in progress, of which one may answer; a request that may
+ * have run is sent again only if its route allows that; the caller receives one answer, which says
+ * "not run" only when no attempt may have run; no event is delivered twice, and all events come
+ * from one attempt unless the stream was resumed. Thread safety: used on the event loop.
  */
 final class ForwardedRequest
-        implements ForwardAttempt.Handler, StageScheduler.Listener, StageScheduler.RequestContext {
+        implements RunningAttempt.Listener,
+                RequestDuplicator.Sender,
+                StageScheduler.Listener,
+                StageScheduler.RequestContext {
     // With less time than this a server cannot do anything useful.
     private static final long MIN_REMAINING_MILLIS = 5;
 
@@ -65,14 +67,13 @@
     private final RequestTimeLimits mTimeLimits;
     private final AttemptStarter mStarter;
     private final CrashWatch mCrashWatch;
+    private final DeliveredEvents mDelivered;
+    private final RequestDuplicator mDuplicator;
+    private final RunningAttempts mAttempts = new RunningAttempts();
     private final Set<String> mTriedServers = new HashSet<>();
     private StageScheduler mStageScheduler;
     private List<String> mInputs = List.of();
-    private @Nullable Server mServer;
-    private UpstreamClient.@Nullable Call mCall;
     private EventLoop.@Nullable ScheduledTask mTimer;
-    private EventSplitter mSplitter = new EventSplitter();
-    private ForwardAttempt.@Nullable Head mStreamHead;
     private Verdict mVerdict = Verdict.NOT_RUN;
     private int mPossibleRuns;
     private int mRefusals;
@@ -81,7 +82,6 @@
     private boolean mStreaming;
     private boolean mAnswered;
     private boolean mCallerDisconnected;
-    private long mLastEventId;
 
     ForwardedRequest(
             ForwardServices services,
@@ -112,7 +112,8 @@
                         services.crashGuard(),
                         services.clock(),
                         new RequestContents(caller, metadata, mService, mWorkspace));
-        mLastEventId = metadata.resumeAfter();
+        mDuplicator = new RequestDuplicator(services, metadata, route, mService, mTimeLimits, this);
+        mDelivered = new DeliveredEvents(metadata.resumeAfter());
         mStageScheduler = newScheduler();
     }
 
@@ -135,6 +136,7 @@
 
     void start() {
         mServices.repeatBudget().recordRequest(mService);
+        mDuplicator.onRequest();
         mTimer = mServices.loop().schedule(Duration.ofMillis(millisToDeadline()), this::onDeadline);
         mCaller.onClose(() -> mServices.loop().execute(this::onCallerDisconnect));
         if (refuseIfHeldBack()) {
@@ -244,7 +246,7 @@
             giveUp(ErrorCode.NO_BACKEND, "the repeat budget of the service is exhausted");
             return;
         }
-        sendTo(server, remainingMillis);
+        sendTo(server, remainingMillis, false);
     }
 
     private boolean refuseIfHeldBack() {
@@ -257,10 +259,14 @@
     private @Nullable Server chooseServer() {
         // A request that may have crashed a server keeps away from those that others prefer.
         String affinity = mCrashWatch.hasLostConnection() ? "" : mRequestMetadata.affinity();
+        return choose(mServices.publishedState().directory().eligibleServers(mService), affinity);
+    }
+
+    private @Nullable Server choose(List<Server> servers, String affinity) {
         return mServices
                 .serverChoice()
                 .choose(
-                        mServices.publishedState().directory().eligibleServers(mService),
+                        servers,
                         mTriedServers,
                         mColdPerSecond,
                         affinity,
@@ -277,51 +283,56 @@
         }
     }
 
-    private void sendTo(Server server, long remainingMillis) {
-        String id = server.published().id();
-        mServer = server;
-        mTriedServers.add(id);
-        mSentAttempts++;
-        server.recordStart(mRequestMetadata.promptTokens());
-        if (server.isCold(mServices.clock().monotonicNanos())) {
-            mServices.coldLimit().recordSent(server);
-        }
-        mServices.statedLimits().limits().recordSent(server.published().processName());
-        mServices
-                .log()
-                .line("send")
-                .with("request", mRequestMetadata.id())
-                .with("route", mRoute.name())
-                .with("server", id)
-                .with("attempt", mSentAttempts)
-                .with("left_ms", remainingMillis)
-                .with("outstanding", server.outstanding())
-                .with("parts", String.join(",", mRequestMetadata.promptParts()))
-                .write();
-        mSplitter = new EventSplitter();
-        mStreamHead = null;
-        mCrashWatch.onAttemptStarted();
-        int attempt = mSentAttempts;
-        mCall =
-                mStarter.start(
-                        server.published(),
-                        Duration.ofMillis(remainingMillis),
-                        mInputs,
-                        mLastEventId,
-                        new ConditionalAttemptHandler(this, () -> isCurrent(attempt)));
+    @Override
+    public boolean mayDuplicate(RunningAttempt attempt) {
+        return !mAnswered
+                && !mStreaming
+                && mayRepeat()
+                && mAttempts.isOnly(attempt)
+                && mSentAttempts < mRoute.maxAttempts()
+                && millisToDeadline() >= MIN_REMAINING_MILLIS
+                && !mCrashWatch.mayCrashServers();
     }
 
-    /** Returns false when the attempt was given up, so its late events must be dropped. */
-    private boolean isCurrent(int attempt) {
-        return attempt == mSentAttempts && !mAnswered && mServer != null;
+    @Override
+    public @Nullable Server choose(List<Server> candidates) {
+        return choose(candidates, "");
     }
 
     @Override
-    public void onAnswer(ForwardAttempt.Head head, byte[] body) {
-        Server server = clearAttempt();
-        mServices.statedLimits().onAnswer(server.published(), head.metadata());
+    public void sendDuplicate(Server server) {
+        sendTo(server, millisToDeadline(), true);
+    }
+
+    private void sendTo(Server server, long remainingMillis, boolean duplicate) {
+        mTriedServers.add(server.published().id());
+        mSentAttempts++;
+        RunningAttempt attempt =
+                new RunningAttempt(
+                        mServices,
+                        server,
+                        mCrashWatch.onAttemptStarted(),
+                        mRequestMetadata,
+                        duplicate,
+                        this);
+        mAttempts.add(attempt);
+        mStarter.start(
+                attempt,
+                mSentAttempts,
+                Duration.ofMillis(remainingMillis),
+                mInputs,
+                mDelivered.lastId());
+        mDuplicator.onSent(attempt);
+    }
+
+    @Override
+    public void onAnswer(RunningAttempt attempt, ForwardAttempt.Head head, byte[] body) {
+        mAttempts.remove(attempt);
+        mServices.duplicates().onAnswer(attempt.server(), head.metadata());
+        Server server = attempt.server();
         int status = head.status();
         if (head.metadata().notRun() || status == 421) {
+            mDuplicator.onFailed(attempt);
             onRefusal(head, body, server);
             return;
         }
@@ -334,35 +345,70 @@
         } else {
             server.recordSuccess();
             if (status / 100 == 2) {
-                mCrashWatch.onAnswered();
+                attempt.crashWatch().onAnswered();
             }
         }
-        if ((status >= 500 || resumed) && mayRepeat()) {
-            send();
+        if (callerError && !mAttempts.isEmpty()) {
+            // It may concern only this server, so the other attempt may still succeed.
+            mAttempts.hold(head, body);
+            mDuplicator.onFailed(attempt);
+        } else if (status >= 500 || resumed) {
+            mDuplicator.onFailed(attempt);
+            onBadAnswer(head, body, resumed);
+        } else {
+            mDuplicator.onAnswered(attempt, mAttempts.cancelOthers(attempt));
+            deliver(head, body);
+        }
+    }
+
+    private void onBadAnswer(ForwardAttempt.Head head, byte[] body, boolean resumed) {
+        if (waitsForOther() || deliverHeld()) {
+            return;
+        }
+        if (mayRepeat()) {
+            mCrashWatch.afterChecks(this::send);
         } else if (resumed) {
             // The caller has the head of a stream, so this answer cannot be passed on.
-            giveUp(ErrorCode.BACKEND_FAILED, "a resumed stream was answered with " + status);
+            giveUp(ErrorCode.BACKEND_FAILED, "a resumed stream was answered with " + head.status());
         } else {
             deliver(head, body);
         }
     }
 
+    /** Returns true while the other attempt may still answer. */
+    private boolean waitsForOther() {
+        return !mAttempts.isEmpty();
+    }
+
+    /** Passes on the error response of a server after the other attempt had no better one. */
+    private boolean deliverHeld() {
+        RunningAttempts.HeldAnswer held = mAttempts.heldAnswer();
+        if (held != null) {
+            deliver(held.head(), held.body());
+        }
+        return held != null;
+    }
+
     private void onRefusal(ForwardAttempt.Head head, byte[] body, Server server) {
         mRefusals++;
-        if (head.status() == 409 && repeatStages()) {
-            mTriedServers.remove(server.published().id());
-            return;
-        }
         if (head.status() == 503 || head.status() == 429) {
+            mServices.duplicates().onOverloaded(mService);
             server.pauseFor(
                     mServices.clock().monotonicNanos(),
                     TimeUnit.MILLISECONDS.toNanos(BUSY_PAUSE_MILLIS));
         }
+        if (waitsForOther() || deliverHeld()) {
+            return;
+        }
+        if (head.status() == 409 && repeatStages()) {
+            mTriedServers.remove(server.published().id());
+            return;
+        }
         boolean permanent = head.status() == 400 || head.status() == 413;
         if (permanent && mVerdict == Verdict.NOT_RUN) {
             deliver(head, body);
         } else if (mRefusals < MAX_REFUSALS) {
-            send();
+            mCrashWatch.afterChecks(this::send);
         } else {
             giveUp(ErrorCode.OVERLOADED, "backend servers refused the request");
         }
@@ -377,107 +423,65 @@
     }
 
     @Override
-    public void onStreamBegin(ForwardAttempt.Head head) {
-        mStreamHead = head;
-        Server server = mServer;
-        if (server != null) {
-            mServices.statedLimits().onAnswer(server.published(), head.metadata());
-        }
-    }
-
-    @Override
-    public void onStreamBytes(byte[] bytes) {
-        ByteArrayOutputStream newEvents = new ByteArrayOutputStream();
-        for (EventSplitter.Event event : mSplitter.add(bytes)) {
-            mCrashWatch.onEvent();
-            if (isNew(event)) {
-                newEvents.writeBytes(event.bytes());
-            }
-        }
-        if (newEvents.size() > 0) {
-            forwardEvents(newEvents.toByteArray());
-        }
-        if (mSplitter.isTooLong()) {
-            UpstreamClient.Call call = mCall;
-            if (call != null) {
-                call.cancel();
-            }
-            onFailure(true, BackendFailure.MALFORMED, "stream has an event without an end");
+    public void onEvents(RunningAttempt attempt, List<EventSplitter.Event> events) {
+        byte[] newEvents = mDelivered.addNew(events);
+        if (newEvents.length > 0) {
+            forwardEvents(attempt, newEvents);
         }
     }
 
-    /** Returns false for an event that the caller already has, and remembers its id otherwise. */
-    private boolean isNew(EventSplitter.Event event) {
-        if (event.id() == EventSplitter.Event.NO_ID) {
-            return true;
-        }
-        if (event.id() <= mLastEventId) {
-            return false;
-        }
-        mLastEventId = event.id();
-        return true;
-    }
-
-    private void forwardEvents(byte[] events) {
-        Server server = mServer;
-        if (server != null) {
-            server.recordSuccess();
-        }
-        if (!mStreaming && mStreamHead != null) {
+    private void forwardEvents(RunningAttempt attempt, byte[] events) {
+        attempt.server().recordSuccess();
+        ForwardAttempt.Head head = attempt.streamHead();
+        if (!mStreaming && head != null) {
             mStreaming = true;
             mVerdict = Verdict.RAN;
+            mDuplicator.onAnswered(attempt, mAttempts.cancelOthers(attempt));
+            mServices.duplicates().onAnswer(attempt.server(), head.metadata());
             mStageScheduler.release();
             mCaller.startStream(
-                    mStreamHead.status(),
-                    EndToEndHeaders.copyEndToEnd(mStreamHead.headers(), name -> false));
+                    head.status(), EndToEndHeaders.copyEndToEnd(head.headers(), name -> false));
         }
         mCaller.sendChunk(events);
     }
 
     @Override
-    public void onStreamEnd() {
-        if (mSplitter.isInsideEvent() || !mStreaming) {
-            onFailure(true, BackendFailure.TRUNCATED, "stream ended inside an event");
+    public void onStreamEnd(RunningAttempt attempt) {
+        if (!mStreaming) {
+            attempt.failWithoutEvent();
             return;
         }
-        clearAttempt();
-        mCrashWatch.onAnswered();
+        mAttempts.remove(attempt);
+        attempt.crashWatch().onAnswered();
         if (finish("streamed", 200)) {
             mCaller.endStream();
         }
     }
 
     @Override
-    public void onFailure(boolean sent, BackendFailure failure, String detail) {
-        Server server = clearAttempt();
+    public void onFailure(
+            RunningAttempt attempt, boolean sent, BackendFailure failure, String detail) {
+        mAttempts.remove(attempt);
+        Server server = attempt.server();
         server.recordFailure(mServices.clock().monotonicNanos());
-        mServices
-                .log()
-                .line("attempt_lost")
-                .with("request", mRequestMetadata.id())
-                .with("server", server.published().id())
-                .with("sent", String.valueOf(sent))
-                .with("head_received", String.valueOf(mStreamHead != null))
-                .with("events_received", mCrashWatch.eventsReceived())
-                .with("failure", failure.name())
-                .with("detail", detail)
-                .write();
         if (sent) {
             mPossibleRuns++;
             mVerdict = mVerdict.combinedWith(Verdict.MAY_HAVE_RUN);
         } else {
             mSentAttempts--;
         }
-        boolean repeat = !sent || mayRepeat();
-        Runnable next = repeat ? this::send : () -> giveUp(ErrorCode.BACKEND_FAILED, detail);
-        if (!sent || !mCrashWatch.mayBeCrash(failure)) {
-            next.run();
-        } else if (repeat) {
-            // A repeat must know of the crash, so it waits for the check; a failure does not.
-            mCrashWatch.onConnectionLost(server.published(), next);
+        if (sent && attempt.crashWatch().mayBeCrash(failure)) {
+            attempt.crashWatch().onConnectionLost(server.published());
+        }
+        mDuplicator.onFailed(attempt);
+        if (waitsForOther() || deliverHeld()) {
+            return;
+        }
+        if (!sent || mayRepeat()) {
+            // A repeat must know of a crash, so it waits for the check; a failure does not.
+            mCrashWatch.afterChecks(this::send);
         } else {
-            mCrashWatch.onConnectionLost(server.published(), () -> {});
-            next.run();
+            giveUp(ErrorCode.BACKEND_FAILED, detail);
         }
     }
 
@@ -485,25 +489,14 @@
         return mRoute.mayRepeat() && mPossibleRuns < mRoute.maxAttempts() && !mCallerDisconnected;
     }
 
-    private Server clearAttempt() {
-        Server server = mServer;
-        if (server == null) {
-            throw new IllegalStateException("no attempt in progress");
-        }
-        mServer = null;
-        mCall = null;
-        server.recordEnd(mRequestMetadata.promptTokens());
-        return server;
-    }
-
     private void onCallerDisconnect() {
         if (mAnswered) {
             return;
         }
         mCallerDisconnected = true;
-        boolean cancel = mRoute.kind() != RequestKind.UNSAFE || mServer == null;
+        boolean cancel = mRoute.kind() != RequestKind.UNSAFE || mAttempts.isEmpty();
         if (cancel) {
-            abortAttempt();
+            abortAttempts();
             finish("caller_left", 499);
         }
     }
@@ -512,36 +505,30 @@
         if (mAnswered) {
             return;
         }
-        if (mServer != null) {
+        if (!mAttempts.isEmpty()) {
             mVerdict = mVerdict.combinedWith(Verdict.MAY_HAVE_RUN);
         }
-        abortAttempt();
+        abortAttempts();
         giveUp(ErrorCode.DEADLINE_EXCEEDED, "the deadline of the request has passed");
     }
 
     /** Ends the request with a final answer, whatever is in progress. */
     void endAtOnce(ErrorCode code, String detail) {
-        if (mServer != null) {
+        if (!mAttempts.isEmpty()) {
             mVerdict = mVerdict.combinedWith(Verdict.MAY_HAVE_RUN);
         }
-        abortAttempt();
+        abortAttempts();
         giveUp(code, detail);
     }
 
-    private void abortAttempt() {
-        UpstreamClient.Call call = mCall;
-        if (mServer != null) {
-            clearAttempt();
-        }
-        if (call != null) {
-            call.cancel();
-        }
+    private void abortAttempts() {
+        mDuplicator.onEnd(mAttempts.cancelOthers(null));
     }
 
     /** Ends the request without an answer of a server. */
     private void giveUp(ErrorCode proposed, String detail) {
         boolean streaming = mStreaming;
-        ErrorCode code = codeForVerdict(proposed);
+        ErrorCode code = ProblemResponse.codeFor(proposed, mVerdict);
         if (!finish(code.name() + ": " + detail, code.httpStatus())) {
             return;
         }
@@ -553,24 +540,12 @@
         }
     }
 
-    /**
-     * Returns the proposed code if it agrees with the verdict, else one that does: a status that
-     * states "not run" is reserved for requests that did not run.
-     */
-    private ErrorCode codeForVerdict(ErrorCode proposed) {
-        if (mVerdict == Verdict.NOT_RUN) {
-            return proposed == ErrorCode.DEADLINE_EXCEEDED || proposed == ErrorCode.BACKEND_FAILED
-                    ? ErrorCode.OVERLOADED
-                    : proposed;
-        }
-        return proposed == ErrorCode.DEADLINE_EXCEEDED ? proposed : ErrorCode.BACKEND_FAILED;
-    }
-
     private boolean finish(String outcome, int status) {
         if (mAnswered) {
             return false;
         }
         mAnswered = true;
+        mDuplicator.onEnd(List.of());
         EventLoop.ScheduledTask timer = mTimer;
         if (timer != null) {
             timer.cancel();
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ProblemResponse.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ProblemResponse.java
@@ -38,6 +38,19 @@
         caller.sendResponse(code.httpStatus(), headers, body);
     }
 
+    /**
+     * Returns the proposed code if it agrees with the verdict, else one that does: a status that
+     * states "not run" is reserved for requests that did not run.
+     */
+    static ErrorCode codeFor(ErrorCode proposed, Verdict verdict) {
+        if (verdict == Verdict.NOT_RUN) {
+            return proposed == ErrorCode.DEADLINE_EXCEEDED || proposed == ErrorCode.BACKEND_FAILED
+                    ? ErrorCode.OVERLOADED
+                    : proposed;
+        }
+        return proposed == ErrorCode.DEADLINE_EXCEEDED ? proposed : ErrorCode.BACKEND_FAILED;
+    }
+
     private static String formatSeconds(long millis) {
         return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
     }
--- a/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/CrashSuspects.java
@@ -88,6 +88,11 @@
         return history != null && isQuarantined(content, history);
     }
 
+    /** Returns true when one of the contents was at a crash that no answer has refuted. */
+    public boolean isSuspect(Collection<ContentFingerprint> contents) {
+        return contents.stream().anyMatch(content -> findUnexpired(content) != null);
+    }
+
     private boolean isQuarantined(ContentFingerprint content, CrashHistory history) {
         int chain = mTimes.wasAnswered(content) ? CHAIN_OF_ANSWERED : CHAIN_OF_UNANSWERED;
         return history.depth() >= chain;
