Send the pieces of a slow stage call to a second server

Cause: a stage server that becomes slow in the middle of a call holds up all requests of the call, and other servers are free.

Change: StageDuplicator watches the calls of a stage service. Pieces of a call that takes twice its expected time are queued again for another server if nothing waits, a server that is not slow is free and at most half of the servers have a slow call. They take from the limit and the repeat budget first and are withdrawn when no server takes them at once. The first result of a piece wins; the later one is released. The slow call goes on, because only its response names the results that its server must release. A duplicate that fails is not repeated. StageDispatcher has one hook each for a new piece, the start and the end of a call and a repeat.

Measured: DuplicatedPiecesTest (4 cases), StagesTest, StalledStageTest and LateStageCopyTest pass.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/Duplicates.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/Duplicates.java
@@ -54,6 +54,14 @@
                 && (mRoutes.isEmpty() || mRoutes.contains(route.name()));
     }
 
+    /**
+     * Returns true when the pieces of a stage service may be duplicated. Pieces do not know their
+     * route, so a list of classes must name the service.
+     */
+    boolean coversStage(String service) {
+        return isOn() && (mRoutes.isEmpty() || mRoutes.contains(service));
+    }
+
     /** Records what a server states about its load. */
     void onAnswer(Server server, BackendResponseMetadata metadata) {
         if (isOn()) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
@@ -8,10 +8,14 @@
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
 import org.bulrushvale.decision.forward.StageQueue;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A piece in the queue of its stage service, with the consumer of its result.
  *
+ * <p>A duplicate of a piece delivers to its original, so the first result wins and the later one is
+ * not needed. A duplicate that fails is not repeated, because the original still runs.
+ *
  * <p>Invariant: the result is delivered at most once. Thread safety: not safe; used by the event
  * loop.
  */
@@ -26,12 +30,30 @@
     private final String mGroup;
     private final Set<String> mAvoided = new HashSet<>();
     private boolean mDelivered;
+    private boolean mStarted;
+    private boolean mDuplicated;
+    private @Nullable QueuedPiece mOriginal;
+    private Consumer<DuplicateEnd> mOnDuplicateEnd = end -> {};
 
     QueuedPiece(StageJob job, PieceOrder order, long nowNanos, Consumer<PieceResult> onResult) {
+        this(
+                job,
+                order,
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(job.startByMillis()),
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(job.giveUpMillis()),
+                onResult);
+    }
+
+    private QueuedPiece(
+            StageJob job,
+            PieceOrder order,
+            long startByNanos,
+            long giveUpNanos,
+            Consumer<PieceResult> onResult) {
         mJob = job;
         mOrder = order;
-        mStartByNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(job.startByMillis());
-        mGiveUpNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(job.giveUpMillis());
+        mStartByNanos = startByNanos;
+        mGiveUpNanos = giveUpNanos;
         mOnResult = onResult;
         mName = name(order.requestId(), order.stage(), order.piece());
         mGroup = order.requestId() + "/" + order.stage();
@@ -50,8 +72,69 @@
         mAvoided.add(server);
     }
 
+    /** Records that a call with the piece has started. */
+    void onStarted() {
+        mStarted = true;
+    }
+
+    /** Returns true when the result is needed and neither copy nor original is a duplicate. */
+    boolean mayDuplicate() {
+        return !mDuplicated && mOriginal == null && !isAbandoned();
+    }
+
+    /**
+     * Returns a duplicate of the piece for another server than the given one.
+     *
+     * @param onEnd called once, when the duplicate has ended
+     */
+    QueuedPiece duplicate(String slowServer, Consumer<DuplicateEnd> onEnd) {
+        QueuedPiece copy = new QueuedPiece(mJob, mOrder, mStartByNanos, mGiveUpNanos, result -> {});
+        copy.mAvoided.addAll(mAvoided);
+        copy.avoid(slowServer);
+        copy.mOriginal = this;
+        copy.mOnDuplicateEnd = onEnd;
+        mDuplicated = true;
+        return copy;
+    }
+
+    /** Gives up a duplicate that no server could take at once. */
+    void withdrawUnlessStarted() {
+        if (!mStarted) {
+            endIfDuplicate();
+        }
+    }
+
+    /** Ends a duplicate without a result; returns false when the piece is no duplicate. */
+    boolean endIfDuplicate() {
+        if (mOriginal != null) {
+            endDuplicate(DuplicateEnd.FAILED);
+        }
+        return mOriginal != null;
+    }
+
+    private void endDuplicate(DuplicateEnd end) {
+        if (!mDelivered) {
+            mDelivered = true;
+            mOnDuplicateEnd.accept(end);
+        }
+    }
+
+    private boolean deliverToOriginal(QueuedPiece original, PieceResult result) {
+        if (mDelivered || result.outcome() != PieceResult.Outcome.MADE) {
+            endDuplicate(DuplicateEnd.FAILED);
+            return false;
+        }
+        boolean first = original.deliver(result);
+        endDuplicate(first ? DuplicateEnd.FIRST : DuplicateEnd.LATER);
+        return first;
+    }
+
     /** Delivers the result; returns false when the piece was delivered or abandoned before. */
     boolean deliver(PieceResult result) {
+        QueuedPiece original = mOriginal;
+        if (original != null) {
+            return deliverToOriginal(original, result);
+        }
         if (mDelivered) {
             return false;
         }
@@ -101,7 +184,8 @@
 
     @Override
     public boolean isAbandoned() {
-        return mDelivered;
+        QueuedPiece original = mOriginal;
+        return mDelivered || original != null && original.isAbandoned();
     }
 
     @Override
@@ -113,4 +197,14 @@
     void abandon() {
         mDelivered = true;
     }
+
+    /** How the duplicate of a piece ended. */
+    enum DuplicateEnd {
+        /** Its result came first. */
+        FIRST,
+        /** Its result was not needed any more. */
+        LATER,
+        /** It has no result. */
+        FAILED
+    }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -54,6 +54,7 @@
     private final ForwardServices mServices;
     private final String mService;
     private final StageQueue<QueuedPiece> mQueue;
+    private final StageDuplicator mDuplicator;
     private final ReceivedHandles mReceivedHandles = new ReceivedHandles();
     private final List<CompletedPiece> mPendingReleases = new ArrayList<>();
 
@@ -61,11 +62,13 @@
         mServices = services;
         mService = service;
         mQueue = new StageQueue<>(services.clock(), RESULT_LIFETIME.toNanos());
+        mDuplicator = new StageDuplicator(services, service, mQueue, this::dispatch);
     }
 
     void add(List<QueuedPiece> pieces) {
         for (QueuedPiece piece : pieces) {
             mServices.repeatBudget().recordRequest(mService);
+            mDuplicator.onPiece();
             mQueue.add(piece);
         }
         dispatch();
@@ -103,6 +106,7 @@
 
     private void start(StageQueue.Call<QueuedPiece> call) {
         long startedNanos = mServices.clock().monotonicNanos();
+        limits().ifPresent(limits -> mDuplicator.onStart(call, limits));
         StageRequest message =
                 mServices
                         .protocol()
@@ -218,6 +222,7 @@
 
     private void onCallEnded(StageQueue.Call<QueuedPiece> call) {
         mQueue.recordCallEnd(call.server().published().id());
+        mDuplicator.onEnd(call);
     }
 
     private void repeat(StageQueue.Call<QueuedPiece> call, boolean avoidServer) {
@@ -236,7 +241,7 @@
         if (!failedServer.isEmpty()) {
             piece.avoid(failedServer);
         }
-        if (piece.isAbandoned()) {
+        if (piece.endIfDuplicate() || piece.isAbandoned()) {
             return;
         }
         if (piece.failedServerCount() > MAX_FAILED_SERVERS
