--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
@@ -26,38 +26,52 @@
     private final CallerRequestMetadata mRequestMetadata;
     private final Route mRoute;
     private final String mWorkspace;
+    private final ServerPlacement mPlacement;
 
     AttemptStarter(
             ForwardServices services,
             CallerExchange caller,
             CallerRequestMetadata metadata,
             Route route,
-            String workspace) {
+            String workspace,
+            ServerPlacement placement) {
         mServices = services;
         mCaller = caller;
         mRequestMetadata = metadata;
         mRoute = route;
         mWorkspace = workspace;
+        mPlacement = placement;
     }
 
     /**
-     * Sends the request to a server.
+     * Sends the request to the server of an attempt, which receives the events of the call.
      *
-     * @param target server to send to
+     * @param number number of the attempt, from 1
      * @param remaining time until the deadline of the request
      * @param inputs handles of the stage results that the server reads
      * @param resumeAfter id of the last event that the caller has received
      * @param urgency urgency for the server's own queue; empty to send none
-     * @param handler receives the events of the attempt
      */
-    UpstreamClient.Call start(
-            Server target,
+    void start(
+            RunningAttempt attempt,
+            int number,
             Duration remaining,
             List<String> inputs,
             long resumeAfter,
-            OptionalInt urgency,
-            ForwardAttempt.Handler handler) {
+            OptionalInt urgency) {
+        Server target = attempt.server();
         PublishedBackend server = target.published();
+        mPlacement
+                .describe(target, mServices.log().line("send"))
+                .with("request", mRequestMetadata.id())
+                .with("route", mRoute.name())
+                .with("server", server.id())
+                .with("attempt", number)
+                .with("left_ms", remaining.toMillis())
+                .with("outstanding", target.outstanding())
+                .with("urgency", urgency.orElse(-1))
+                .with("parts", String.join(",", mRequestMetadata.promptParts()))
+                .write();
         HeaderMap headers =
                 EndToEndHeaders.copyEndToEnd(mCaller.headers(), mServices.protocol()::isReserved);
         if (mCaller.headers().contains(Headers.CONTENT_LENGTH)
@@ -78,7 +92,7 @@
                         mCaller.body(),
                         remaining,
                         mRoute.mayRepeat());
-        ForwardAttempt attempt =
+        ForwardAttempt listener =
                 new ForwardAttempt(
                         mServices.loop(),
                         mServices.protocol(),
@@ -87,7 +101,7 @@
                                 mServices
                                         .serverReports()
                                         .onAnswer(target, head.status(), head.metadata()),
-                        handler);
-        return mServices.upstreamClient().start(request, attempt);
+                        attempt);
+        attempt.setCall(mServices.upstreamClient().start(request, listener));
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/QueuedPiece.java
@@ -1,19 +1,25 @@
 package org.bulrushvale.daemon.forward;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
 import org.bulrushvale.adapters.forward.PieceOrder;
 import org.bulrushvale.adapters.forward.PieceResult;
 import org.bulrushvale.adapters.forward.StageJob;
 import org.bulrushvale.adapters.peer.PeerMessage.StageResults;
 import org.bulrushvale.decision.forward.StageQueue;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A piece in the queue of its stage service, with the consumer of its result.
  *
+ * <p>A duplicate of a piece delivers to its original, so the first result wins and the later one is
+ * not needed. A duplicate that fails is not repeated, because the original still runs.
+ *
  * <p>Invariant: the result is delivered at most once. Thread safety: not safe; used by the event
  * loop.
  */
@@ -29,6 +35,10 @@
     private final String mGroup;
     private final Set<String> mAvoided = new HashSet<>();
     private boolean mDelivered;
+    private boolean mStarted;
+    private boolean mDuplicated;
+    private @Nullable QueuedPiece mOriginal;
+    private Consumer<DuplicateEnd> mOnDuplicateEnd = end -> {};
 
     QueuedPiece(
             StageJob job, PieceOrder order, long nowNanos, ObjLongConsumer<PieceResult> onResult) {
@@ -60,6 +70,69 @@
         mAvoided.add(server);
     }
 
+    /** Records that a call with the piece has started. */
+    void onStarted() {
+        mStarted = true;
+    }
+
+    /** Returns true when the result is needed and neither copy nor original is a duplicate. */
+    boolean mayDuplicate() {
+        return !mDuplicated && mOriginal == null && !isAbandoned();
+    }
+
+    /**
+     * Returns a duplicate of the piece for another server than the given ones.
+     *
+     * @param onEnd called once, when the duplicate has ended
+     */
+    QueuedPiece duplicate(Collection<String> unusable, Consumer<DuplicateEnd> onEnd) {
+        QueuedPiece copy =
+                new QueuedPiece(mJob, mOrder, mCreatedNanos, (result, returnMillis) -> {});
+        copy.mAvoided.addAll(mAvoided);
+        copy.mAvoided.addAll(unusable);
+        copy.mOriginal = this;
+        copy.mOnDuplicateEnd = onEnd;
+        mDuplicated = true;
+        return copy;
+    }
+
+    /** Returns true for a copy of a piece whose call is slow. */
+    boolean isDuplicate() {
+        return mOriginal != null;
+    }
+
+    /** Gives up a duplicate that no server could take at once. */
+    void withdrawUnlessStarted() {
+        if (!mStarted) {
+            endIfDuplicate();
+        }
+    }
+
+    /** Ends a duplicate without a result; returns false when the piece is no duplicate. */
+    boolean endIfDuplicate() {
+        if (isDuplicate()) {
+            endDuplicate(DuplicateEnd.FAILED);
+        }
+        return isDuplicate();
+    }
+
+    private void endDuplicate(DuplicateEnd end) {
+        if (!mDelivered) {
+            mDelivered = true;
+            mOnDuplicateEnd.accept(end);
+        }
+    }
+
+    private boolean deliverToOriginal(QueuedPiece original, PieceResult result) {
+        if (mDelivered || result.outcome() != PieceResult.Outcome.MADE) {
+            endDuplicate(DuplicateEnd.FAILED);
+            return false;
+        }
+        boolean first = original.deliver(result);
+        endDuplicate(first ? DuplicateEnd.FIRST : DuplicateEnd.LATER);
+        return first;
+    }
+
     /** Delivers the result; returns false when the piece was delivered or abandoned before. */
     boolean deliver(PieceResult result) {
         return deliver(result, StageResults.NO_RETURN_TIME);
@@ -73,6 +146,10 @@
     }
 
     private boolean deliver(PieceResult result, long returnMillis) {
+        QueuedPiece original = mOriginal;
+        if (original != null) {
+            return deliverToOriginal(original, result);
+        }
         if (mDelivered) {
             return false;
         }
@@ -132,7 +209,8 @@
 
     @Override
     public boolean isAbandoned() {
-        return mDelivered;
+        QueuedPiece original = mOriginal;
+        return mDelivered || original != null && original.isAbandoned();
     }
 
     @Override
@@ -144,4 +222,14 @@
     void abandon() {
         mDelivered = true;
     }
+
+    /** How the duplicate of a piece ended. */
+    enum DuplicateEnd {
+        /** Its result came first. */
+        FIRST,
+        /** Its result was not needed any more. */
+        LATER,
+        /** It has no result. */
+        FAILED
+    }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
@@ -4,13 +4,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
+import net.openhft.hashing.LongHashFunction;
 import org.bulrushvale.adapters.caller.Problem;
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ForwardConfig;
+import org.bulrushvale.decision.forward.PauseWait;
+import org.bulrushvale.decision.forward.RequestKind;
 import org.bulrushvale.decision.forward.ServiceSpec;
 import org.bulrushvale.decision.forward.Urgency;
 
@@ -39,6 +43,7 @@
     private String mAdmittedTo = "";
     private OptionalLong mStageReturnMillis = OptionalLong.empty();
     private boolean mHasStageReturn;
+    private OptionalLong mPauseReturnMillis = OptionalLong.empty();
 
     /**
      * Creates the schedule of a request.
@@ -110,12 +115,43 @@
     }
 
     /**
-     * Returns the problem with the return time of the collector or, when no stage was refused, with
-     * one made of what is known of the servers. Problems that invite no return are unchanged, and
-     * all are while return times are off.
+     * Returns what to do while all servers of a service are paused; empty when one is not.
+     *
+     * @param requestId id of the request, by which the sends after a common end are spread
+     */
+    Optional<PauseWait> pauseWait(String service, RequestKind kind, String requestId) {
+        OptionalLong end = mServices.publishedState().directory().earliestPauseEnd(service);
+        if (end.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                PauseWait.of(
+                        end.getAsLong(),
+                        mServices.clock().monotonicNanos(),
+                        mTimeLimits.millisToLastSend(kind),
+                        millisToDeadline(),
+                        LongHashFunction.xx().hashChars(requestId)));
+    }
+
+    /** Records when the caller should return after the pause of all servers. */
+    void setPauseReturnMillis(long millis) {
+        mPauseReturnMillis = OptionalLong.of(millis);
+    }
+
+    /**
+     * Returns the problem with the return time after the pause of all servers, else with the one of
+     * the collector or, when no stage was refused, with one made of what is known of the servers.
+     * Problems that invite no return are unchanged; while return times are off, so are all without
+     * a pause.
      */
     Problem withReturnTime(Problem problem, String service) {
-        if (!admission().returnTimes() || problem.retryAfterMs().isEmpty()) {
+        if (problem.retryAfterMs().isEmpty()) {
+            return problem;
+        }
+        if (mPauseReturnMillis.isPresent()) {
+            return problem.withRetryAfter(mPauseReturnMillis);
+        }
+        if (!admission().returnTimes()) {
             return problem;
         }
         if (mHasStageReturn) {
