--- a/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/metrics/EntryMetrics.java
@@ -41,12 +41,20 @@
 
     /** Counts an event under labels, given as names and values, which come from fixed sets. */
     public void count(String name, String... labels) {
-        Counter.builder(name).tags(labels).register(mRegistry).increment();
+        add(name, 1, labels);
     }
 
-    /** Records a value whose distribution matters. */
-    public void record(String name, double value) {
-        DistributionSummary.builder(name).register(mRegistry).record(value);
+    /**
+     * Adds an amount to a counter under labels, given as names and values, which come from fixed
+     * sets.
+     */
+    public void add(String name, double amount, String... labels) {
+        Counter.builder(name).tags(labels).register(mRegistry).increment(amount);
+    }
+
+    /** Records a value under labels, given as names and values, which come from fixed sets. */
+    public void record(String name, double value, String... labels) {
+        DistributionSummary.builder(name).tags(labels).register(mRegistry).record(value);
     }
 
     /** Records a duration under labels, given as names and values, which come from fixed sets. */
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -123,6 +123,7 @@
         StatedLimits statedLimits =
                 new StatedLimits(new StatedRateLimits(mClock, members), telemetry);
         ServerSpeed speed = new ServerSpeed(mClock);
+        RepeatBudget repeatBudget = newRepeatBudget(members);
         return new ForwardServices(
                 mLoop,
                 mClock,
@@ -136,7 +137,8 @@
                 coldLimit,
                 new ServiceAdmission(mClock, coldLimit),
                 new ReturnSchedule(mClock),
-                newRepeatBudget(members),
+                repeatBudget,
+                new Duplicates(mClock, mSettings.features().duplicates(), repeatBudget, telemetry),
                 crashGuard,
                 statedLimits,
                 new ServerReports(mClock, mPublishedState.directory(), telemetry),
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -34,6 +34,7 @@
         ServiceAdmission serviceAdmission,
         ReturnSchedule returnSchedule,
         RepeatBudget repeatBudget,
+        Duplicates duplicates,
         CrashGuard crashGuard,
         StatedLimits statedLimits,
         ServerReports serverReports,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
@@ -25,8 +25,6 @@
     private final ServiceSpec mService;
     private ServerChoice.Request mLastRequest = new ServerChoice.Request("", "", 0, 0, "", 0);
     private ServerChoice.Estimate mEstimate = ServerChoice.Estimate.NONE;
-    private @Nullable Server mAwaited;
-    private long mSentNanos;
     private boolean mProbed;
 
     ServerPlacement(ForwardServices services, CallerRequestMetadata request, ServiceSpec service) {
@@ -45,11 +43,31 @@
      * @param inputDomain failure domain that holds the stage results; empty for none
      */
     @Nullable Server choose(Collection<String> tried, boolean useAffinity, String inputDomain) {
+        return choose(eligible(), tried, useAffinity, inputDomain);
+    }
+
+    /**
+     * Returns the server to send to among the candidates, or null when none may receive the request
+     * now. The affinity is not used, because the server that it prefers is usually left out.
+     *
+     * @param tried ids of servers that must not be chosen
+     * @param inputDomain failure domain that holds the stage results; empty for none
+     */
+    @Nullable Server chooseAmong(
+            List<Server> candidates, Collection<String> tried, String inputDomain) {
+        return choose(candidates, tried, false, inputDomain);
+    }
+
+    private @Nullable Server choose(
+            List<Server> candidates,
+            Collection<String> tried,
+            boolean useAffinity,
+            String inputDomain) {
         mLastRequest = request(useAffinity, inputDomain);
         Server server =
                 mServices
                         .serverChoice()
-                        .choose(eligible(), tried, mService.coldRequestsPerSecond(), mLastRequest);
+                        .choose(candidates, tried, mService.coldRequestsPerSecond(), mLastRequest);
         mEstimate = mServices.serverChoice().lastEstimate();
         return server;
     }
@@ -98,36 +116,29 @@
                 .ask(servers.subList(0, Math.min(probes, servers.size())), next);
     }
 
-    /** Records that an attempt is sent to the server that was chosen last. */
-    void onSent(Server server) {
-        if (mServices.features().placement().policy() != PlacementPolicy.EXPECTED_COMPLETION) {
-            return;
+    /**
+     * Records that an attempt is sent to the server that was chosen last.
+     *
+     * @return what measures the time to the first event of this attempt
+     */
+    SentAttempt onSent(Server server) {
+        boolean measured =
+                mServices.features().placement().policy() == PlacementPolicy.EXPECTED_COMPLETION;
+        if (measured) {
+            mServices.serverChoice().recordSent(server, mLastRequest);
+            server.facts()
+                    .loadAgeMillis(mServices.clock().monotonicNanos())
+                    .ifPresent(age -> mServices.metrics().record("bulrushvale.load.age.ms", age));
         }
-        mServices.serverChoice().recordSent(server, mLastRequest);
-        mAwaited = server;
-        mSentNanos = mServices.clock().monotonicNanos();
-        server.facts()
-                .loadAgeMillis(mSentNanos)
-                .ifPresent(age -> mServices.metrics().record("bulrushvale.load.age.ms", age));
+        return new SentAttempt(server, measured);
     }
 
-    /** Records the first event of a stream or a good answer; later ones change nothing. */
-    void onFirstEvent() {
-        Server server = mAwaited;
-        if (server != null) {
-            mAwaited = null;
-            long nanos = mServices.clock().monotonicNanos() - mSentNanos;
-            double expected = NANOS_PER_MILLI * Math.max(1, mEstimate.millis());
-            mServices.metrics().record("bulrushvale.first.event.ratio", nanos / expected);
-            mServices
-                    .serverSpeed()
-                    .recordFirstEvent(
-                            mServiceName,
-                            server.published().processName(),
-                            mLastRequest.promptTokens(),
-                            mEstimate.cached(),
-                            nanos);
-        }
+    /**
+     * Returns an attempt that resumes a stream, whose first event says nothing about the speed of
+     * its server.
+     */
+    SentAttempt onResumed(Server server) {
+        return new SentAttempt(server, false);
     }
 
     /** Adds what the choice of a server was based on to a log line. */
@@ -152,4 +163,42 @@
                 .ifPresent(pace -> line.with("pace_percent", (long) (pace * PERCENT)));
         return line;
     }
+
+    /**
+     * One attempt as it was placed.
+     *
+     * <p>Invariant: only the first event of the attempt is measured, against the time at which this
+     * attempt was sent and what was expected of its server. Thread safety: used on the event loop.
+     */
+    final class SentAttempt {
+        private final Server mServer;
+        private final ServerChoice.Request mSentRequest = mLastRequest;
+        private final ServerChoice.Estimate mExpected = mEstimate;
+        private final long mSentNanos = mServices.clock().monotonicNanos();
+        private boolean mAwaitsEvent;
+
+        private SentAttempt(Server server, boolean awaitsEvent) {
+            mServer = server;
+            mAwaitsEvent = awaitsEvent;
+        }
+
+        /** Records the first event of a stream or a good answer; later ones change nothing. */
+        void onFirstEvent() {
+            if (!mAwaitsEvent) {
+                return;
+            }
+            mAwaitsEvent = false;
+            long nanos = mServices.clock().monotonicNanos() - mSentNanos;
+            double expected = NANOS_PER_MILLI * Math.max(1, mExpected.millis());
+            mServices.metrics().record("bulrushvale.first.event.ratio", nanos / expected);
+            mServices
+                    .serverSpeed()
+                    .recordFirstEvent(
+                            mServiceName,
+                            mServer.published().processName(),
+                            mSentRequest.promptTokens(),
+                            mExpected.cached(),
+                            nanos);
+        }
+    }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -64,6 +64,7 @@
     private final StageAdmission<QueuedPiece> mAdmission;
     private final StageQueueReport mReport;
     private final InputReadTimer mInputReadTimer;
+    private final StageDuplicator mDuplicator;
     private final ReceivedHandles mReceivedHandles = new ReceivedHandles();
     private final Map<StageQueue.Call<QueuedPiece>, ServerFacts.Work> mRunningWork =
             new IdentityHashMap<>();
@@ -87,6 +88,7 @@
                 new StageAdmission<>(
                         services.clock(), mQueue, services.features().admission().returnTimes());
         mReport = new StageQueueReport(services, service, shares);
+        mDuplicator = new StageDuplicator(services, service, mQueue, this::dispatch);
     }
 
     private boolean isAdmissionOn() {
@@ -110,7 +112,10 @@
         } else {
             pieces.forEach(mQueue::add);
         }
-        pieces.forEach(piece -> mServices.repeatBudget().recordRequest(mService));
+        for (int i = 0; i < pieces.size(); i++) {
+            mServices.repeatBudget().recordRequest(mService);
+            mDuplicator.onPiece();
+        }
         dispatch();
     }
 
@@ -176,6 +181,7 @@
                 .map(Clock::boundedNanos)
                 .map(expected -> call.server().facts().recordWorkStart(expected, startedNanos))
                 .ifPresent(work -> mRunningWork.put(call, work));
+        limits().ifPresent(limits -> mDuplicator.onStart(call, limits));
         StageRequest message =
                 mServices
                         .protocol()
@@ -297,6 +303,7 @@
         if (work != null) {
             call.server().facts().recordWorkEnd(work);
         }
+        mDuplicator.onEnd(call);
     }
 
     private void repeat(StageQueue.Call<QueuedPiece> call, boolean avoidServer) {
@@ -315,7 +322,7 @@
         if (!failedServer.isEmpty()) {
             piece.avoid(failedServer);
         }
-        if (piece.isAbandoned()) {
+        if (piece.endIfDuplicate() || piece.isAbandoned()) {
             return;
         }
         if (piece.failedServerCount() > MAX_FAILED_SERVERS
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageQueueReport.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageQueueReport.java
@@ -93,7 +93,8 @@
     void started(StageQueue.Call<QueuedPiece> call) {
         Set<String> groups = new HashSet<>();
         for (QueuedPiece piece : call.pieces()) {
-            if (!groups.add(piece.group())) {
+            // A duplicate starts long after its piece, without having waited.
+            if (piece.isDuplicate() || !groups.add(piece.group())) {
                 continue;
             }
             metrics()
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ServerFacts.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ServerFacts.java
@@ -104,6 +104,13 @@
         return hasLoad(nowNanos) ? mSlots : OptionalInt.empty();
     }
 
+    /** Returns true when the process stated recently that requests wait or all slots are taken. */
+    public boolean isFull(long nowNanos) {
+        int running = mRunning.orElse(0) + mStartsSinceLoad;
+        return hasLoad(nowNanos)
+                && (mWaiting.orElse(0) > 0 || running >= mSlots.orElse(Integer.MAX_VALUE));
+    }
+
     private boolean hasLoad(long nowNanos) {
         return mLoadSource != Source.NONE && nowNanos - mLoadAtNanos <= LOAD_LIFETIME.toNanos();
     }
