Spend the first half of the limit of duplicates without a longer delay

A duplicate whose first attempt had failed had no end in log and metrics.

Change: the delay grows from half of the limit on. RequestDuplicator records one end for each duplicate.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestDuplicator.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestDuplicator.java
@@ -33,6 +33,7 @@
     private final Sender mSender;
     private EventLoop.@Nullable ScheduledTask mCheck;
     private boolean mSent;
+    private boolean mRunning;
     private boolean mEnded;
     private boolean mFirstAnswered;
 
@@ -143,6 +144,7 @@
         Decision decision = policy.decide(watched, left, server != null);
         if (server != null && decision == Decision.SEND) {
             mSent = true;
+            mRunning = true;
             log(attempt, server, left);
             mSender.sendDuplicate(server);
             return;
@@ -187,7 +189,7 @@
         mFirstAnswered = true;
         recordTime(winner);
         cancelled.forEach(this::recordTime);
-        if (!cancelled.isEmpty()) {
+        if (mRunning) {
             end(winner.isDuplicate() ? Duplicates.Outcome.WON : Duplicates.Outcome.LOST, cancelled);
         }
     }
@@ -201,7 +203,7 @@
 
     /** Records that an attempt failed or was refused. */
     void onFailed(RunningAttempt attempt) {
-        if (attempt.isDuplicate()) {
+        if (mRunning && attempt.isDuplicate()) {
             end(Duplicates.Outcome.FAILED, List.of(attempt));
         }
     }
@@ -210,12 +212,13 @@
     void onEnd(Collection<RunningAttempt> cancelled) {
         cancelCheck();
         mEnded = true;
-        if (cancelled.stream().anyMatch(RunningAttempt::isDuplicate)) {
+        if (mRunning) {
             end(Duplicates.Outcome.ABANDONED, cancelled);
         }
     }
 
     private void end(Duplicates.Outcome outcome, Collection<RunningAttempt> wasted) {
+        mRunning = false;
         long millis = wasted.stream().mapToLong(this::ranMillis).sum();
         long tokens = (long) wasted.size() * mRequestMetadata.promptTokens();
         duplicates()
--- a/decision/src/main/java/org/bulrushvale/decision/retry/DuplicatePolicy.java
+++ b/decision/src/main/java/org/bulrushvale/decision/retry/DuplicatePolicy.java
@@ -195,11 +195,12 @@
     }
 
     /**
-     * Compares the time of an attempt with the delay, and with up to twice the delay as the limit
-     * is used up, so that the rest of it serves the slowest attempts.
+     * Compares the time of an attempt with the delay. From half of the limit on it grows to twice
+     * the delay, so that the rest of the limit serves the slowest attempts.
      */
     private boolean isSlow(Attempt attempt, Duration delay) {
-        double required = delay.toNanos() * (1 + mLimit.used(attempt.service()));
+        double scarcity = Math.max(0, 2 * mLimit.used(attempt.service()) - 1);
+        double required = delay.toNanos() * (1 + scarcity);
         return mClock.monotonicNanos() - attempt.sentNanos() >= required;
     }
 
