Charge repeated stages after an early release to the repeat budget

Cause: a piece whose call was lost after its inputs were released ended as INPUT_GONE without a repeat from the budget, and the request then repeated its stages. With release_inputs = after_read lost calls were therefore repeated without a limit.

Change: the piece takes a repeat of its stage service before it ends as INPUT_GONE, and waits for one until its last start as other repeated pieces do. The repeats of the earlier stages are still not charged.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -309,12 +309,16 @@
         if (piece.failedServerCount() > MAX_FAILED_SERVERS
                 || piece.giveUpNanos() - mServices.clock().monotonicNanos() <= 0) {
             piece.deliver(result);
-        } else if (!piece.recordRepeat()) {
-            piece.deliver(PieceResult.failed(PieceResult.Outcome.INPUT_GONE));
-        } else if (mServices.repeatBudget().tryRepeat(mService)) {
+            return;
+        }
+        boolean inputsExist = piece.recordRepeat();
+        if (!mServices.repeatBudget().tryRepeat(mService)) {
+            mServices.loop().schedule(BUSY_PAUSE, () -> repeat(piece, "", result));
+        } else if (inputsExist) {
             mQueue.addAgain(piece);
         } else {
-            mServices.loop().schedule(BUSY_PAUSE, () -> repeat(piece, "", result));
+            // The request then repeats its stages, which is a repeat of this piece as well.
+            piece.deliver(PieceResult.failed(PieceResult.Outcome.INPUT_GONE));
         }
     }
 
