Apply admission and placement only from a number of published servers

Cause: in small pools (3 or 4 servers for each stage) one call is a large part of the capacity, so the forecast is too coarse and late work displaces work in time.

The largest number of servers published at once counts, so lost servers do not switch them off. A stage job that runs in the entry itself no longer listens to its former collector.

--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
@@ -68,6 +68,7 @@
                             "INFO",
                             SettingKey.oneOf("ERROR", "WARN", "INFO", "DEBUG")),
                     optional("log", "lines_per_second", "200", SettingKey.range(1, 100_000)),
+                    optional("features", "min_servers", "0", SettingKey.range(0, 1_000_000)),
                     optional("admission", "patience", OFF, SWITCH),
                     optional("admission", "urgency", OFF, SWITCH),
                     optional("admission", "queue", OFF, SWITCH),
@@ -136,6 +137,7 @@
 
     private static Features buildFeatures(SettingsTable table) {
         return new Features(
+                table.number("features", "min_servers"),
                 new Admission(
                         isOn(table, "patience"),
                         isOn(table, "urgency"),
@@ -283,13 +285,29 @@
      * Features that a deployment switches on; all are off by default.
      *
      * <p>Thread safety: immutable.
+     *
+     * @param minServers published backend servers from which admission and placement apply. With
+     *     few servers for each stage a forecast is too coarse: one call is a large part of the
+     *     capacity.
      */
     public record Features(
+            int minServers,
             Admission admission,
             Placement placement,
             Vm vm,
             Stages stages,
-            Duplicates duplicates) {}
+            Duplicates duplicates) {
+        /**
+         * Returns the features that apply where so many backend servers are published: admission
+         * and placement are off below the minimum.
+         */
+        public Features forServers(int servers) {
+            return servers >= minServers
+                    ? this
+                    : new Features(
+                            minServers, Admission.OFF, Placement.OFF, vm, stages, duplicates);
+        }
+    }
 
     /**
      * How requests are admitted, queued and refused.
@@ -308,7 +326,9 @@
             boolean urgency,
             boolean queue,
             boolean returnTimes,
-            boolean fairShares) {}
+            boolean fairShares) {
+        static final Admission OFF = new Admission(false, false, false, false, false);
+    }
 
     /**
      * How the backend server of a request is chosen.
@@ -317,7 +337,9 @@
      *
      * @param probes servers that are asked for their load before a request is sent
      */
-    public record Placement(PlacementPolicy policy, int probes) {}
+    public record Placement(PlacementPolicy policy, int probes) {
+        static final Placement OFF = new Placement(PlacementPolicy.AFFINITY, 0);
+    }
 
     /** Policies for the choice of a backend server. */
     public enum PlacementPolicy {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/AttemptStarter.java
@@ -21,6 +21,8 @@
  * or that only this system may set are removed. Thread safety: used on the event loop.
  */
 final class AttemptStarter {
+    private static final Duration CALL_LIMIT_MARGIN = Duration.ofMillis(100);
+
     private final ForwardServices mServices;
     private final CallerExchange mCaller;
     private final CallerRequestMetadata mRequestMetadata;
@@ -90,7 +92,8 @@
                         mCaller.target(),
                         headers,
                         mCaller.body(),
-                        remaining,
+                        // Ends after the limit of the request, whose timer decides the answer.
+                        remaining.plus(CALL_LIMIT_MARGIN),
                         mRoute.mayRepeat());
         ForwardAttempt listener =
                 new ForwardAttempt(
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -465,6 +465,9 @@
             String collector = mMembers.collector(mJob.service());
             if (mCollectorAttempts >= MAX_COLLECTOR_ATTEMPTS
                     || collector.equals(ownName(mSettings))) {
+                // From now on no collector knows anything about the pieces.
+                mCollector = "";
+                mRemoteJobs.remove(name(), this);
                 mCancel = mLocalExecutor.execute(mJob, mOnInputsRead, this::complete);
                 return;
             }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -202,10 +202,19 @@
         return switch (mSettings.features().placement().policy()) {
             case AFFINITY -> new AffinityChoice(mClock, limits);
             case EXPECTED_COMPLETION ->
-                    new ExpectedCompletion(mClock, limits, speed, members::entryCount);
+                    new SwitchedChoice(
+                            this::isExpectedCompletionActive,
+                            new ExpectedCompletion(mClock, limits, speed, members::entryCount),
+                            new AffinityChoice(mClock, limits));
         };
     }
 
+    private boolean isExpectedCompletionActive() {
+        int servers = mPublishedState.directory().largestCount();
+        return mSettings.features().forServers(servers).placement().policy()
+                == PlacementPolicy.EXPECTED_COMPLETION;
+    }
+
     private CrashGuard newCrashGuard(ForwardTelemetry telemetry) {
         ServerLivenessCheck livenessCheck =
                 new ServerLivenessCheck(mLoop, mUpstreamClient, telemetry);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -55,6 +55,13 @@
         return members.collector(service).equals(members.self());
     }
 
+    /** Returns the features that apply with the servers that have been published. */
+    ForwardSettings.Features activeFeatures() {
+        return features.minServers() == 0
+                ? features
+                : features.forServers(publishedState.directory().largestCount());
+    }
+
     DecisionLog log() {
         return telemetry.log();
     }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -100,7 +100,7 @@
                         caller.arrivedNanos(),
                         metadata,
                         route,
-                        services.features().admission().patience());
+                        services.activeFeatures().admission().patience());
         int rank = workspace.flatMap(Workspace::priority).orElse(route.priority());
         mSchedule =
                 new RequestSchedule(
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/LocalStageExecutor.java
@@ -71,6 +71,11 @@
     }
 
     private StageDispatcher dispatcher(String service) {
-        return mDispatchers.computeIfAbsent(service, name -> new StageDispatcher(mServices, name));
+        StageDispatcher dispatcher = mDispatchers.get(service);
+        if (dispatcher == null || dispatcher.isOutdated()) {
+            dispatcher = new StageDispatcher(mServices, service);
+            mDispatchers.put(service, dispatcher);
+        }
+        return dispatcher;
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/RequestSchedule.java
@@ -188,7 +188,7 @@
 
     @Override
     public ForwardSettings.Admission admission() {
-        return mServices.features().admission();
+        return mServices.activeFeatures().admission();
     }
 
     @Override
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
@@ -95,7 +95,7 @@
      */
     boolean probeFirst(
             Collection<String> tried, boolean useAffinity, String inputDomain, Runnable next) {
-        int probes = mServices.features().placement().probes();
+        int probes = mServices.activeFeatures().placement().probes();
         if (mProbed || probes == 0 || mService.engine().isEmpty()) {
             return false;
         }
@@ -123,7 +123,8 @@
      */
     SentAttempt onSent(Server server) {
         boolean measured =
-                mServices.features().placement().policy() == PlacementPolicy.EXPECTED_COMPLETION;
+                mServices.activeFeatures().placement().policy()
+                        == PlacementPolicy.EXPECTED_COMPLETION;
         if (measured) {
             mServices.serverChoice().recordSent(server, mLastRequest);
             server.facts()
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -64,6 +64,7 @@
     private final StageAdmission<QueuedPiece> mAdmission;
     private final StageQueueReport mReport;
     private final InputReadTimer mInputReadTimer;
+    private final boolean mAdmissionOn;
     private final StageDuplicator mDuplicator;
     private final ReceivedHandles mReceivedHandles = new ReceivedHandles();
     private final Map<StageQueue.Call<QueuedPiece>, ServerFacts.Work> mRunningWork =
@@ -74,8 +75,9 @@
         mServices = services;
         mInputReadTimer = new InputReadTimer(services);
         mService = service;
+        mAdmissionOn = services.activeFeatures().admission().queue();
         Optional<FairShares> shares =
-                isAdmissionOn() && services.features().admission().fairShares()
+                isAdmissionOn() && services.activeFeatures().admission().fairShares()
                         ? Optional.of(new FairShares(services.clock()))
                         : Optional.empty();
         mQueue =
@@ -86,13 +88,25 @@
                         shares);
         mAdmission =
                 new StageAdmission<>(
-                        services.clock(), mQueue, services.features().admission().returnTimes());
+                        services.clock(),
+                        mQueue,
+                        services.activeFeatures().admission().returnTimes());
         mReport = new StageQueueReport(services, service, shares);
         mDuplicator = new StageDuplicator(services, service, mQueue, this::dispatch);
     }
 
     private boolean isAdmissionOn() {
-        return mServices.features().admission().queue();
+        return mAdmissionOn;
+    }
+
+    /**
+     * Returns true when the queue has nothing to do and was created under other features than those
+     * that apply now, so that a new one should replace it.
+     */
+    boolean isOutdated() {
+        return mAdmissionOn != mServices.activeFeatures().admission().queue()
+                && mQueue.waitingCount() == 0
+                && mRunningWork.isEmpty();
     }
 
     /** Adds the pieces of one job, or refuses them when they cannot start in time. */
--- a/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerPlacementTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerPlacementTest.java
@@ -117,6 +117,7 @@
                         null,
                         null,
                         new ForwardSettings.Features(
+                                0,
                                 null,
                                 new ForwardSettings.Placement(
                                         ForwardSettings.PlacementPolicy.EXPECTED_COMPLETION, 0),
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -28,6 +28,7 @@
     private final Map<String, List<Server>> mByService = new HashMap<>();
     private final LeavingServers mLeaving;
     private final Map<String, ServerFacts> mPausedFacts = new HashMap<>();
+    private int mLargestCount;
     private Set<String> mEvacuatedDomains = Set.of();
 
     /** Creates an empty directory. */
@@ -57,9 +58,15 @@
         ServerFacts facts = paused == null ? new ServerFacts(now) : paused;
         Server server = new Server(published, facts, now);
         mServers.put(published.id(), server);
+        mLargestCount = Math.max(mLargestCount, mServers.size());
         mByService.computeIfAbsent(published.service(), name -> new ArrayList<>()).add(server);
     }
 
+    /** Returns the largest number of servers that were published at the same time. */
+    public int largestCount() {
+        return mLargestCount;
+    }
+
     /** Removes a server. */
     public void remove(String id) {
         Server server = mServers.remove(id);
