--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -196,10 +196,17 @@
      * <p>Thread safety: immutable.
      *
      * @param failureDomain failure domain of the member; empty when the sender does not know it
+     * @param overloaded true when others should collect pieces instead of the member
      * @param capacity capacity of the VM: the smaller of its cores in hundredths and its link in
      *     Mbit/s; 0 when the sender does not know it
      */
-    record Member(String vm, String failureDomain, boolean leaving, long ageMillis, int capacity) {}
+    record Member(
+            String vm,
+            String failureDomain,
+            boolean leaving,
+            boolean overloaded,
+            long ageMillis,
+            int capacity) {}
 
     /**
      * Request for the changes of the published state that the sender does not know yet. The answer
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/StageCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/StageCodec.java
@@ -22,7 +22,10 @@
             out.packArrayHeader(members.members().size());
             for (PeerMessage.Member m : members.members()) {
                 out.packString(m.vm()).packString(m.failureDomain());
-                out.packBoolean(m.leaving()).packLong(m.ageMillis()).packInt(m.capacity());
+                out.packBoolean(m.leaving())
+                        .packBoolean(m.overloaded())
+                        .packLong(m.ageMillis())
+                        .packInt(m.capacity());
             }
         } else if (message instanceof PeerMessage.StageOrder order) {
             writeJob(order.job(), out);
@@ -54,6 +57,7 @@
                                         in.text(),
                                         in.text(),
                                         unpacker.unpackBoolean(),
+                                        unpacker.unpackBoolean(),
                                         unpacker.unpackLong(),
                                         unpacker.unpackInt())));
     }
--- a/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
@@ -71,7 +71,10 @@
             {new PeerMessage.Heartbeat()},
             {new PeerMessage.Hello(1, "granite", SENDER, new byte[32])},
             {new PeerMessage.Proof(new byte[32])},
-            {new PeerMessage.MemberList(List.of(new PeerMessage.Member("m", "como", true, 5, 75)))},
+            {
+                new PeerMessage.MemberList(
+                        List.of(new PeerMessage.Member("m", "como", true, false, 5, 75)))
+            },
             {new PeerMessage.PublishedFetch(List.of(new PeerMessage.KnownRevision("op/", -1)))},
             {PUBLISHED_CHANGES},
             {new PeerMessage.CrashNotice(7, List.of(CRASH_RECORD))},
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -227,6 +227,7 @@
                                                 heard.name(),
                                                 heard.domain(),
                                                 heard.leaving(),
+                                                heard.overloaded(),
                                                 heard.age().toMillis(),
                                                 heard.capacity()))
                         .toList());
@@ -240,6 +241,7 @@
                             member.vm(),
                             member.failureDomain(),
                             member.leaving(),
+                            member.overloaded(),
                             Duration.ofMillis(Math.max(0, member.ageMillis())),
                             member.capacity()));
         }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/MemberTable.java
@@ -113,7 +113,7 @@
         mLeaving = true;
     }
 
-    /** Marks this entry as overloaded or not; while it is, it counts as leaving for the others. */
+    /** Marks this entry as overloaded or not; while it is, other members collect pieces. */
     public void setOverloaded(boolean overloaded) {
         mOverloaded = overloaded;
     }
@@ -129,26 +129,30 @@
 
     /** As {@link #recordHeard(String, boolean, Duration)}, with the member's failure domain. */
     public void recordHeard(String member, String domain, boolean leaving, Duration age) {
-        recordHeard(member, domain, leaving, age, capacity(member));
+        record(
+                new MemberReport(
+                        member, domain, leaving, isOverloaded(member), age, capacity(member)));
     }
 
-    /**
-     * As {@link #recordHeard(String, String, boolean, Duration)}, with the capacity of the member's
-     * VM; 0 or less if it is unknown.
-     */
-    public void recordHeard(
-            String member, String domain, boolean leaving, Duration age, int capacity) {
-        if (member.equals(mSelf)) {
+    /** Records what a gossip message says about a member; its age includes the transit. */
+    private void record(MemberReport report) {
+        if (report.name().equals(mSelf)) {
             return;
         }
-        long heardNanos = mClock.nanosBefore(age);
-        MemberState known = mMembers.get(member);
+        long heardNanos = mClock.nanosBefore(report.age());
+        MemberState known = mMembers.get(report.name());
         if (known != null && heardNanos - Math.max(known.heardNanos(), known.failedNanos()) <= 0) {
             return;
         }
         mMembers.put(
-                member,
-                new MemberState(domain, heardNanos, heardNanos, leaving, Math.max(0, capacity)));
+                report.name(),
+                new MemberState(
+                        report.domain(),
+                        heardNanos,
+                        heardNanos,
+                        report.leaving(),
+                        report.overloaded(),
+                        Math.max(0, report.capacity())));
     }
 
     /**
@@ -160,7 +164,14 @@
     public void recordReports(List<MemberReport> reports, Duration transit) {
         for (MemberReport report : reports) {
             Duration age = report.age().plus(transit);
-            recordHeard(report.name(), report.domain(), report.leaving(), age, report.capacity());
+            record(
+                    new MemberReport(
+                            report.name(),
+                            report.domain(),
+                            report.leaving(),
+                            report.overloaded(),
+                            age,
+                            report.capacity()));
         }
     }
 
@@ -176,6 +187,7 @@
                             known.heardNanos(),
                             now,
                             known.leaving(),
+                            known.overloaded(),
                             known.capacity()));
         }
     }
@@ -227,18 +239,17 @@
 
     /**
      * Returns the member that collects the pieces of a stage service: the one that ranks highest in
-     * the rendezvous order of the service among those that are not leaving. If there is none, it is
-     * this entry when it leaves, or one of all members when this entry is only overloaded. If
-     * strong VMs are preferred, only members with at least half of the largest known capacity
-     * count.
+     * the rendezvous order of the service among those that are neither leaving nor overloaded, else
+     * among those that are not leaving, or this entry if there is none. If strong VMs are
+     * preferred, only those of them with at least half of their largest known capacity count.
      */
     public String collector(String service) {
         LongHashFunction hash = LongHashFunction.xx(LongHashFunction.xx().hashChars(service));
         List<String> live = live();
-        List<String> candidates = live.stream().filter(member -> !isLeaving(member)).toList();
+        List<String> candidates = live.stream().filter(this::takesWork).toList();
         if (candidates.isEmpty()) {
             // Overloaded entries must not all collect for themselves.
-            candidates = mLeaving ? List.of(mSelf) : live;
+            candidates = live.stream().filter(member -> !isLeaving(member)).toList();
         }
         int largest = capacityOfStrongest(candidates);
         String collector =
@@ -312,7 +323,7 @@
         readers.sort(
                 Comparator.comparing((String member) -> !isStrong(member, largest))
                         .thenComparingLong(hash::hashChars));
-        if (ownDomain && isLeaving(mSelf)) {
+        if (ownDomain && mLeaving) {
             readers.add(mSelf);
         }
         return readers;
@@ -329,7 +340,7 @@
             if (member.domain().equals(mSelfDomain)) {
                 members.add(entry.getKey());
                 boolean live = member.failedNanos() - member.heardNanos() <= 0;
-                readyOthers += live && !member.leaving() ? 1 : 0;
+                readyOthers += live && takesWork(entry.getKey()) ? 1 : 0;
             }
         }
         return new OverloadPolicy.Domain(members, readyOthers);
@@ -338,7 +349,7 @@
     /** Returns true when more than half of the live members are other ones that take new work. */
     public boolean mostTakeWork() {
         List<String> live = live();
-        long others = live.stream().filter(name -> !name.equals(mSelf) && !isLeaving(name)).count();
+        long others = live.stream().filter(name -> !name.equals(mSelf) && takesWork(name)).count();
         return 2 * others > live.size();
     }
 
@@ -356,12 +367,24 @@
 
     private boolean isLeaving(String name) {
         if (name.equals(mSelf)) {
-            return mLeaving || mOverloaded;
+            return mLeaving;
         }
         MemberState member = mMembers.get(name);
         return member != null && member.leaving();
     }
 
+    private boolean isOverloaded(String name) {
+        if (name.equals(mSelf)) {
+            return mOverloaded;
+        }
+        MemberState member = mMembers.get(name);
+        return member != null && member.overloaded();
+    }
+
+    private boolean takesWork(String name) {
+        return !isLeaving(name) && !isOverloaded(name);
+    }
+
     /**
      * Returns the members to gossip with in this round: all seeds that are not live members, and
      * some random known members, including failed ones.
@@ -411,6 +434,7 @@
                                         name,
                                         member.domain(),
                                         member.leaving(),
+                                        member.overloaded(),
                                         age,
                                         member.capacity()));
                     }
@@ -426,7 +450,12 @@
         List<MemberReport> reported = new ArrayList<>();
         reported.add(
                 new MemberReport(
-                        mSelf, mSelfDomain, isLeaving(mSelf), Duration.ZERO, mVmChoice.capacity()));
+                        mSelf,
+                        mSelfDomain,
+                        mLeaving,
+                        mOverloaded,
+                        Duration.ZERO,
+                        mVmChoice.capacity()));
         reported.addAll(others.subList(0, Math.min(MAX_REPORTED_MEMBERS, others.size())));
         return reported;
     }
@@ -451,11 +480,17 @@
      *
      * @param domain failure domain of the member; empty when it is not known
      * @param leaving true when the member takes no new work
+     * @param overloaded true when others should collect pieces instead of the member
      * @param age time since the member was last heard of
      * @param capacity capacity of the member's VM; 0 if it is unknown
      */
     public record MemberReport(
-            String name, String domain, boolean leaving, Duration age, int capacity) {}
+            String name,
+            String domain,
+            boolean leaving,
+            boolean overloaded,
+            Duration age,
+            int capacity) {}
 
     /**
      * What this entry knows about another member.
@@ -467,8 +502,14 @@
      * @param failedNanos monotonic time of the last failed call; {@code heardNanos} or earlier when
      *     no call has failed since
      * @param leaving true when the member takes no new work
+     * @param overloaded true when others should collect pieces instead of the member
      * @param capacity capacity of the member's VM; 0 if it is unknown
      */
     private record MemberState(
-            String domain, long heardNanos, long failedNanos, boolean leaving, int capacity) {}
+            String domain,
+            long heardNanos,
+            long failedNanos,
+            boolean leaving,
+            boolean overloaded,
+            int capacity) {}
 }
--- a/decision/src/test/java/org/bulrushvale/decision/forward/OverloadPolicyTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/OverloadPolicyTest.java
@@ -111,14 +111,23 @@
         List<String> services = IntStream.range(0, 30).mapToObj(i -> "s" + i).toList();
         List<String> before = services.stream().map(table::collector).toList();
         assertThat(table.mostTakeWork()).isTrue();
+        List<String> readers = table.domainReaders();
         table.setOverloaded(true);
         assertThat(services.stream().map(table::collector)).doesNotContain("m0").contains("m1");
-        assertThat(table.knownMembers().get(0).leaving()).isTrue();
+        assertThat(table.knownMembers().get(0).overloaded()).isTrue();
+        // The readers of the store stay, otherwise overloaded entries would all read it.
+        assertThat(table.domainReaders()).isEqualTo(readers);
         mClock.advance(PERIOD);
-        table.recordHeard("m1", "a", true, Duration.ZERO);
+        recordOverloaded(table, "m1");
         assertThat(table.mostTakeWork()).isFalse();
         assertThat(table.ownDomain().readyOthers()).isEqualTo(1);
-        table.recordHeard("m2", "a", true, Duration.ZERO);
+        recordOverloaded(table, "m2");
         assertThat(services.stream().map(table::collector).toList()).isEqualTo(before);
     }
+
+    private static void recordOverloaded(MemberTable table, String name) {
+        table.recordReports(
+                List.of(new MemberTable.MemberReport(name, "a", false, true, Duration.ZERO, 0)),
+                Duration.ZERO);
+    }
 }
--- a/decision/src/test/java/org/bulrushvale/decision/forward/UnevenMembersTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/UnevenMembersTest.java
@@ -79,11 +79,11 @@
     @Test
     public void strong_members_read_the_store_first_and_leaving_ones_do_not_count() {
         MemberTable table = table(new VmChoice(WEAK, true), WEAK);
-        table.recordHeard("strong", "a", false, Duration.ZERO, STRONG);
+        record(table, "strong", false, STRONG);
         assertThat(table.domainReaders()).hasSize(11).startsWith("strong");
         assertThat(table.collector(SERVICE)).isEqualTo("strong");
         mClock.advance(STEP);
-        table.recordHeard("strong", "a", true, Duration.ZERO, STRONG);
+        record(table, "strong", true, STRONG);
         MemberTable equal = table(VmChoice.ANY, 0);
         assertThat(table.domainReaders()).isEqualTo(equal.domainReaders());
         assertThat(table.collector(SERVICE)).isEqualTo(equal.collector(SERVICE));
@@ -93,11 +93,17 @@
         MemberTable table =
                 new MemberTable(mClock, new SplittableRandom(1), "m0", "a", Set.of(), choice);
         for (int i = 1; i < 10; i++) {
-            table.recordHeard("m" + i, "a", false, Duration.ZERO, capacity);
+            record(table, "m" + i, false, capacity);
         }
         return table;
     }
 
+    private static void record(MemberTable table, String name, boolean leaving, int capacity) {
+        table.recordReports(
+                List.of(new MemberReport(name, "a", leaving, false, Duration.ZERO, capacity)),
+                Duration.ZERO);
+    }
+
     /** Members of two sizes that exchange lists, with the periods of a starting entry. */
     private final class Fleet {
         private final SplittableRandom mRandom;
