--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
@@ -81,7 +81,6 @@
                     optional("vm", "memory_mb", "0", SettingKey.decimal(0, 1 << 24)),
                     optional("vm", "link_mbps", "0", SettingKey.decimal(0, 1e6)),
                     optional("vm", "shed_load", OFF, SWITCH),
-                    optional("stages", "collectors", "one", nameOf(Collectors.values())),
                     optional("stages", "collector_vms", "any", nameOf(CollectorVms.values())),
                     optional("stages", "start", "early", nameOf(StageStart.values())),
                     optional(
@@ -153,7 +152,6 @@
                         table.decimal("vm", "link_mbps"),
                         table.text("vm", "shed_load").equals(ON)),
                 new Stages(
-                        valueOf(Collectors.class, table.text("stages", "collectors")),
                         valueOf(CollectorVms.class, table.text("stages", "collector_vms")),
                         valueOf(StageStart.class, table.text("stages", "start")),
                         valueOf(InputRelease.class, table.text("stages", "release_inputs"))),
@@ -376,16 +374,11 @@
      *
      * <p>Thread safety: immutable.
      *
-     * @param collectors how many members collect the pieces of a stage service
-     * @param collectorVms which of them may
+     * @param collectorVms which members may collect the pieces of a stage service
      * @param start when a stage with available inputs starts
      * @param inputRelease when the inputs of a stage are released
      */
-    public record Stages(
-            Collectors collectors,
-            CollectorVms collectorVms,
-            StageStart start,
-            InputRelease inputRelease) {}
+    public record Stages(CollectorVms collectorVms, StageStart start, InputRelease inputRelease) {}
 
     /** When the results that a stage reads are released at the servers that made them. */
     public enum InputRelease {
@@ -395,14 +388,6 @@
         AFTER_READ
     }
 
-    /** How many members collect the pieces of one stage service. */
-    public enum Collectors {
-        /** One for the whole fleet. */
-        ONE,
-        /** More when one cannot carry the load. */
-        BY_LOAD
-    }
-
     /** Which VMs may collect pieces. */
     public enum CollectorVms {
         /** All VMs. */
