Order stage work by deadline while it can be in time

Change: [admission] order = deadline_first|rank_first. deadline_first, the default, orders groups that can be in time by latest start, and late ones by rank and last start.

--- a/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/settings/ForwardSettings.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.bulrushvale.decision.forward.StageOrder;
 import org.bulrushvale.decision.forward.StageStart;
 
 /**
@@ -72,6 +73,11 @@
                     optional("admission", "patience", OFF, SWITCH),
                     optional("admission", "urgency", OFF, SWITCH),
                     optional("admission", "queue", OFF, SWITCH),
+                    optional(
+                            "admission",
+                            "order",
+                            "deadline_first",
+                            SettingKey.oneOf("deadline_first", "rank_first")),
                     optional("admission", "return_times", OFF, SWITCH),
                     optional("admission", "fair_shares", OFF, SWITCH),
                     optional("placement", "policy", "affinity", nameOf(PlacementPolicy.values())),
@@ -141,6 +147,7 @@
                         isOn(table, "patience"),
                         isOn(table, "urgency"),
                         isOn(table, "queue"),
+                        valueOf(StageOrder.class, table.text("admission", "order")),
                         isOn(table, "return_times"),
                         isOn(table, "fair_shares")),
                 new Placement(
@@ -316,6 +323,7 @@
      *     leaves
      * @param urgency true to state the urgency of a request to model servers
      * @param queue true to admit and order stage work by the forecast start
+     * @param order order of the queue
      * @param returnTimes true to derive the return time of a refused caller from the queue
      * @param fairShares true to divide a service that is short of capacity among workspaces
      */
@@ -323,9 +331,11 @@
             boolean patience,
             boolean urgency,
             boolean queue,
+            StageOrder order,
             boolean returnTimes,
             boolean fairShares) {
-        static final Admission OFF = new Admission(false, false, false, false, false);
+        static final Admission OFF =
+                new Admission(false, false, false, StageOrder.TARGET_FIRST, false, false);
     }
 
     /**
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StageDispatcher.java
@@ -84,7 +84,9 @@
                 new StageQueue<>(
                         services.clock(),
                         RESULT_LIFETIME.toNanos(),
-                        isAdmissionOn() ? StageOrder.RANK_FIRST : StageOrder.TARGET_FIRST,
+                        isAdmissionOn()
+                                ? services.activeFeatures().admission().order()
+                                : StageOrder.TARGET_FIRST,
                         shares);
         mAdmission =
                 new StageAdmission<>(
--- a/daemon/src/test/java/org/bulrushvale/daemon/forward/StageSchedulerTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/StageSchedulerTest.java
@@ -16,6 +16,7 @@
 import org.bulrushvale.adapters.settings.ForwardSettings;
 import org.bulrushvale.decision.forward.RequestKind;
 import org.bulrushvale.decision.forward.Route;
+import org.bulrushvale.decision.forward.StageOrder;
 import org.bulrushvale.decision.forward.StageStart;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -150,7 +151,8 @@
 
         @Override
         public ForwardSettings.Admission admission() {
-            return new ForwardSettings.Admission(false, false, false, false, false);
+            return new ForwardSettings.Admission(
+                    false, false, false, StageOrder.TARGET_FIRST, false, false);
         }
 
         @Override
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageOrder.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageOrder.java
@@ -19,6 +19,28 @@
         }
     },
 
+    /**
+     * Groups that can meet their target by latest start, so that all meet it while the service is
+     * not short; then late groups by rank and last start. Late groups are promoted as in {@link
+     * #RANK_FIRST}.
+     */
+    DEADLINE_FIRST(true) {
+        @Override
+        Comparator<WaitingGroup> comparator(long nowNanos) {
+            return Comparator.comparingInt((WaitingGroup group) -> phase(group, nowNanos))
+                    .thenComparingInt(group -> group.isLate(nowNanos) ? group.rank() : 0)
+                    .thenComparingLong(group -> timeLeft(group, nowNanos) / TIME_STEP_NANOS)
+                    .thenComparingInt(group -> group.hasInputs() ? 0 : 1)
+                    .thenComparingLong(group -> timeLeft(group, nowNanos))
+                    .thenComparing(WaitingGroup::name);
+        }
+
+        @Override
+        Comparator<WaitingGroup> sharedComparator(long nowNanos) {
+            return RANK_FIRST.sharedComparator(nowNanos);
+        }
+    },
+
     /**
      * Groups that can meet their target by rank and latest start, then late groups by rank and last
      * start. A late group that would miss its last start comes first, within a budget. Groups with
