--- a/bench/src/main/java/org/bulrushvale/bench/MembershipBenchmark.java
+++ b/bench/src/main/java/org/bulrushvale/bench/MembershipBenchmark.java
@@ -80,6 +80,7 @@
                                                         heard.name(),
                                                         heard.domain(),
                                                         heard.leaving(),
+                                                        false,
                                                         heard.age().toMillis(),
                                                         0))
                                 .toList()));
