Let rank and shares decide only while stage work can no longer be in time

Change: with order = deadline_first, shares and ranks apply while more groups wait than can start and one of them is late; else the latest start decides.

Measured: StageQueueTest, StageQueueBacklogTest, the tests of FairShares and StageAdmission pass; the new case failed before, because shares that do not apply still ordered by rank.

--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageOrder.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageOrder.java
@@ -22,7 +22,8 @@
     /**
      * Groups that can meet their target by latest start, so that all meet it while the service is
      * not short; then late groups by rank and last start. Late groups are promoted as in {@link
-     * #RANK_FIRST}.
+     * #RANK_FIRST}. With shares of workspaces, the order is that of {@link #RANK_FIRST} while a
+     * late group waits.
      */
     DEADLINE_FIRST(true) {
         @Override
@@ -39,6 +40,11 @@
         Comparator<WaitingGroup> sharedComparator(long nowNanos) {
             return RANK_FIRST.sharedComparator(nowNanos);
         }
+
+        @Override
+        boolean sharesOnlyBesideLateGroups() {
+            return true;
+        }
     },
 
     /**
@@ -97,6 +103,11 @@
         return mServesLateGroups;
     }
 
+    /** Returns true when shares of workspaces apply only while a late group waits. */
+    boolean sharesOnlyBesideLateGroups() {
+        return false;
+    }
+
     private static int phase(WaitingGroup group, long nowNanos) {
         if (group.isPromoted()) {
             return 0;
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -166,7 +166,7 @@
 
     /** Returns the order of the groups at a monotonic time. */
     Comparator<WaitingGroup> order(long nowNanos) {
-        return mShares.isOn() ? mOrder.sharedComparator(nowNanos) : mOrder.comparator(nowNanos);
+        return mShares.isShort() ? mOrder.sharedComparator(nowNanos) : mOrder.comparator(nowNanos);
     }
 
     /** Returns the capacity of the servers that can be used now. */
@@ -237,8 +237,15 @@
         return calls;
     }
 
-    /** Returns true when more groups wait than can start at once. */
+    /**
+     * Returns true when more groups wait than can start at once and, for an order by deadline, one
+     * of them is late: while all can be in time, neither ranks nor shares need to decide.
+     */
     private boolean isShort(List<Server> usable, PieceLimits limits, long now) {
+        if (mOrder.sharesOnlyBesideLateGroups()
+                && mBacklog.groups().stream().noneMatch(group -> group.isLate(now))) {
+            return false;
+        }
         long places = 0;
         long bytes = 0;
         for (Server server : usable) {
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageShares.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageShares.java
@@ -75,7 +75,12 @@
         return Clock.boundedNanos(limits.callTime(callPieces)) / NANOS_PER_SECOND / callPieces;
     }
 
-    /** Sets whether more groups wait than can start at once; returns true when this changes. */
+    /** Returns true while shares apply because the service is short of capacity. */
+    boolean isShort() {
+        return mShort;
+    }
+
+    /** Sets whether the service is short of capacity; returns true when this changes. */
     boolean setShort(boolean isShort, PieceLimits limits) {
         boolean changed = mShort != isShort;
         mShort = isShort;
--- a/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/StageQueueTest.java
@@ -9,9 +9,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
+import org.bulrushvale.decision.admission.FairShares;
 import org.bulrushvale.decision.forward.BackendDirectory.Server;
 import org.bulrushvale.decision.forward.ServiceSpec.PieceLimits;
 import org.bulrushvale.kernel.time.ManualClock;
@@ -215,7 +217,9 @@
 
     @DataProvider
     public Object[][] orders() {
-        return new Object[][] {{StageOrder.TARGET_FIRST}, {StageOrder.RANK_FIRST}};
+        return new Object[][] {
+            {StageOrder.TARGET_FIRST}, {StageOrder.DEADLINE_FIRST}, {StageOrder.RANK_FIRST}
+        };
     }
 
     @Test(dataProvider = "orders")
@@ -276,6 +280,29 @@
         assertThat(groups(nextCalls().get(0))).containsExactlyInAnyOrder("urgent", "soon");
     }
 
+    // A rank must not make work late that all could have met in time.
+    @Test
+    public void an_order_by_deadline_uses_rank_only_beside_a_late_job() {
+        // given
+        mQueue =
+                new StageQueue<>(
+                        mClock,
+                        RESULT_LIFETIME_NANOS,
+                        StageOrder.DEADLINE_FIRST,
+                        Optional.of(new FairShares(mClock)));
+        addServer("s", "a");
+        addGroup("urgent", 4, 0, Duration.ofMillis(900), "");
+        addGroup("soon", 4, 2, Duration.ofMillis(100), "");
+        // when, then
+        assertThat(groups(nextCalls().get(0))).containsExactly("soon");
+        mQueue.recordCallEnd("s");
+        // given: the service is short
+        addGroup("late", 4, 2, Duration.ofMillis(-10), "");
+        addGroup("next", 4, 2, Duration.ofMillis(100), "");
+        // when, then
+        assertThat(groups(nextCalls().get(0))).containsExactly("urgent");
+    }
+
     // Promotions must neither starve late jobs nor make the jobs in time late.
     @Test
     public void late_jobs_that_would_miss_their_last_start_get_at_most_a_fifth() {
