Let rank and shares decide only beside much late work

Change: shares and ranks apply while more late pieces wait than one call of every usable server takes.

Measured: StageQueueTest, StageQueueBacklogTest, the tests of FairShares and StageAdmission pass.

--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageOrder.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageOrder.java
@@ -103,7 +103,10 @@
         return mServesLateGroups;
     }
 
-    /** Returns true when shares of workspaces apply only while a late group waits. */
+    /**
+     * Returns true when shares of workspaces apply only while more late pieces wait than one call
+     * of every server takes.
+     */
     boolean sharesOnlyBesideLateGroups() {
         return false;
     }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageQueue.java
@@ -238,16 +238,17 @@
     }
 
     /**
-     * Returns true when more groups wait than can start at once and, for an order by deadline, one
-     * of them is late: while all can be in time, neither ranks nor shares need to decide.
+     * Returns true when more groups wait than can start at once and, for an order by deadline, more
+     * late pieces than one call of every server takes: late work that the next calls work off does
+     * not need ranks and shares to decide.
      */
     private boolean isShort(List<Server> usable, PieceLimits limits, long now) {
+        long places = 0;
+        long bytes = 0;
         if (mOrder.sharesOnlyBesideLateGroups()
-                && mBacklog.groups().stream().noneMatch(group -> group.isLate(now))) {
+                && latePieces(now) <= (long) usable.size() * limits.slots() * limits.maxBatch()) {
             return false;
         }
-        long places = 0;
-        long bytes = 0;
         for (Server server : usable) {
             if (hasFreeSlot(server, limits)) {
                 int slots = limits.slots() - runningCalls(server.published().id());
@@ -265,6 +266,10 @@
         return waitingBytes > bytes;
     }
 
+    private long latePieces(long now) {
+        return mQueued.stream().filter(queued -> queued.group().isLate(now)).count();
+    }
+
     private boolean hasFreeSlot(Server server, PieceLimits limits) {
         return runningCalls(server.published().id()) < limits.slots();
     }
