Correct the comment on the order by deadline

Cause: the last reading found that the comment of DEADLINE_FIRST still said that one late job switches to ranks and shares. Change: the comment only.

--- a/decision/src/main/java/org/bulrushvale/decision/forward/StageOrder.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StageOrder.java
@@ -22,8 +22,8 @@
     /**
      * Groups that can meet their target by latest start, so that all meet it while the service is
      * not short; then late groups by rank and last start. Late groups are promoted as in {@link
-     * #RANK_FIRST}. With shares of workspaces, the order is that of {@link #RANK_FIRST} while a
-     * late group waits.
+     * #RANK_FIRST}. With shares of workspaces, the order is that of {@link #RANK_FIRST} while more
+     * late pieces wait than one call of every server takes.
      */
     DEADLINE_FIRST(true) {
         @Override
