--- a/review/standins-2/src/review/Entry.java
+++ b/review/standins-2/src/review/Entry.java
@@ -106,10 +106,6 @@
         return ports[0];
     }
 
-    long pid() {
-        return process.pid();
-    }
-
     boolean isAlive() {
         return process.isAlive();
     }
@@ -119,10 +115,6 @@
         return get(ports[1], "/readyz").startsWith("HTTP/1.1 200") ? 200 : 0;
     }
 
-    String metrics() {
-        return get(ports[3], "/metrics");
-    }
-
     private String get(int port, String path) {
         try (Socket socket = new Socket(host, port)) {
             socket.setSoTimeout(1_000);
@@ -147,11 +139,6 @@
         }
     }
 
-    /** Sends a signal, such as TERM, STOP or CONT, to the process. */
-    void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
-    }
-
     List<String> logLines(String text) throws IOException {
         return Files.readString(log, StandardCharsets.UTF_8).lines()
                 .filter(line -> line.contains(text))
--- a/review/standins-2/src/review/GoneRunnerCase.java
+++ b/review/standins-2/src/review/GoneRunnerCase.java
@@ -105,7 +105,6 @@
         Runner.Work sound = Runner.plain(record, 85);
         return new Runner(
                 store,
-                record,
                 String.format("i-%08x", life),
                 "seatdesk",
                 "ne-east-a",
--- a/review/standins-2/src/review/PoisonCase.java
+++ b/review/standins-2/src/review/PoisonCase.java
@@ -208,7 +208,6 @@
             current =
                     new Runner(
                             store,
-                            record,
                             id,
                             model ? "scribe-pool" : "seatdesk",
                             "ne-east-a",
--- a/review/standins-2/src/review/Runner.java
+++ b/review/standins-2/src/review/Runner.java
@@ -20,15 +20,11 @@
     private final int queue;
     private final Semaphore free;
     private final AtomicInteger waiting = new AtomicInteger();
-    private final AtomicInteger running = new AtomicInteger();
-    private final AtomicInteger largest = new AtomicInteger();
     private final Server server;
-    private final Record record;
-    private volatile Work work;
+    private final Work work;
 
     Runner(
             Store store,
-            Record record,
             String id,
             String service,
             String zone,
@@ -37,7 +33,6 @@
             Work work)
             throws IOException {
         this.store = store;
-        this.record = record;
         this.id = id;
         this.service = service;
         this.zone = zone;
@@ -67,19 +62,6 @@
         return id;
     }
 
-    String address() {
-        return server.address();
-    }
-
-    void setWork(Work work) {
-        this.work = work;
-    }
-
-    /** Returns the largest number of requests that ran at the same time. */
-    int largestRunning() {
-        return largest.get();
-    }
-
     private void handle(HttpMessage request, Server.Channel channel) throws IOException {
         if (request.target().equals("/healthz")) {
             channel.respond("200 OK", "Instance-Id: " + id + "\r\n", new byte[0]);
@@ -98,11 +80,9 @@
             return;
         }
         free.acquireUninterruptibly();
-        largest.accumulateAndGet(running.incrementAndGet(), Math::max);
         try {
             work.run(request, channel, this);
         } finally {
-            running.decrementAndGet();
             waiting.decrementAndGet();
             free.release();
         }
--- a/review/standins-2/src/review/Server.java
+++ b/review/standins-2/src/review/Server.java
@@ -67,10 +67,6 @@
             }
             close();
         }
-
-        boolean isClosed() {
-            return socket.isClosed();
-        }
     }
 
     private final ServerSocket listener;
--- a/review/standins-2/src/review/SingleEntry.java
+++ b/review/standins-2/src/review/SingleEntry.java
@@ -45,11 +45,11 @@
                 String seat = "i-seat-" + i;
                 Runner.Work reserve = Runner.plain(record, 85);
                 runners.add(
-                        new Runner(store, record, seat, "seatdesk", "ne-east-a", 6, 24, reserve));
+                        new Runner(store, seat, "seatdesk", "ne-east-a", 6, 24, reserve));
                 String id = "i-scribe-" + i;
                 Runner.Work work = modelWork.apply(i);
                 runners.add(
-                        new Runner(store, record, id, "scribe-pool", "ne-east-a", 128, 268, work));
+                        new Runner(store, id, "scribe-pool", "ne-east-a", 128, 268, work));
             }
             int[] ports = Entry.freePorts();
             String seeds = "127.0.0.1:" + ports[2];
