Review case 6: a dose that shows the fault on a quiet machine, too

The faulty runner now answers all of its requests without end, at 4 MB/s each. A channel that is cut by the end of the process counts as unanswered.

--- a/review/standins-2/src/review/EndlessBodyCase.java
+++ b/review/standins-2/src/review/EndlessBodyCase.java
@@ -3,11 +3,10 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** One of four model runners answers a part of its requests with a body without end. */
+/** One of four model runners answers its requests with bodies without end. */
 final class EndlessBodyCase {
     private static final int STREAMS_PER_SECOND = 50;
     private static final int STREAM_EVENTS = 20;
@@ -15,13 +14,11 @@
     private static final int FIRST_EVENT_MILLIS = 500;
     private static final Duration FAULT_BEGIN = Duration.ofSeconds(6);
     private static final Duration FAULT_END = Duration.ofMillis(12_500);
-    private static final double FAULT_SHARE = 0.4;
     private static final int BLOCK_BYTES = 32 << 10;
-    private static final int BLOCK_PAUSE_MILLIS = 16;
+    private static final int BLOCK_PAUSE_MILLIS = 8;
 
     private final Record record;
     private final boolean trouble;
-    private final Random random = new Random(41);
     private final AtomicLong endlessBytes = new AtomicLong();
     private final AtomicInteger endless = new AtomicInteger();
     private volatile boolean faulty;
@@ -63,11 +60,7 @@
     private void work(
             Runner.Work sound, HttpMessage request, Server.Channel channel, Runner runner)
             throws IOException {
-        boolean spoil;
-        synchronized (random) {
-            spoil = faulty && random.nextDouble() < FAULT_SHARE;
-        }
-        if (!spoil) {
+        if (!faulty) {
             sound.run(request, channel, runner);
             return;
         }
--- a/review/standins-2/src/review/SeatRequests.java
+++ b/review/standins-2/src/review/SeatRequests.java
@@ -18,6 +18,7 @@
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicInteger unanswered = new AtomicInteger();
     private final AtomicInteger stillUnanswered = new AtomicInteger();
+    private final AtomicInteger cutOff = new AtomicInteger();
 
     SeatRequests(Record record) {
         this.record = record;
@@ -42,8 +43,12 @@
         if (answer.status() != 0) {
             answered.incrementAndGet();
         }
-        // A request whose channel was refused or closed does not count.
         boolean silent = answer.detail().contains("SocketTimeoutException");
+        boolean refused = answer.detail().contains("ConnectException");
+        if (answer.status() == 0 && !silent && !refused) {
+            cutOff.incrementAndGet();
+        }
+        // A request whose channel was refused does not count.
         if (answer.millis() >= TIMEOUT_MILLIS && (answer.status() != 0 || silent)) {
             unanswered.incrementAndGet();
             if (answer.millis() > TIMEOUT_MILLIS + LATE_MILLIS) {
@@ -54,6 +59,11 @@
 
     /** Returns the result of the case. */
     int judge(Entry entry) throws java.io.IOException {
+        // A process that has ended by itself counts as running; it never answers these.
+        if (!entry.isAlive()) {
+            unanswered.addAndGet(cutOff.get());
+            stillUnanswered.addAndGet(cutOff.get());
+        }
         record.line(
                 "seat requests: %d answered, %d unanswered at timeoutMs, %d of them half a second"
                         + " later",
