--- a/review/standins-2/src/review/LargeBodiesCase.java
+++ b/review/standins-2/src/review/LargeBodiesCase.java
@@ -3,7 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 
-/** Many clients come at once, with bodies of a quarter of the published limit. */
+/** Many clients come at once, with bodies of less than a third of the published limit. */
 final class LargeBodiesCase {
     // The rate and the number of events of clerk-chat on the sheet.
     private static final double STREAMS_PER_SECOND = 11.6;
@@ -14,7 +14,7 @@
     private static final int FIRST_EVENT_MILLIS = 200;
     private static final int EVENT_PAUSE_MILLIS = 80;
     // maxBodyBytes is 4,194,304.
-    private static final int BODY_BYTES = 1 << 20;
+    private static final int BODY_BYTES = 1_200_000;
 
     private LargeBodiesCase() {}
 
