--- a/review/standins-2/src/review/Caller.java
+++ b/review/standins-2/src/review/Caller.java
@@ -19,6 +19,11 @@
 
     private Caller() {}
 
+    /**
+     * Sends a request and reads its answer.
+     *
+     * @param waitMillis longest gap after which the caller leaves
+     */
     static Answer send(Entry entry, String head, byte[] body, int waitMillis) {
         long start = System.nanoTime();
         try (Socket socket = new Socket()) {
--- a/review/standins-2/src/review/PoisonCase.java
+++ b/review/standins-2/src/review/PoisonCase.java
@@ -33,6 +33,8 @@
     private static final int COMES_EACH_MILLIS = 6_000;
     private static final int TIMES = 7;
     private static final int OTHERS_PER_SECOND = 8;
+    // Clients leave a stream after a gap of four times its objective of 2.5 s.
+    private static final int CHAT_GAP_MILLIS = 10_000;
     private static final String POISON_BODY = "b".repeat(600);
 
     private final Variant variant;
@@ -153,7 +155,7 @@
                 entry,
                 Deployment.head("POST", "/chat/" + name, id, 20_000, more),
                 POISON_BODY.getBytes(),
-                20_000);
+                CHAT_GAP_MILLIS);
     }
 
     private synchronized void onArrival(HttpMessage request, String runner) {
--- a/review/standins-2/src/review/SingleEntry.java
+++ b/review/standins-2/src/review/SingleEntry.java
@@ -14,6 +14,8 @@
     private static final Duration TRAFFIC = Duration.ofSeconds(30);
     private static final int RUNNERS = 4;
     private static final int CHAT_DEADLINE_MILLIS = 20_000;
+    // Clients leave a stream after a gap of four times its objective of 2.5 s.
+    private static final int CHAT_GAP_MILLIS = 10_000;
 
     private SingleEntry() {}
 
@@ -93,6 +95,6 @@
                         entry,
                         Deployment.head("POST", "/chat/" + number, id, CHAT_DEADLINE_MILLIS, more),
                         body,
-                        CHAT_DEADLINE_MILLIS));
+                        CHAT_GAP_MILLIS));
     }
 }
