Reject responses whose head or chunks contradict the body length

What callers saw: a success whose body was not the body of the server. The server had sent a length such as "+5", two different lengths, a transfer encoding other than chunked, or a chunk size such as "5x" or "x".

Cause: the HTTP client guesses. It takes the first of two lengths, ignores an unknown transfer encoding, reads a chunk size up to the first other character (an "x" is the last chunk) and does not check what follows a chunk.

Change: ResponseSyntaxCheck lies below the HTTP client on every connection to a server or to the store. It follows the responses through their framing (RFC 9112, section 6), and reading fails at the first contradiction. Bytes before it are passed on, so a complete response that malformed bytes follow is kept. The failure counts as MALFORMED, not as a lost connection, so that it is not taken for a crash of the server. A connection that failed the check is not reused.

Why it works: no body is delimited by a guess any more, whoever reads it.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ConnectionPool.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ConnectionPool.java
@@ -1,6 +1,7 @@
 package org.bulrushvale.adapters.backend;
 
 import io.undertow.client.ClientConnection;
+import io.undertow.util.HttpString;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -62,6 +63,15 @@
             return mConnection.limit();
         }
 
+        ResponseSyntax syntax() {
+            return mConnection.syntax();
+        }
+
+        /** Called before a request is sent. */
+        void beginExchange(HttpString method) {
+            mConnection.beginExchange(method);
+        }
+
         /** Records the epoch that the server process reported on this connection. */
         void setVerifiedEpoch(String epoch) {
             mVerifiedEpoch = epoch;
--- /dev/null
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/FieldSyntax.java
@@ -0,0 +1,87 @@
+package org.bulrushvale.adapters.backend;
+
+/**
+ * Syntax of the lines and numbers in the head of an HTTP message (RFC 9110, section 5; RFC 9112,
+ * section 5). Characters are bytes of the message as ISO-8859-1.
+ *
+ * <p>Thread safety: stateless.
+ */
+final class FieldSyntax {
+    private static final char DELETE = 0x7f;
+
+    // Any number of this many digits fits into a long.
+    private static final int MAX_DECIMAL_DIGITS = 18;
+    private static final int MAX_HEX_DIGITS = 15;
+
+    private FieldSyntax() {}
+
+    /** Returns true when the text contains no control character other than tabs. */
+    static boolean isText(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if ((c < ' ' && c != '\t') || c == DELETE) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    static boolean isDigit(char c) {
+        return c >= '0' && c <= '9';
+    }
+
+    private static boolean isHexDigit(char c) {
+        return isDigit(c) || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+    }
+
+    /** Returns the text without the spaces and tabs around it. */
+    static String trim(String text) {
+        int start = 0;
+        int end = text.length();
+        while (start < end && isBlank(text.charAt(start))) {
+            start++;
+        }
+        while (end > start && isBlank(text.charAt(end - 1))) {
+            end--;
+        }
+        return text.substring(start, end);
+    }
+
+    private static boolean isBlank(char c) {
+        return c == ' ' || c == '\t';
+    }
+
+    /** Returns the value of a text of digits only; negative for any other text. */
+    static long parseDecimal(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (!isDigit(text.charAt(i))) {
+                return -1;
+            }
+        }
+        return parse(text, 10, MAX_DECIMAL_DIGITS);
+    }
+
+    /** Returns the size that the first line of a chunk states, in bytes. */
+    static long parseChunkSize(String line) throws MalformedResponseException {
+        int end = 0;
+        while (end < line.length() && isHexDigit(line.charAt(end))) {
+            end++;
+        }
+        String extension = trim(line.substring(end));
+        long size = parse(line.substring(0, end), 16, MAX_HEX_DIGITS);
+        if (size < 0 || !(extension.isEmpty() || extension.startsWith(";")) || !isText(line)) {
+            throw new MalformedResponseException("malformed chunk size");
+        }
+        return size;
+    }
+
+    private static long parse(String digits, int radix, int maxDigits) {
+        int start = 0;
+        while (start < digits.length() - 1 && digits.charAt(start) == '0') {
+            start++;
+        }
+        String significant = digits.substring(start);
+        boolean valid = !significant.isEmpty() && significant.length() <= maxDigits;
+        return valid ? Long.parseLong(significant, radix) : -1;
+    }
+}
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
@@ -144,7 +144,7 @@
             return;
         }
         mLastProgressNanos = System.nanoTime();
-        pooled.limit().reset();
+        pooled.beginExchange(mRequest.getMethod());
         scheduleProgressCheck(pooled.connection().getIoThread(), mProgressTimeout.toNanos());
         pooled.connection()
                 .sendRequest(
@@ -172,7 +172,7 @@
 
             @Override
             public void failed(IOException e) {
-                fail(BackendFailure.RESET, "connection was lost before a response");
+                failWhileReading(BackendFailure.RESET, "connection was lost before a response");
             }
         };
     }
@@ -218,7 +218,17 @@
                 }
             }
         } catch (IOException e) {
-            fail(BackendFailure.CUT, "response ended early");
+            failWhileReading(BackendFailure.CUT, "response ended early");
+        }
+    }
+
+    private void failWhileReading(BackendFailure failure, String detail) {
+        ConnectionPool.PooledConnection pooled = mPooledConnection;
+        MalformedResponseException malformed = pooled == null ? null : pooled.syntax().failure();
+        if (malformed != null) {
+            fail(BackendFailure.MALFORMED, "malformed response: " + malformed.getMessage());
+        } else {
+            fail(failure, detail);
         }
     }
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/LimitingIoThread.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/LimitingIoThread.java
@@ -13,8 +13,9 @@
 import org.xnio.channels.BoundChannel;
 
 /**
- * Opens connections on an I/O thread with a {@link ResponseByteLimit} below the HTTP client, which
- * has no other place for it. It is never started as a thread; all tasks run on the real one.
+ * Opens connections on an I/O thread with a {@link ResponseByteLimit} and a {@link
+ * ResponseSyntaxCheck} below the HTTP client, which has no other place for them. It is never
+ * started as a thread; all tasks run on the real one.
  *
  * <p>Invariant: while the HTTP client is told of a new connection, {@link #opened} refers to that
  * connection. Thread safety: connections may be opened from any thread; {@link #opened} is used on
@@ -24,6 +25,7 @@
     private final XnioIoThread mReal;
     private @Nullable StreamConnection mOpenedSocket;
     private @Nullable ResponseByteLimit mOpenedLimit;
+    private @Nullable ResponseSyntax mOpenedSyntax;
 
     LimitingIoThread(XnioIoThread real) {
         super(real.getWorker(), real.getNumber());
@@ -35,7 +37,8 @@
         return new LimitedConnection(
                 http,
                 Objects.requireNonNull(mOpenedSocket, "no connection was opened"),
-                Objects.requireNonNull(mOpenedLimit, "no connection was opened"));
+                Objects.requireNonNull(mOpenedLimit, "no connection was opened"),
+                Objects.requireNonNull(mOpenedSyntax, "no connection was opened"));
     }
 
     private ChannelListener<StreamConnection> limiting(
@@ -43,9 +46,11 @@
         return connection -> {
             ResponseByteLimit limit =
                     new ResponseByteLimit(connection.getSourceChannel().getConduit(), mReal);
-            connection.getSourceChannel().setConduit(limit);
+            ResponseSyntaxCheck check = new ResponseSyntaxCheck(limit);
+            connection.getSourceChannel().setConduit(check);
             mOpenedSocket = connection;
             mOpenedLimit = limit;
+            mOpenedSyntax = check.syntax();
             listener.handleEvent(connection);
         };
     }
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.adapters.backend.LimitedConnection;
+import org.bulrushvale.adapters.backend.MalformedResponseException;
 import org.bulrushvale.adapters.backend.RequestWriter;
 import org.bulrushvale.kernel.time.Clock;
 import org.jspecify.annotations.Nullable;
@@ -129,7 +130,7 @@
 
     private void send(LimitedConnection connection) {
         mConnection = connection;
-        connection.limit().reset();
+        connection.beginExchange(mRequest.method());
         mLastProgressNanos = System.nanoTime();
         scheduleProgressCheck(mRequest.progressTimeout().toNanos());
         ClientRequest request =
@@ -165,7 +166,7 @@
 
             @Override
             public void failed(IOException e) {
-                fail(BackendFailure.RESET, "connection was lost before a response");
+                failWhileReading(BackendFailure.RESET, "connection was lost before a response");
             }
         };
     }
@@ -232,7 +233,18 @@
                 }
             }
         } catch (IOException e) {
-            fail(BackendFailure.CUT, "response ended early");
+            failWhileReading(BackendFailure.CUT, "response ended early");
+        }
+    }
+
+    private void failWhileReading(BackendFailure failure, String detail) {
+        LimitedConnection connection = mConnection;
+        MalformedResponseException malformed =
+                connection == null ? null : connection.syntax().failure();
+        if (malformed != null) {
+            fail(BackendFailure.MALFORMED, "malformed response: " + malformed.getMessage());
+        } else {
+            fail(failure, detail);
         }
     }
 
--- a/system-tests/src/test/java/org/bulrushvale/system/BrokenOffBackendAnswerTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/BrokenOffBackendAnswerTest.java
@@ -14,7 +14,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Guards against answers of backend servers that break off halfway and count as whole. */
+/** Guards against answers of backend servers that break off or are malformed and count as whole. */
 public class BrokenOffBackendAnswerTest {
     private static final Duration PROGRESS_TIMEOUT = Duration.ofMillis(700);
     private static final String OK = "HTTP/1.1 200 OK\r\n";
@@ -81,6 +81,36 @@
         }
     }
 
+    @DataProvider
+    public Object[][] malformedAnswers() {
+        String length = "Content-Length: " + BODY.length() + "\r\n";
+        String last = "0\r\n\r\n";
+        return new Object[][] {
+            {"sign", OK + "Content-Length: +" + BODY.length() + "\r\n\r\n" + BODY},
+            {"two lengths", OK + length + "Content-Length: 5\r\n\r\n" + BODY},
+            {"other encoding", OK + length + "Transfer-Encoding: chunke\r\n\r\n" + BODY},
+            {"chunk size", CHUNKED + RawBackend.chunk(BODY).replace("\r\n{", "x\r\n{") + last},
+            {"last chunk", CHUNKED + RawBackend.chunk(BODY) + "x\r\n\r\n"},
+        };
+    }
+
+    @Test(dataProvider = "malformedAnswers")
+    public void a_malformed_answer_is_no_result(String name, String bytes) throws Exception {
+        // given
+        RawBackend.Script script =
+                (call, connection) -> {
+                    RawBackend.write(connection, bytes);
+                    return true;
+                };
+        try (RawBackend server = RawBackend.start(script);
+                BackendClient client = startClient()) {
+            // when
+            String outcome = runAttempt(client, server, false);
+            // then
+            assertThat(outcome).isEqualTo("MALFORMED");
+        }
+    }
+
     private static void pause(long millis) throws IOException {
         try {
             TimeUnit.MILLISECONDS.sleep(millis);
