Reject responses with a line that is no field

What callers saw: a success whose head held a line that is no field. A line that begins with a space was passed on as the rest of the header before it, also the signature; a Content-Length in such a line did not count, and the body was read up to the end of the connection.

Cause: the HTTP client joins a line that begins with white space to the line before it, a form that servers must not send (RFC 9112, section 5.2), and does not check trailers.

Change: every line of a head and of a trailer must be a field: a token, a colon and a value without control bytes.

Why it works: the check sees the line before the client can join it, for all connections.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/FieldSyntax.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/FieldSyntax.java
@@ -7,6 +7,7 @@
  * <p>Thread safety: stateless.
  */
 final class FieldSyntax {
+    private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
     private static final char DELETE = 0x7f;
 
     // Any number of this many digits fits into a long.
@@ -15,6 +16,33 @@
 
     private FieldSyntax() {}
 
+    /**
+     * Checks a field line without its line end. A line that begins with white space is rejected,
+     * too: it would continue the line before it, a form that servers must not send (RFC 9112,
+     * section 5.2).
+     */
+    static void check(String line) throws MalformedResponseException {
+        int colon = line.indexOf(':');
+        if (colon <= 0) {
+            throw new MalformedResponseException("line is not a field");
+        }
+        for (int i = 0; i < colon; i++) {
+            if (!isTokenCharacter(line.charAt(i))) {
+                throw new MalformedResponseException("field name contains an invalid character");
+            }
+        }
+        if (!isText(line)) {
+            throw new MalformedResponseException("field value contains a control character");
+        }
+    }
+
+    private static boolean isTokenCharacter(char c) {
+        return (c >= 'a' && c <= 'z')
+                || (c >= 'A' && c <= 'Z')
+                || isDigit(c)
+                || TOKEN_SYMBOLS.indexOf(c) >= 0;
+    }
+
     /** Returns true when the text contains no control character other than tabs. */
     static boolean isText(String text) {
         for (int i = 0; i < text.length(); i++) {
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseHead.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseHead.java
@@ -48,10 +48,8 @@
 
     /** Adds a field line without its line end. */
     void addField(String line) throws MalformedResponseException {
+        FieldSyntax.check(line);
         int colon = line.indexOf(':');
-        if (colon < 0) {
-            return;
-        }
         String name = line.substring(0, colon);
         if (name.equalsIgnoreCase("Content-Length")) {
             addContentLength(FieldSyntax.trim(line.substring(colon + 1)));
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseSyntax.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseSyntax.java
@@ -107,6 +107,8 @@
             case TRAILER -> {
                 if (line.isEmpty()) {
                     mPart = Part.STATUS_LINE;
+                } else {
+                    FieldSyntax.check(line);
                 }
             }
             default -> throw new IllegalStateException("not a line: " + mPart);
--- a/system-tests/src/test/java/org/bulrushvale/system/BrokenOffBackendAnswerTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/BrokenOffBackendAnswerTest.java
@@ -89,8 +89,13 @@
             {"sign", OK + "Content-Length: +" + BODY.length() + "\r\n\r\n" + BODY},
             {"two lengths", OK + length + "Content-Length: 5\r\n\r\n" + BODY},
             {"other encoding", OK + length + "Transfer-Encoding: chunke\r\n\r\n" + BODY},
+            {"no field", OK + length + "no field\r\n\r\n" + BODY},
+            {"continued line", OK + length + "X: y\r\n z\r\n\r\n" + BODY},
+            {"blank in a name", OK + length + "X Y: z\r\n\r\n" + BODY},
+            {"control byte in a name", OK + length + "X\u0001Y: z\r\n\r\n" + BODY},
             {"chunk size", CHUNKED + RawBackend.chunk(BODY).replace("\r\n{", "x\r\n{") + last},
             {"last chunk", CHUNKED + RawBackend.chunk(BODY) + "x\r\n\r\n"},
+            {"trailer", CHUNKED + RawBackend.chunk(BODY) + "0\r\nno field\r\n\r\n"},
         };
     }
 
