Reject responses with a status outside 100 to 599 or another version

What callers saw: an answer of status 600 or 999, with the signature of the server, and an answer of "HTTP/2.0" as if it were one of HTTP/1.1.

Cause: the HTTP client takes any three digits as a status and any digits as a version. Status 000 did not reach callers: an answer below 200 is rejected already. bulrushvaled counted it as an error status, not as malformed.

Change: the status line must be of HTTP/1.x, with a status from 100 to 599 (RFC 9110, section 15), and without control bytes.

Why it works: the check applies to every connection, before the client parses the status.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseHead.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseHead.java
@@ -11,13 +11,15 @@
  */
 final class ResponseHead {
     private static final long UNKNOWN_LENGTH = -1;
+    private static final int MIN_STATUS = 100;
     private static final int MIN_FINAL_STATUS = 200;
+    private static final int MAX_STATUS = 599;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
     // A status line begins with the version, such as HTTP/1.1, a space and three digits.
-    private static final String VERSION_PREFIX = "HTTP/";
-    private static final int MINOR_VERSION = VERSION_PREFIX.length() + 2;
+    private static final String VERSION_PREFIX = "HTTP/1.";
+    private static final int MINOR_VERSION = VERSION_PREFIX.length();
     private static final int STATUS_BEGIN = MINOR_VERSION + 2;
     private static final int STATUS_END = STATUS_BEGIN + 3;
 
@@ -38,11 +40,15 @@
                         && line.length() > STATUS_END
                         && line.charAt(STATUS_BEGIN - 1) == ' '
                         && line.charAt(STATUS_END) == ' ';
-        long status =
-                delimited ? FieldSyntax.parseDecimal(line.substring(STATUS_BEGIN, STATUS_END)) : -1;
-        if (status < 0) {
+        if (!delimited
+                || !FieldSyntax.isDigit(line.charAt(MINOR_VERSION))
+                || !FieldSyntax.isText(line)) {
             throw new MalformedResponseException("malformed status line");
         }
+        long status = FieldSyntax.parseDecimal(line.substring(STATUS_BEGIN, STATUS_END));
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+            throw new MalformedResponseException("status is not in the range of 100 to 599");
+        }
         return new ResponseHead(line.charAt(MINOR_VERSION), (int) status);
     }
 
--- a/system-tests/src/test/java/org/bulrushvale/system/BrokenOffBackendAnswerTest.java
+++ b/system-tests/src/test/java/org/bulrushvale/system/BrokenOffBackendAnswerTest.java
@@ -86,6 +86,8 @@
         String length = "Content-Length: " + BODY.length() + "\r\n";
         String last = "0\r\n\r\n";
         return new Object[][] {
+            {"status 600", "HTTP/1.1 600 X\r\n" + length + "\r\n" + BODY},
+            {"status 000", "HTTP/1.1 000 X\r\n" + length + "\r\n" + BODY},
             {"sign", OK + "Content-Length: +" + BODY.length() + "\r\n\r\n" + BODY},
             {"two lengths", OK + length + "Content-Length: 5\r\n\r\n" + BODY},
             {"other encoding", OK + length + "Transfer-Encoding: chunke\r\n\r\n" + BODY},
