Fail an answer without a length that is cut off during the upload

What callers saw: the first part of an answer as a complete one. The server had answered a long upload at once with a 200 that had no length, sent a part of its body, and lost the connection while the upload was still being written.

Cause: such an answer ends with its connection. A server that closes with an unread upload first ends its side and then resets the connection; the entry took the end for the end of the answer and never saw the reset. A reset alone was handled: a read or the next write of the upload failed.

Change: when an answer without a length ends before the upload is written, the entry keeps writing. The answer is complete when the socket has accepted the whole upload; it has failed when a write fails or nothing more is accepted within the time limit.

Why it works: a server that has reset the connection, or that reads no more, cannot take the rest of the upload. Not covered: an upload that fits into the socket buffers, where every byte counts as written at once.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/HttpExchange.java
@@ -57,7 +57,6 @@
         mRequestWriter =
                 new RequestWriter(
                         body,
-                        () -> {},
                         () -> fail(BackendFailure.RESET, "request was not written completely"));
         mHandler = handler;
         mProgressTimeout = progressTimeout;
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseSyntax.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseSyntax.java
@@ -34,6 +34,11 @@
         return mFailure;
     }
 
+    /** Returns true while a body is received that ends with the connection. */
+    public boolean isUntilClose() {
+        return mPart == Part.BODY_UNTIL_CLOSE;
+    }
+
     /**
      * Takes the next bytes of the connection and returns how many of them are well formed.
      *
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -47,6 +47,7 @@
     private boolean mReused;
     private boolean mMayHaveSent;
     private boolean mRequestWritten;
+    private boolean mEndsWithRequest;
     private boolean mHeadersReceived;
     private long mKeepAliveNanos = DEFAULT_KEEP_ALIVE.toNanos();
 
@@ -58,11 +59,7 @@
         mRequest = request;
         mListener = listener;
         mAddress = request.host() + ":" + request.port();
-        mRequestWriter =
-                new RequestWriter(
-                        request.body(),
-                        () -> mRequestWritten = true,
-                        () -> fail(BackendFailure.RESET, "request was not written completely"));
+        mRequestWriter = new RequestWriter(request.body(), new WriteListener());
     }
 
     void start() {
@@ -213,7 +210,7 @@
                 buffer.clear();
                 int count = channel.read(buffer);
                 if (count < 0) {
-                    finish();
+                    onResponseEnd();
                     return;
                 }
                 if (count == 0) {
@@ -248,6 +245,23 @@
         }
     }
 
+    /**
+     * A server that closes the connection before it has read the request may be failing, and a
+     * reset that arrives later shows it. A response that ends with the connection is complete only
+     * if the rest of the request can still be written.
+     */
+    private void onResponseEnd() {
+        LimitedConnection connection = mConnection;
+        if (connection == null
+                || mRequestWriter.isBodyWritten()
+                || !connection.syntax().isUntilClose()) {
+            finish();
+            return;
+        }
+        mEndsWithRequest = true;
+        connection.socket().getSourceChannel().suspendReads();
+    }
+
     private void resetLimit() {
         LimitedConnection connection = mConnection;
         if (connection != null) {
@@ -310,4 +324,28 @@
                                 delayNanos,
                                 TimeUnit.NANOSECONDS);
     }
+
+    /**
+     * Follows the writing of the request.
+     *
+     * <p>Thread safety: used on the I/O thread only.
+     */
+    private final class WriteListener implements RequestWriter.Listener {
+        @Override
+        public void bodyWritten() {
+            if (mEndsWithRequest && !mEnded) {
+                finish();
+            }
+        }
+
+        @Override
+        public void written() {
+            mRequestWritten = true;
+        }
+
+        @Override
+        public void failed() {
+            fail(BackendFailure.RESET, "request was not written completely");
+        }
+    }
 }
