Share the ways of reading of the two conduits that inspect a connection

Cause: ResponseSyntaxCheck repeated the reading variants of ResponseByteLimit.

Change: InspectedSource sends every way of reading through read(ByteBuffer); no change of behaviour.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseByteLimit.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseByteLimit.java
@@ -2,12 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import org.xnio.XnioIoThread;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.conduits.AbstractStreamSourceConduit;
-import org.xnio.conduits.ConduitReadableByteChannel;
-import org.xnio.conduits.Conduits;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
@@ -22,7 +17,7 @@
  * body; other tasks of the I/O thread run after at most {@link #MAX_BYTES_PER_TURN} bytes. Thread
  * safety: used on the I/O thread of the connection only.
  */
-public final class ResponseByteLimit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+public final class ResponseByteLimit extends InspectedSource {
     /** Bytes of a head, of the framing between two parts of a body, or of a trailer. */
     static final int MAX_BYTES_WITHOUT_BODY = 128 << 10;
 
@@ -55,10 +50,10 @@
         return mTurnEnds;
     }
 
-    private long count(long bytes) throws IOException {
+    private int count(int bytes) throws IOException {
         if (bytes > 0) {
-            mBytesWithoutBody += (int) bytes;
-            mBytesInTurn += (int) bytes;
+            mBytesWithoutBody += bytes;
+            mBytesInTurn += bytes;
             if (mBytesWithoutBody > MAX_BYTES_WITHOUT_BODY) {
                 throw new IOException(
                         "more than " + MAX_BYTES_WITHOUT_BODY + " bytes without a part of a body");
@@ -69,22 +64,6 @@
 
     @Override
     public int read(ByteBuffer buffer) throws IOException {
-        return isTurnOver() ? 0 : (int) count(next.read(buffer));
-    }
-
-    @Override
-    public long read(ByteBuffer[] buffers, int offset, int length) throws IOException {
-        return isTurnOver() ? 0 : count(next.read(buffers, offset, length));
-    }
-
-    @Override
-    public long transferTo(long position, long count, FileChannel target) throws IOException {
-        return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
-    }
-
-    @Override
-    public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target)
-            throws IOException {
-        return Conduits.transfer(this, count, throughBuffer, target);
+        return isTurnOver() ? 0 : count(next.read(buffer));
     }
 }
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseSyntaxCheck.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseSyntaxCheck.java
@@ -2,12 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import org.jspecify.annotations.Nullable;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.conduits.AbstractStreamSourceConduit;
-import org.xnio.conduits.ConduitReadableByteChannel;
-import org.xnio.conduits.Conduits;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
@@ -20,7 +15,7 @@
  * <p>Invariant: bytes before a malformed one are passed on, because a complete response may be
  * among them; the next read fails. Thread safety: used on the I/O thread of the connection only.
  */
-final class ResponseSyntaxCheck extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class ResponseSyntaxCheck extends InspectedSource {
     private final ResponseSyntax mSyntax = new ResponseSyntax();
 
     ResponseSyntaxCheck(StreamSourceConduit next) {
@@ -54,16 +49,6 @@
         }
     }
 
-    @Override
-    public long read(ByteBuffer[] buffers, int offset, int length) throws IOException {
-        for (int i = offset; i < offset + length; i++) {
-            if (buffers[i].hasRemaining()) {
-                return read(buffers[i]);
-            }
-        }
-        return 0;
-    }
-
     /** The failure is reported by a read, for which the socket may have no further bytes. */
     @Override
     public void resumeReads() {
@@ -73,15 +58,4 @@
             super.wakeupReads();
         }
     }
-
-    @Override
-    public long transferTo(long position, long count, FileChannel target) throws IOException {
-        return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
-    }
-
-    @Override
-    public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target)
-            throws IOException {
-        return Conduits.transfer(this, count, throughBuffer, target);
-    }
 }
