Move the keep-alive headers out of UpstreamCall, rename LineSyntax

Change: KeepAlive reads the headers, LineSyntax is the new name, and the field that waits for the upload says so; no change of behaviour.

--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/FieldSyntax.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/LineSyntax.java
@@ -1,12 +1,12 @@
 package org.bulrushvale.adapters.backend;
 
 /**
- * Syntax of the lines and numbers in the head of an HTTP message (RFC 9110, section 5; RFC 9112,
- * section 5). Characters are bytes of the message as ISO-8859-1.
+ * Syntax of the lines and numbers that frame an HTTP message (RFC 9110, section 5; RFC 9112,
+ * sections 5 and 7.1). Lines are the bytes of the message as ISO-8859-1, without the line end.
  *
  * <p>Thread safety: stateless.
  */
-final class FieldSyntax {
+final class LineSyntax {
     private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
     private static final char DELETE = 0x7f;
 
@@ -14,14 +14,13 @@
     private static final int MAX_DECIMAL_DIGITS = 18;
     private static final int MAX_HEX_DIGITS = 15;
 
-    private FieldSyntax() {}
+    private LineSyntax() {}
 
     /**
-     * Checks a field line without its line end. A line that begins with white space is rejected,
-     * too: it would continue the line before it, a form that servers must not send (RFC 9112,
-     * section 5.2).
+     * Checks a field line. A line that begins with white space is rejected, too: it would continue
+     * the line before it, a form that servers must not send (RFC 9112, section 5.2).
      */
-    static void check(String line) throws MalformedResponseException {
+    static void checkField(String line) throws MalformedResponseException {
         int colon = line.indexOf(':');
         if (colon <= 0) {
             throw new MalformedResponseException("line is not a field");
@@ -86,7 +85,7 @@
                 return -1;
             }
         }
-        return parse(text, 10, MAX_DECIMAL_DIGITS);
+        return parseDigits(text, 10, MAX_DECIMAL_DIGITS);
     }
 
     /** Returns the size that the first line of a chunk states, in bytes. */
@@ -96,14 +95,15 @@
             end++;
         }
         String extension = trim(line.substring(end));
-        long size = parse(line.substring(0, end), 16, MAX_HEX_DIGITS);
+        long size = parseDigits(line.substring(0, end), 16, MAX_HEX_DIGITS);
         if (size < 0 || !(extension.isEmpty() || extension.startsWith(";")) || !isText(line)) {
             throw new MalformedResponseException("malformed chunk size");
         }
         return size;
     }
 
-    private static long parse(String digits, int radix, int maxDigits) {
+    /** Returns the value of digits of the radix; negative when there are none or too many. */
+    private static long parseDigits(String digits, int radix, int maxDigits) {
         int start = 0;
         while (start < digits.length() - 1 && digits.charAt(start) == '0') {
             start++;
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseHead.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseHead.java
@@ -41,11 +41,11 @@
                         && line.charAt(STATUS_BEGIN - 1) == ' '
                         && line.charAt(STATUS_END) == ' ';
         if (!delimited
-                || !FieldSyntax.isDigit(line.charAt(MINOR_VERSION))
-                || !FieldSyntax.isText(line)) {
+                || !LineSyntax.isDigit(line.charAt(MINOR_VERSION))
+                || !LineSyntax.isText(line)) {
             throw new MalformedResponseException("malformed status line");
         }
-        long status = FieldSyntax.parseDecimal(line.substring(STATUS_BEGIN, STATUS_END));
+        long status = LineSyntax.parseDecimal(line.substring(STATUS_BEGIN, STATUS_END));
         if (status < MIN_STATUS || status > MAX_STATUS) {
             throw new MalformedResponseException("status is not in the range of 100 to 599");
         }
@@ -54,18 +54,18 @@
 
     /** Adds a field line without its line end. */
     void addField(String line) throws MalformedResponseException {
-        FieldSyntax.check(line);
+        LineSyntax.checkField(line);
         int colon = line.indexOf(':');
         String name = line.substring(0, colon);
         if (name.equalsIgnoreCase("Content-Length")) {
-            addContentLength(FieldSyntax.trim(line.substring(colon + 1)));
+            addContentLength(LineSyntax.trim(line.substring(colon + 1)));
         } else if (name.equalsIgnoreCase("Transfer-Encoding")) {
-            addTransferEncoding(FieldSyntax.trim(line.substring(colon + 1)));
+            addTransferEncoding(LineSyntax.trim(line.substring(colon + 1)));
         }
     }
 
     private void addContentLength(String value) throws MalformedResponseException {
-        long length = FieldSyntax.parseDecimal(value);
+        long length = LineSyntax.parseDecimal(value);
         if (length < 0) {
             throw new MalformedResponseException("Content-Length is not a number of bytes");
         }
--- a/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseSyntax.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/backend/ResponseSyntax.java
@@ -100,7 +100,7 @@
             }
             case FIELD -> endField(line);
             case CHUNK_SIZE -> {
-                mRemainingBytes = FieldSyntax.parseChunkSize(line);
+                mRemainingBytes = LineSyntax.parseChunkSize(line);
                 mPart = mRemainingBytes == 0 ? Part.TRAILER : Part.CHUNK;
             }
             case CHUNK_END -> {
@@ -113,7 +113,7 @@
                 if (line.isEmpty()) {
                     mPart = Part.STATUS_LINE;
                 } else {
-                    FieldSyntax.check(line);
+                    LineSyntax.checkField(line);
                 }
             }
             default -> throw new IllegalStateException("not a line: " + mPart);
--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/UpstreamCall.java
@@ -5,18 +5,14 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.PooledByteBuffer;
-import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
-import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.bulrushvale.adapters.backend.BackendFailure;
 import org.bulrushvale.adapters.backend.LimitedConnection;
 import org.bulrushvale.adapters.backend.MalformedResponseException;
 import org.bulrushvale.adapters.backend.RequestWriter;
-import org.bulrushvale.kernel.time.Clock;
 import org.jspecify.annotations.Nullable;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
@@ -29,12 +25,6 @@
  * response was read. Thread safety: used on the I/O thread only.
  */
 final class UpstreamCall {
-    // Used when a server states no idle timeout: half of the shortest timeout that servers state.
-    // Servers state it in whole seconds.
-    private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(2);
-    // A connection is not reused this close to the server's idle timeout.
-    private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(600);
-
     private final UndertowUpstreamClient mClient;
     private final UpstreamClient.Request mRequest;
     private final UpstreamClient.Listener mListener;
@@ -47,9 +37,9 @@
     private boolean mReused;
     private boolean mMayHaveSent;
     private boolean mRequestWritten;
-    private boolean mEndsWithRequest;
+    private boolean mCompleteOnceWritten;
     private boolean mHeadersReceived;
-    private long mKeepAliveNanos = DEFAULT_KEEP_ALIVE.toNanos();
+    private long mKeepAliveNanos = KeepAlive.DEFAULT.toNanos();
 
     UpstreamCall(
             UndertowUpstreamClient client,
@@ -175,7 +165,7 @@
         mHeadersReceived = true;
         mLastProgressNanos = System.nanoTime();
         ClientResponse response = exchange.getResponse();
-        readKeepAlive(response.getResponseHeaders());
+        mKeepAliveNanos = KeepAlive.nanosUntilUnusable(response.getResponseHeaders());
         if (!mListener.head(response.getResponseCode(), response.getResponseHeaders(), mReused)) {
             fail(BackendFailure.MALFORMED, "response headers were rejected");
             return;
@@ -183,26 +173,6 @@
         read(exchange.getResponseChannel());
     }
 
-    private void readKeepAlive(HeaderMap headers) {
-        String connection = headers.getFirst(Headers.CONNECTION);
-        if (connection != null && connection.toLowerCase(java.util.Locale.ROOT).contains("close")) {
-            mKeepAliveNanos = 0;
-            return;
-        }
-        String value = headers.getFirst(Headers.KEEP_ALIVE);
-        int timeoutIndex = value == null ? -1 : value.indexOf("timeout=");
-        if (value == null || timeoutIndex < 0) {
-            return;
-        }
-        String seconds = value.substring(timeoutIndex + "timeout=".length()).split("[,; ]", 2)[0];
-        try {
-            Duration stated = Duration.ofSeconds(Long.parseLong(seconds));
-            mKeepAliveNanos = Clock.boundedNanos(stated) - KEEP_ALIVE_MARGIN.toNanos();
-        } catch (NumberFormatException e) {
-            mKeepAliveNanos = 0;
-        }
-    }
-
     private void read(StreamSourceChannel channel) {
         try (PooledByteBuffer pooled = mClient.buffers().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
@@ -246,9 +216,9 @@
     }
 
     /**
-     * A server that closes the connection before it has read the request may be failing, and a
-     * reset that arrives later shows it. A response that ends with the connection is complete only
-     * if the rest of the request can still be written.
+     * Called at the end of the response body. A failing server that has not read the whole request
+     * ends its side of the connection before it resets it, so a response that ends with the
+     * connection is complete only once the rest of the request was written.
      */
     private void onResponseEnd() {
         LimitedConnection connection = mConnection;
@@ -258,7 +228,7 @@
             finish();
             return;
         }
-        mEndsWithRequest = true;
+        mCompleteOnceWritten = true;
         connection.socket().getSourceChannel().suspendReads();
     }
 
@@ -333,7 +303,7 @@
     private final class WriteListener implements RequestWriter.Listener {
         @Override
         public void bodyWritten() {
-            if (mEndsWithRequest && !mEnded) {
+            if (mCompleteOnceWritten && !mEnded) {
                 finish();
             }
         }
