Read the results of tests whose parameters contain line ends

Cause: the check of docs/guarantees.md cuts the parameters off the name of a test with a pattern that stops at a line end. The results of tests with such parameters were recorded under other names: the two new rows for BrokenOffBackendAnswerTest and MalformedPlatformAnswerTest counted as not run, and a failed run of such a test would not have counted against its row.

Change: the pattern matches across lines.

--- a/release-checks/src/test/java/org/bulrushvale/checks/TestReports.java
+++ b/release-checks/src/test/java/org/bulrushvale/checks/TestReports.java
@@ -21,7 +21,7 @@
  * Thread safety: not safe; used by one test thread.
  */
 final class TestReports {
-    private static final Pattern PARAMETERS = Pattern.compile("[\\[(].*");
+    private static final Pattern PARAMETERS = Pattern.compile("[\\[(].*", Pattern.DOTALL);
 
     private final Map<String, Boolean> mPassedByTest = new HashMap<>();
 
