Log the revisions of complete reads of the published state

A read after an outage left no line that tells whether the store's revision went back, so the hypotheses of docs/incidents/restored-store.md could not be told apart. The line published_state_read has the known and the read revision, the number of items that were applied and of those that still differ.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
@@ -203,7 +203,18 @@
 
     private void apply(String collection, PublishedItems items, PublishedItems.Update update) {
         boolean first = !items.isComplete() && update.complete();
+        long knownRevision = items.revision();
         List<PublishedItem> changed = items.apply(update);
+        if (update.complete()) {
+            // Items that differ although all were applied show that revisions went back.
+            mLog.line("published_state_read")
+                    .with("collection", collection)
+                    .with("known_revision", knownRevision)
+                    .with("revision", update.revision())
+                    .with("changed", changed.size())
+                    .with("differing", items.countDiffering(update))
+                    .writeAlways();
+        }
         if (first) {
             mWatcher.decode(collection, items.present(), true, mState);
         } else if (!changed.isEmpty()) {
--- a/decision/src/main/java/org/bulrushvale/decision/forward/PublishedItems.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/PublishedItems.java
@@ -1,6 +1,7 @@
 package org.bulrushvale.decision.forward;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -77,6 +78,18 @@
         return changed;
     }
 
+    /** Returns the number of items whose value in an update differs from the known one. */
+    public long countDiffering(Update update) {
+        return update.items().stream().filter(this::differsFromKnown).count();
+    }
+
+    private boolean differsFromKnown(PublishedItem item) {
+        PublishedItem known = mItems.get(item.key());
+        return known == null
+                || known.deleted() != item.deleted()
+                || !Arrays.equals(known.value(), item.value());
+    }
+
     private List<PublishedItem> missingItems(Update update) {
         Set<String> listed = new HashSet<>();
         update.items().forEach(item -> listed.add(item.key()));
