Tell the revisions of a restored store apart by its era

Callers were refused with 404 or 401, or served by an old service, and leaving servers got requests for 8 s and more after the store had been away for 0.6 s.

Cause: the store comes back from a copy and gives its revisions out again. PublishedItems, the watchers and the exchange between entries compared revisions as plain numbers, so what was written under a revision not above the known one was never applied; a watch whose revision the new history had passed did not even get a status 410. Nothing read the era in the store's answers.

Change: revisions carry the era and are ordered by it first (StoreRevision). An answer of a later era lets the reader read everything anew, and a complete read of a later era replaces the items. Because a copy shows older states, a registration that is not newer than the known one by start and sequence is withheld for 30 s (RegistrationsBeforeRestore), evacuations stay until they are taken back by name, and versions never go back, as before. Peers exchange the era, so the version of their protocol rises to 3.

PublishedItemsTest plays restores in 300 seeds.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/PublishedStateWatcher.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/PublishedStateWatcher.java
@@ -10,6 +10,7 @@
 import org.bulrushvale.decision.forward.PublishedItem;
 import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.decision.forward.StoreReading;
+import org.bulrushvale.decision.forward.StoreRevision;
 
 /**
  * Reads the items that operators and backend servers publish in the store, and decodes them; each
@@ -36,10 +37,9 @@
      * Sets how the store is read from now on. A call to the store that is in progress ends as
      * before.
      *
-     * @param knownRevisions revision of each collection up to which all changes are known; -1 when
-     *     none is known
+     * @param knownRevisions revision of each collection up to which all changes are known
      */
-    void read(StoreReading reading, Map<String, Long> knownRevisions);
+    void read(StoreReading reading, Map<String, StoreRevision> knownRevisions);
 
     /**
      * Decodes items of a collection and passes them to the listener. An item that cannot be decoded
@@ -77,7 +77,7 @@
         /** Called with each version of the configuration. */
         void config(ForwardConfig config);
 
-        /** Called with all servers after a full read of the store. */
+        /** Called with all servers after the first full read, and after a restore of the store. */
         void servers(List<PublishedBackend> servers);
 
         /** Called when one server was published or its published data changed. */
@@ -86,7 +86,13 @@
         /** Called when a server is no longer published or its data names no usable server. */
         void serverGone(String id);
 
-        /** Called with the failure domains that must receive no work. */
+        /**
+         * Called with all failure domains that must receive no work, after the first full read and
+         * after a restore of the store.
+         */
         void evacuated(Set<String> domains);
+
+        /** Called when one failure domain must receive no work, or may receive work again. */
+        void evacuationChanged(String domain, boolean evacuated);
     }
 }
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/Handshake.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/Handshake.java
@@ -19,7 +19,7 @@
  * <p>Thread safety: not safe; owned by the transport's thread.
  */
 final class Handshake {
-    static final int VERSION = 2;
+    static final int VERSION = 3;
     static final int NONCE_BYTES = 32;
     private static final String ALGORITHM = "HmacSHA256";
     private static final SecureRandom RANDOM = new SecureRandom();
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -8,6 +8,7 @@
 import org.bulrushvale.decision.forward.ObservedSpeed;
 import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.decision.forward.StatedRate;
+import org.bulrushvale.decision.forward.StoreRevision;
 import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.kernel.verdict.Verdict;
 import org.jspecify.annotations.Nullable;
@@ -221,11 +222,11 @@
     }
 
     /**
-     * Revision up to which an entry knows all changes of a collection; -1 when it knows none.
+     * Revision up to which an entry knows all changes of a collection.
      *
      * <p>Thread safety: immutable.
      */
-    record KnownRevision(String collection, long revision) {}
+    record KnownRevision(String collection, StoreRevision revision) {}
 
     /**
      * Answer to a {@link PublishedFetch}.
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PublishedCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PublishedCodec.java
@@ -4,6 +4,7 @@
 import org.bulrushvale.adapters.peer.PeerCodec.FieldReader;
 import org.bulrushvale.decision.forward.PublishedItem;
 import org.bulrushvale.decision.forward.PublishedItems;
+import org.bulrushvale.decision.forward.StoreRevision;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -24,7 +25,8 @@
         if (message instanceof PeerMessage.PublishedFetch fetch) {
             out.packArrayHeader(fetch.known().size());
             for (PeerMessage.KnownRevision known : fetch.known()) {
-                out.packString(known.collection()).packLong(known.revision());
+                out.packString(known.collection());
+                writeRevision(known.revision(), out);
             }
         } else if (message instanceof PeerMessage.PublishedChanges changes) {
             out.packLong(changes.confirmationAgeMillis()).packBoolean(changes.storeReachable());
@@ -38,7 +40,8 @@
 
     private static void writeUpdate(PublishedItems.Update update, MessageBufferPacker out)
             throws IOException {
-        out.packLong(update.revision()).packBoolean(update.complete());
+        writeRevision(update.revision(), out);
+        out.packBoolean(update.complete());
         out.packArrayHeader(update.items().size());
         for (PublishedItem item : update.items()) {
             out.packString(item.key());
@@ -47,12 +50,19 @@
         }
     }
 
+    private static void writeRevision(StoreRevision revision, MessageBufferPacker out)
+            throws IOException {
+        out.packLong(revision.era()).packLong(revision.number());
+    }
+
+    private static StoreRevision readRevision(FieldReader in) throws IOException {
+        MessageUnpacker unpacker = in.unpacker();
+        return new StoreRevision(unpacker.unpackLong(), unpacker.unpackLong());
+    }
+
     static PeerMessage readFetch(FieldReader in) throws IOException {
         return new PeerMessage.PublishedFetch(
-                in.list(
-                        () ->
-                                new PeerMessage.KnownRevision(
-                                        in.text(), in.unpacker().unpackLong())));
+                in.list(() -> new PeerMessage.KnownRevision(in.text(), readRevision(in))));
     }
 
     static PeerMessage readChanges(FieldReader in) throws IOException {
@@ -65,7 +75,7 @@
 
     private static PublishedItems.Update readUpdate(FieldReader in) throws IOException {
         MessageUnpacker unpacker = in.unpacker();
-        long revision = unpacker.unpackLong();
+        StoreRevision revision = readRevision(in);
         boolean complete = unpacker.unpackBoolean();
         return new PublishedItems.Update(
                 in.list(
--- a/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
@@ -14,6 +14,7 @@
 import org.bulrushvale.decision.forward.PublishedItem;
 import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.decision.forward.StatedRate;
+import org.bulrushvale.decision.forward.StoreRevision;
 import org.bulrushvale.decision.retry.ContentFingerprint;
 import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.kernel.verdict.Verdict;
@@ -39,7 +40,7 @@
                                                     new PublishedItem(
                                                             "op/a", new byte[] {1, 2}, 7, false),
                                                     PublishedItem.removed("op/b", 8)),
-                                            9,
+                                            new StoreRevision(2, 9),
                                             true))));
 
     @DataProvider
@@ -75,7 +76,10 @@
                 new PeerMessage.MemberList(
                         List.of(new PeerMessage.Member("m", "como", true, false, 5, 75)))
             },
-            {new PeerMessage.PublishedFetch(List.of(new PeerMessage.KnownRevision("op/", -1)))},
+            {
+                new PeerMessage.PublishedFetch(
+                        List.of(new PeerMessage.KnownRevision("op/", StoreRevision.NONE)))
+            },
             {PUBLISHED_CHANGES},
             {new PeerMessage.CrashNotice(7, List.of(CRASH_RECORD))},
             {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
@@ -1,13 +1,16 @@
 package org.bulrushvale.daemon.forward;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 import org.bulrushvale.adapters.forward.PublishedStateWatcher;
 import org.bulrushvale.decision.forward.BackendDirectory;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.PublishedBackend;
+import org.bulrushvale.decision.forward.RegistrationsBeforeRestore;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
 import org.jspecify.annotations.Nullable;
@@ -17,12 +20,22 @@
  *
  * <p>Servers that vanish while the store is unreachable, or within the retention time after that,
  * are kept for the retention time: their entries in the store may have expired during the outage
- * and come back.
+ * and come back. The same holds, for half of that time, after the store was restored from a copy,
+ * which lacks what was written last.
  *
- * <p>Invariant: the version of the configuration never decreases. Thread safety: the listener
- * methods may be called from any thread; everything else is used on the event loop.
+ * <p>Invariants: the version of the configuration never decreases; within {@link #RESTORE_PERIOD}
+ * after a restore of the store, a server that was known to leave or to have left is not used unless
+ * it registered anew, and a failure domain stays evacuated unless it is taken back explicitly.
+ * Thread safety: the listener methods may be called from any thread; everything else is used on the
+ * event loop.
  */
 final class PublishedState implements PublishedStateWatcher.Listener {
+    /**
+     * Time after a restore of the store in which operators and backend servers write again what the
+     * copy lacks; servers that ended without a word lapse within some seconds.
+     */
+    static final Duration RESTORE_PERIOD = Duration.ofSeconds(30);
+
     private final EventLoop mLoop;
     private final Clock mClock;
     private final Duration mVanishedServerRetention;
@@ -30,8 +43,13 @@
     private final BackendDirectory mDirectory;
     private final Runnable mOnChange;
     private final Set<String> mVanishedIds = new HashSet<>();
+    private final RegistrationsBeforeRestore mBeforeRestore = new RegistrationsBeforeRestore();
+    private final Set<String> mEvacuatedDomains = new HashSet<>();
+    private final Set<String> mUnconfirmedEvacuations = new HashSet<>();
     private @Nullable ForwardConfig mConfig;
     private boolean mServersKnown;
+    private boolean mOperatorsKnown;
+    private boolean mRestored;
     private boolean mReachable = true;
     private long mReachableSinceNanos;
 
@@ -80,6 +98,10 @@
     public void servers(List<PublishedBackend> servers) {
         mLoop.execute(
                 () -> {
+                    if (mServersKnown) {
+                        recordServersBeforeRestore();
+                        beginRestorePeriod();
+                    }
                     Set<String> missingIds = new HashSet<>(mDirectory.ids());
                     for (PublishedBackend server : servers) {
                         missingIds.remove(server.id());
@@ -105,22 +127,84 @@
 
     @Override
     public void serverGone(String id) {
-        mLoop.execute(() -> onVanished(id));
+        mLoop.execute(
+                () -> {
+                    mBeforeRestore.recordGone(id);
+                    onVanished(id);
+                });
     }
 
     @Override
     public void evacuated(Set<String> domains) {
         mLoop.execute(
                 () -> {
-                    if (!mDirectory.setEvacuatedDomains(domains)) {
-                        return;
+                    if (mOperatorsKnown) {
+                        mUnconfirmedEvacuations.addAll(mEvacuatedDomains);
+                        beginRestorePeriod();
                     }
-                    mLog.line("evacuated")
-                            .with("failure_domains", String.join(",", domains))
-                            .writeAlways();
+                    mOperatorsKnown = true;
+                    mUnconfirmedEvacuations.removeAll(domains);
+                    mEvacuatedDomains.clear();
+                    mEvacuatedDomains.addAll(domains);
+                    applyEvacuations();
+                });
+    }
+
+    @Override
+    public void evacuationChanged(String domain, boolean evacuated) {
+        mLoop.execute(
+                () -> {
+                    mUnconfirmedEvacuations.remove(domain);
+                    if (evacuated) {
+                        mEvacuatedDomains.add(domain);
+                    } else {
+                        mEvacuatedDomains.remove(domain);
+                    }
+                    applyEvacuations();
                 });
     }
 
+    private void applyEvacuations() {
+        Set<String> domains = new TreeSet<>(mEvacuatedDomains);
+        domains.addAll(mUnconfirmedEvacuations);
+        if (mDirectory.setEvacuatedDomains(domains)) {
+            mLog.line("evacuated").with("failure_domains", String.join(",", domains)).writeAlways();
+        }
+    }
+
+    private void recordServersBeforeRestore() {
+        List<PublishedBackend> present = new ArrayList<>();
+        for (PublishedBackend server : mDirectory.published()) {
+            if (mVanishedIds.contains(server.id())) {
+                mBeforeRestore.recordRemoved(server);
+            } else {
+                present.add(server);
+            }
+        }
+        mBeforeRestore.recordRestore(present);
+    }
+
+    private void beginRestorePeriod() {
+        mReachableSinceNanos = mClock.monotonicNanos();
+        if (!mRestored) {
+            mRestored = true;
+            mLoop.schedule(RESTORE_PERIOD, this::endRestorePeriod);
+        }
+    }
+
+    private void endRestorePeriod() {
+        Duration since = mClock.elapsedSince(mReachableSinceNanos);
+        if (!mReachable || since.compareTo(RESTORE_PERIOD) < 0) {
+            mLoop.schedule(RESTORE_PERIOD, this::endRestorePeriod);
+            return;
+        }
+        mRestored = false;
+        mUnconfirmedEvacuations.clear();
+        applyEvacuations();
+        mBeforeRestore.end().forEach(this::put);
+        mOnChange.run();
+    }
+
     /** Records whether the store can be reached, by this entry or by one that passes it on. */
     void reachable(boolean reachable, String detail) {
         mLoop.execute(
@@ -137,19 +221,26 @@
     }
 
     private void put(PublishedBackend server) {
+        if (mBeforeRestore.withhold(server)) {
+            mLog.line("server_withheld")
+                    .with("server", server.id())
+                    .with("sequence", server.sequence())
+                    .write();
+            return;
+        }
         mVanishedIds.remove(server.id());
         mDirectory.put(server);
     }
 
     private void onVanished(String id) {
         Duration since = mClock.elapsedSince(mReachableSinceNanos);
-        if (mReachable && since.compareTo(mVanishedServerRetention) >= 0) {
+        if (mReachable && since.compareTo(vanishedServerRetention()) >= 0) {
             remove(id);
             return;
         }
         if (mVanishedIds.add(id)) {
             mLoop.schedule(
-                    mVanishedServerRetention,
+                    vanishedServerRetention(),
                     () -> {
                         if (mVanishedIds.remove(id)) {
                             remove(id);
@@ -158,8 +249,13 @@
         }
     }
 
+    /** A restore is noticed up to a quarter of the freshness late, which is taken off here. */
+    private Duration vanishedServerRetention() {
+        return mRestored ? mVanishedServerRetention.dividedBy(2) : mVanishedServerRetention;
+    }
+
     private void remove(String id) {
-        mDirectory.remove(id);
+        mDirectory.remove(id).ifPresent(mBeforeRestore::recordRemoved);
         mLog.line("server_gone").with("server", id).write();
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
@@ -18,6 +18,7 @@
 import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.decision.forward.StoreReading;
 import org.bulrushvale.decision.forward.StoreReadingPlan;
+import org.bulrushvale.decision.forward.StoreRevision;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
 import org.jspecify.annotations.Nullable;
@@ -120,8 +121,8 @@
         answerWaitingFetches();
     }
 
-    private Map<String, Long> revisions() {
-        Map<String, Long> revisions = new HashMap<>();
+    private Map<String, StoreRevision> revisions() {
+        Map<String, StoreRevision> revisions = new HashMap<>();
         mCollections.forEach((name, items) -> revisions.put(name, items.revision()));
         return revisions;
     }
@@ -148,7 +149,7 @@
             Duration age = Duration.ofMillis(Math.max(0, changes.confirmationAgeMillis()));
             // A collection whose changes are too large for one answer is missing from it.
             boolean isWhole = changes.changes().size() == mCollections.size();
-            fresh = isWhole && age.compareTo(mPlan.maxAge()) < 0;
+            fresh = isWhole && isCurrent(changes) && age.compareTo(mPlan.maxAge()) < 0;
             mSourceReachable = changes.storeReachable();
             reportReachable("entry " + entry);
             changes.changes().forEach(this::applyFromPeer);
@@ -163,6 +164,17 @@
         update();
     }
 
+    /** Returns false when the sender does not know yet that the store was restored. */
+    private boolean isCurrent(PeerMessage.PublishedChanges changes) {
+        return changes.changes().stream()
+                .noneMatch(
+                        change -> {
+                            PublishedItems known = mCollections.get(change.collection());
+                            StoreRevision revision = change.update().revision();
+                            return known != null && known.revision().isRestoredSince(revision);
+                        });
+    }
+
     private void applyFromPeer(PeerMessage.CollectionChanges changes) {
         PublishedItems items = mCollections.get(changes.collection());
         if (items != null) {
@@ -203,19 +215,22 @@
 
     private void apply(String collection, PublishedItems items, PublishedItems.Update update) {
         boolean first = !items.isComplete() && update.complete();
-        long knownRevision = items.revision();
+        StoreRevision known = items.revision();
+        boolean restored = update.complete() && update.revision().isRestoredSince(known);
         List<PublishedItem> changed = items.apply(update);
         if (update.complete()) {
             // Items that differ although all were applied show that revisions went back.
             mLog.line("published_state_read")
                     .with("collection", collection)
-                    .with("known_revision", knownRevision)
-                    .with("revision", update.revision())
+                    .with("known_era", known.era())
+                    .with("known_revision", known.number())
+                    .with("era", update.revision().era())
+                    .with("revision", update.revision().number())
                     .with("changed", changed.size())
                     .with("differing", items.countDiffering(update))
                     .writeAlways();
         }
-        if (first) {
+        if (first || restored) {
             mWatcher.decode(collection, items.present(), true, mState);
         } else if (!changed.isEmpty()) {
             mWatcher.decode(collection, changed, false, mState);
@@ -247,8 +262,7 @@
             WaitingFetch waiting = i.next();
             Duration waited = mClock.elapsedSince(waiting.sinceNanos());
             List<PeerMessage.CollectionChanges> changes = changesFor(waiting.fetch());
-            boolean hasNews =
-                    changes.stream().anyMatch(change -> !change.update().items().isEmpty());
+            boolean hasNews = changes.stream().anyMatch(change -> change.update().hasNews());
             if (hasNews || waited.compareTo(mPlan.holdTime()) >= 0) {
                 i.remove();
                 waiting.reply().send(publishedChanges(changes));
--- a/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerPlacementTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerPlacementTest.java
@@ -77,7 +77,8 @@
     }
 
     private static Server put(BackendDirectory directory, String id) {
-        directory.put(new PublishedBackend(id, SERVICE, "h", 80, "a", 8, false, 1, Duration.ZERO));
+        directory.put(
+                new PublishedBackend(id, SERVICE, "h", 80, "a", 8, false, 1, 1, Duration.ZERO));
         return directory.eligibleServers(SERVICE).stream()
                 .filter(server -> server.published().id().equals(id))
                 .findAny()
--- a/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerReportsTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerReportsTest.java
@@ -45,7 +45,8 @@
             int status, double seconds, int pauseMillis, String effect) {
         ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
         BackendDirectory directory = new BackendDirectory(clock);
-        directory.put(new PublishedBackend("s", SERVICE, "h", 80, "a", 8, false, 1, Duration.ZERO));
+        directory.put(
+                new PublishedBackend("s", SERVICE, "h", 80, "a", 8, false, 1, 1, Duration.ZERO));
         ByteArrayOutputStream log = new ByteArrayOutputStream();
         try (DecisionLog lines = new DecisionLog(clock, new PrintStream(log), "vm", 100)) {
             ServerReports reports =
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -67,8 +67,8 @@
         return mLargestCount;
     }
 
-    /** Removes a server. */
-    public void remove(String id) {
+    /** Removes a server; returns its last registration, or empty when there is none. */
+    public Optional<PublishedBackend> remove(String id) {
         Server server = mServers.remove(id);
         if (server != null) {
             mByService.getOrDefault(server.published().service(), List.of()).remove(server);
@@ -79,6 +79,7 @@
                 mPausedFacts.put(server.published().processName(), server.facts());
             }
         }
+        return Optional.ofNullable(server).map(Server::published);
     }
 
     /**
@@ -91,6 +92,11 @@
         return changed;
     }
 
+    /** Returns the registrations of all servers. */
+    public List<PublishedBackend> published() {
+        return mServers.values().stream().map(Server::published).toList();
+    }
+
     /** Returns the ids of all servers. */
     public Set<String> ids() {
         return Set.copyOf(mServers.keySet());
--- a/decision/src/main/java/org/bulrushvale/decision/forward/PublishedBackend.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/PublishedBackend.java
@@ -11,6 +11,7 @@
  * @param domain failure domain that the process runs in
  * @param leaving true when the process must receive no new work
  * @param startedMillis start of the process, in milliseconds since the epoch; 0 when not published
+ * @param sequence number of the registration, which a process counts up from its start
  * @param coldLeft remaining time until the process is warm
  */
 public record PublishedBackend(
@@ -22,6 +23,7 @@
         int slots,
         boolean leaving,
         long startedMillis,
+        long sequence,
         Duration coldLeft) {
     /** Returns the name of this process, which differs from that of a restarted one. */
     public String processName() {
--- a/decision/src/main/java/org/bulrushvale/decision/forward/PublishedItem.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/PublishedItem.java
@@ -6,7 +6,8 @@
  * <p>Invariant: the value array is not modified and is empty for a removal. Thread safety:
  * immutable.
  *
- * @param revision revision of the store at which the item was last changed or removed
+ * @param revision number of the store's revision, in the era of its collection, at which the item
+ *     was last changed or removed
  */
 public record PublishedItem(String key, byte[] value, long revision, boolean deleted) {
     /** Returns the removal of an item. */
--- a/decision/src/main/java/org/bulrushvale/decision/forward/PublishedItems.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/PublishedItems.java
@@ -14,7 +14,8 @@
  *
  * <p>Invariants: an item never goes back to an earlier revision, regardless of the order in which
  * reads and updates arrive; {@link #revision} never decreases, and every change up to it has been
- * applied. Thread safety: not safe; used by the event loop.
+ * applied. A complete update of a later era replaces all items, because the store was restored.
+ * Thread safety: not safe; used by the event loop.
  */
 public final class PublishedItems {
     // Removals are kept so that an update can name them. An entry that is further behind receives
@@ -22,20 +23,20 @@
     private static final int MAX_REMOVALS = 1_024;
 
     private final Map<String, PublishedItem> mItems = new HashMap<>();
-    private long mRevision = -1;
+    private StoreRevision mRevision = StoreRevision.NONE;
     private long mLastChangeRevision = -1;
 
     // Removals up to this revision may be missing, so an earlier change is never applied.
     private long mForgottenRevision = -1;
 
-    /** Returns the revision up to which all changes are known, or -1 before the first read. */
-    public long revision() {
+    /** Returns the revision up to which all changes are known; none before the first read. */
+    public StoreRevision revision() {
         return mRevision;
     }
 
     /** Returns true once all items of the collection were received. */
     public boolean isComplete() {
-        return mRevision >= 0;
+        return mRevision.isKnown();
     }
 
     /** Returns the present items. */
@@ -48,8 +49,8 @@
      * Changes are ignored before the first complete update.
      */
     public List<PublishedItem> apply(Update update) {
-        if (!update.complete() && !isComplete()) {
-            return List.of();
+        if (update.revision().era() != mRevision.era()) {
+            return applyOfOtherEra(update);
         }
         List<PublishedItem> candidates = new ArrayList<>(update.items());
         if (update.complete()) {
@@ -66,11 +67,11 @@
                 changed.add(item);
             }
         }
-        if (update.complete() && update.revision() > mRevision) {
+        if (update.complete() && update.revision().compareTo(mRevision) > 0) {
             // Items that came and went since the last known revision are not listed.
-            mForgottenRevision = Math.max(mForgottenRevision, update.revision());
+            mForgottenRevision = Math.max(mForgottenRevision, update.revision().number());
         }
-        mRevision = Math.max(mRevision, update.revision());
+        mRevision = StoreRevision.later(mRevision, update.revision());
         if (!changed.isEmpty()) {
             forgetOldRemovals();
         }
@@ -78,6 +79,22 @@
         return changed;
     }
 
+    private List<PublishedItem> applyOfOtherEra(Update update) {
+        boolean isLater = update.revision().compareTo(mRevision) > 0;
+        if (!isLater || !update.complete()) {
+            return List.of();
+        }
+        List<PublishedItem> changed = new ArrayList<>(missingItems(update));
+        update.items().stream().filter(this::differsFromKnown).forEach(changed::add);
+        mItems.clear();
+        update.items().forEach(item -> mItems.put(item.key(), item));
+        mRevision = update.revision();
+        mLastChangeRevision = update.revision().number();
+        mForgottenRevision = update.revision().number();
+        changed.sort((a, b) -> Long.compare(a.revision(), b.revision()));
+        return changed;
+    }
+
     /** Returns the number of items whose value in an update differs from the known one. */
     public long countDiffering(Update update) {
         return update.items().stream().filter(this::differsFromKnown).count();
@@ -95,11 +112,15 @@
         update.items().forEach(item -> listed.add(item.key()));
         return present().stream()
                 .filter(item -> !listed.contains(item.key()))
-                .filter(item -> item.revision() < update.revision())
-                .map(item -> PublishedItem.removed(item.key(), update.revision()))
+                .filter(item -> isBefore(item, update.revision()))
+                .map(item -> PublishedItem.removed(item.key(), update.revision().number()))
                 .toList();
     }
 
+    private boolean isBefore(PublishedItem known, StoreRevision revision) {
+        return new StoreRevision(mRevision.era(), known.revision()).compareTo(revision) < 0;
+    }
+
     private void forgetOldRemovals() {
         List<PublishedItem> removals =
                 mItems.values().stream()
@@ -113,12 +134,18 @@
         }
     }
 
-    /** Returns what an entry lacks that knows all changes up to {@code revision}. */
-    public Update changesSince(long revision) {
-        if (revision >= Math.max(0, Math.max(mLastChangeRevision, mForgottenRevision))) {
+    /** Returns what an entry lacks that knows all changes up to the revision {@code known}. */
+    public Update changesSince(StoreRevision known) {
+        if (known.era() != mRevision.era()) {
+            // An entry of a later era ignores the answer and reads the store.
+            boolean isLater = known.compareTo(mRevision) > 0;
+            return new Update(isLater ? List.of() : present(), mRevision, !isLater);
+        }
+        long revision = known.number();
+        if (revision >= Math.max(mLastChangeRevision, mForgottenRevision)) {
             return new Update(List.of(), mRevision, false);
         }
-        boolean complete = revision < 0 || revision < mForgottenRevision;
+        boolean complete = revision < mForgottenRevision;
         List<PublishedItem> items =
                 complete
                         ? present()
@@ -136,9 +163,14 @@
      * @param revision revision up to which the update contains all changes
      * @param complete true when the update contains all present items of the collection
      */
-    public record Update(List<PublishedItem> items, long revision, boolean complete) {
+    public record Update(List<PublishedItem> items, StoreRevision revision, boolean complete) {
         public Update {
             items = List.copyOf(items);
         }
+
+        /** Returns true when the update changes what the entry that lacks it knows. */
+        public boolean hasNews() {
+            return complete || !items.isEmpty();
+        }
     }
 }
--- a/decision/src/test/java/org/bulrushvale/decision/forward/PublishedItemsTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/PublishedItemsTest.java
@@ -12,7 +12,8 @@
 
 /**
  * Guards against published items that go back to an earlier value, are lost or return after their
- * removal when reads of the store and updates of other entries arrive late, twice or out of order.
+ * removal when reads of the store and updates of other entries arrive late, twice or out of order,
+ * also when the store is restored from copies meanwhile.
  */
 public class PublishedItemsTest {
     private static final int SEEDS = 300;
@@ -31,6 +32,9 @@
             List<Runnable> inTransit = new ArrayList<>();
             for (int step = 0; step < 400; step++) {
                 store.change(random);
+                if (random.nextInt(60) == 0) {
+                    store.restore(random.nextInt(10));
+                }
                 Entry entry = entries.get(random.nextInt(ENTRIES));
                 PublishedItems.Update update =
                         random.nextInt(3) == 0
@@ -62,8 +66,8 @@
         // given
         Store store = new Store();
         PublishedItems items = new PublishedItems();
-        items.apply(store.read(-1, true));
-        long early = items.revision();
+        items.apply(store.read(StoreRevision.NONE, true));
+        StoreRevision early = items.revision();
         // when more items are removed than the table remembers
         for (int i = 0; i < 3_000; i++) {
             store.put("k" + i, "v");
@@ -80,7 +84,11 @@
     public void changes_before_the_first_complete_update_are_ignored() {
         PublishedItems items = new PublishedItems();
         PublishedItem item = new PublishedItem("a", new byte[0], 7, false);
-        assertThat(items.apply(new PublishedItems.Update(List.of(item), 7, false))).isEmpty();
+        assertThat(
+                        items.apply(
+                                new PublishedItems.Update(
+                                        List.of(item), new StoreRevision(1, 7), false)))
+                .isEmpty();
         assertThat(items.isComplete()).isFalse();
     }
 
@@ -88,13 +96,33 @@
     private static final class Store {
         private final List<PublishedItem> mHistory = new ArrayList<>();
         private final Map<String, String> mValues = new HashMap<>();
+        private long mEra = 1;
+
+        StoreRevision revision() {
+            return new StoreRevision(mEra, mHistory.size());
+        }
+
+        /** Goes back to a copy without the last changes and gives their revisions out again. */
+        void restore(int lostChanges) {
+            int kept = Math.max(0, mHistory.size() - lostChanges);
+            mHistory.subList(kept, mHistory.size()).clear();
+            mEra++;
+            mValues.clear();
+            for (PublishedItem item : mHistory) {
+                if (item.deleted()) {
+                    mValues.remove(item.key());
+                } else {
+                    mValues.put(item.key(), new String(item.value(), StandardCharsets.UTF_8));
+                }
+            }
+        }
 
         void change(SplittableRandom random) {
             String key = "k" + random.nextInt(8);
             if (mValues.containsKey(key) && random.nextInt(3) == 0) {
                 remove(key);
             } else {
-                put(key, "v" + mHistory.size());
+                put(key, "v" + mEra + "." + mHistory.size());
             }
         }
 
@@ -109,18 +137,17 @@
             mValues.remove(key);
         }
 
-        PublishedItems.Update read(long after, boolean complete) {
-            if (complete || after < 0) {
+        PublishedItems.Update read(StoreRevision after, boolean complete) {
+            if (complete || after.era() != mEra) {
                 Map<String, PublishedItem> present = new HashMap<>();
                 for (PublishedItem item : mHistory) {
                     present.put(item.key(), item);
                 }
                 present.values().removeIf(PublishedItem::deleted);
-                return new PublishedItems.Update(
-                        List.copyOf(present.values()), mHistory.size(), true);
+                return new PublishedItems.Update(List.copyOf(present.values()), revision(), true);
             }
             return new PublishedItems.Update(
-                    mHistory.subList((int) after, mHistory.size()), mHistory.size(), false);
+                    mHistory.subList((int) after.number(), mHistory.size()), revision(), false);
         }
     }
 
@@ -128,7 +155,7 @@
     private static final class Entry {
         private final PublishedItems mItems = new PublishedItems();
         private final Map<String, String> mApplied = new HashMap<>();
-        private long mLastRevision = -1;
+        private StoreRevision mLastRevision = StoreRevision.NONE;
 
         void apply(PublishedItems.Update update) {
             for (PublishedItem item : mItems.apply(update)) {
@@ -141,7 +168,7 @@
         }
 
         void assertNeverAheadOrBack(Store store) {
-            assertThat(mItems.revision()).isBetween(mLastRevision, (long) store.mHistory.size());
+            assertThat(mItems.revision()).isBetween(mLastRevision, store.revision());
             mLastRevision = mItems.revision();
             assertThat(mItems.present()).hasSize(mApplied.size());
         }
--- a/decision/src/test/java/org/bulrushvale/decision/forward/TestServers.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/TestServers.java
@@ -20,6 +20,7 @@
 
     private static PublishedBackend backend(
             String id, String service, String domain, Duration coldLeft, boolean leaving) {
-        return new PublishedBackend(id, service, id + ".test", 80, domain, 8, leaving, 1, coldLeft);
+        return new PublishedBackend(
+                id, service, id + ".test", 80, domain, 8, leaving, 1, 1, coldLeft);
     }
 }
--- a/decision/src/test/java/org/bulrushvale/decision/retry/DuplicateSimulation.java
+++ b/decision/src/test/java/org/bulrushvale/decision/retry/DuplicateSimulation.java
@@ -69,7 +69,16 @@
         for (int i = 0; i < SERVERS; i++) {
             mDirectory.put(
                     new PublishedBackend(
-                            "s" + i, "pool", "h", 80, "d" + i % 3, SLOTS, false, 1, Duration.ZERO));
+                            "s" + i,
+                            "pool",
+                            "h",
+                            80,
+                            "d" + i % 3,
+                            SLOTS,
+                            false,
+                            1,
+                            1,
+                            Duration.ZERO));
         }
     }
 
