Log the software version of the server that a request is sent to

The lines of a stream did not tell which version began it and which one it went on at, nor which attempt a take-up names.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/CallerRequestMetadata.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/CallerRequestMetadata.java
@@ -17,6 +17,8 @@
  * @param pieces number of pieces of each stage; empty when the request states none
  * @param pieceKey key of the pieces; empty when absent
  * @param resumeAfter id of the last event that the caller received; {@link #FROM_START} for none
+ * @param resumes id of the caller's attempt that brought the first event of the stream; empty when
+ *     the request takes no stream up, or the caller does not name it
  */
 public record CallerRequestMetadata(
         String id,
@@ -27,7 +29,8 @@
         int outputTokens,
         List<Integer> pieces,
         String pieceKey,
-        long resumeAfter) {
+        long resumeAfter,
+        String resumes) {
     /** Value of {@code resumeAfter} when the caller has received no event. */
     public static final long FROM_START = -1;
 
--- a/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerPlacementTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerPlacementTest.java
@@ -78,7 +78,8 @@
 
     private static Server put(BackendDirectory directory, String id) {
         directory.put(
-                new PublishedBackend(id, SERVICE, "h", 80, "a", 8, false, 1, 1, Duration.ZERO));
+                new PublishedBackend(
+                        id, SERVICE, "h", 80, "v1", "a", 8, false, 1, 1, Duration.ZERO));
         return directory.eligibleServers(SERVICE).stream()
                 .filter(server -> server.published().id().equals(id))
                 .findAny()
@@ -129,7 +130,7 @@
         return new ServerPlacement(
                 services,
                 new CallerRequestMetadata(
-                        "r", Duration.ofSeconds(9), "", List.of(), 0, 0, List.of(), "", -1),
+                        "r", Duration.ofSeconds(9), "", List.of(), 0, 0, List.of(), "", -1, ""),
                 new ServiceSpec(SERVICE, 0, 0, Optional.empty(), Optional.empty()));
     }
 }
--- a/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerReportsTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerReportsTest.java
@@ -46,7 +46,8 @@
         ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
         BackendDirectory directory = new BackendDirectory(clock);
         directory.put(
-                new PublishedBackend("s", SERVICE, "h", 80, "a", 8, false, 1, 1, Duration.ZERO));
+                new PublishedBackend(
+                        "s", SERVICE, "h", 80, "v1", "a", 8, false, 1, 1, Duration.ZERO));
         ByteArrayOutputStream log = new ByteArrayOutputStream();
         try (DecisionLog lines = new DecisionLog(clock, new PrintStream(log), "vm", 100)) {
             ServerReports reports =
--- a/decision/src/main/java/org/bulrushvale/decision/forward/PublishedBackend.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/PublishedBackend.java
@@ -8,6 +8,7 @@
  * <p>Thread safety: immutable.
  *
  * @param id name of the process; a restarted process may keep it
+ * @param version version of the software that the process runs
  * @param domain failure domain that the process runs in
  * @param leaving true when the process must receive no new work
  * @param startedMillis start of the process, in milliseconds since the epoch; 0 when not published
@@ -19,6 +20,7 @@
         String service,
         String host,
         int port,
+        String version,
         String domain,
         int slots,
         boolean leaving,
--- a/decision/src/test/java/org/bulrushvale/decision/forward/RegistrationsBeforeRestoreTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/RegistrationsBeforeRestoreTest.java
@@ -71,6 +71,6 @@
 
     private static PublishedBackend server(long started, long sequence, boolean leaving) {
         return new PublishedBackend(
-                "s", "pool", "h", 80, "a", 8, leaving, started, sequence, Duration.ZERO);
+                "s", "pool", "h", 80, "v1", "a", 8, leaving, started, sequence, Duration.ZERO);
     }
 }
--- a/decision/src/test/java/org/bulrushvale/decision/forward/ServerChoiceTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ServerChoiceTest.java
@@ -123,7 +123,7 @@
         // when
         mDirectory.put(
                 new PublishedBackend(
-                        "s", "pool", before.host(), 80, "a", 8, false, 2, 1, Duration.ZERO));
+                        "s", "pool", before.host(), 80, "v1", "a", 8, false, 2, 1, Duration.ZERO));
         // then
         assertThat(server().isSuspect(mClock.monotonicNanos())).isFalse();
     }
--- a/decision/src/test/java/org/bulrushvale/decision/forward/ServerFactsTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ServerFactsTest.java
@@ -53,7 +53,8 @@
         assertThat(eligible()).isEmpty();
         // when another process starts under the same id and address
         mDirectory.put(
-                new PublishedBackend("s", POOL, "s.test", 80, "a", 8, false, 2, 1, Duration.ZERO));
+                new PublishedBackend(
+                        "s", POOL, "s.test", 80, "v1", "a", 8, false, 2, 1, Duration.ZERO));
         // then
         assertThat(eligible()).containsExactly("s");
     }
--- a/decision/src/test/java/org/bulrushvale/decision/forward/TestServers.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/TestServers.java
@@ -21,6 +21,6 @@
     private static PublishedBackend backend(
             String id, String service, String domain, Duration coldLeft, boolean leaving) {
         return new PublishedBackend(
-                id, service, id + ".test", 80, domain, 8, leaving, 1, 1, coldLeft);
+                id, service, id + ".test", 80, "v1", domain, 8, leaving, 1, 1, coldLeft);
     }
 }
--- a/decision/src/test/java/org/bulrushvale/decision/retry/DuplicatePolicyTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/retry/DuplicatePolicyTest.java
@@ -135,11 +135,12 @@
                         "own", "cold", "suspect", "avoided", "paused", "slow", "full", "waiting",
                         "busy")) {
             Duration cold = id.equals("cold") ? TIME : Duration.ZERO;
-            directory.put(new PublishedBackend(id, "pool", "h", 1, "b", 1, false, 1, 1, cold));
+            directory.put(
+                    new PublishedBackend(id, "pool", "h", 1, "v1", "b", 1, false, 1, 1, cold));
         }
         directory.put(
                 new PublishedBackend(
-                        "same-domain", "pool", "h", 1, "a", 1, false, 1, 1, Duration.ZERO));
+                        "same-domain", "pool", "h", 1, "v1", "a", 1, false, 1, 1, Duration.ZERO));
         DuplicatePolicy policy = policy(clock, LIMIT_PERCENT);
         List<Server> servers = directory.eligibleServers("pool");
         for (Server server : servers) {
--- a/decision/src/test/java/org/bulrushvale/decision/retry/DuplicateSimulation.java
+++ b/decision/src/test/java/org/bulrushvale/decision/retry/DuplicateSimulation.java
@@ -73,6 +73,7 @@
                             "pool",
                             "h",
                             80,
+                            "v1",
                             "d" + i % 3,
                             SLOTS,
                             false,
