Resume a broken stream at the software version that began it

Callers got one answer whose first events came from a server of one software version and whose rest came from another one.

Cause: the choice of the server for a resumed stream did not know versions; the registration's version was checked and dropped.

Change: the first event binds a request to the version of its server (ServerPlacement). Without another server of that version the stream ends at once with a cut connection, which its caller can see. A process that registers with another version counts as another process.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -32,7 +32,8 @@
  * <p>Invariants: at most two attempts are in progress, of which one may answer; a request that may
  * have run is sent again only if its route allows that; the caller receives one answer, which says
  * "not run" only when no attempt may have run; no event is delivered twice, and all events come
- * from one attempt unless the stream was resumed. Thread safety: used on the event loop.
+ * from one attempt unless the stream was resumed, which happens at the software version that began
+ * it. Thread safety: used on the event loop.
  */
 final class ForwardedRequest
         implements RunningAttempt.Listener, RequestDuplicator.Sender, StageScheduler.Listener {
@@ -446,6 +447,7 @@
         ForwardAttempt.Head head = attempt.streamHead();
         if (!mStreaming && head != null) {
             mStreaming = true;
+            mPlacement.bindToVersion(attempt.server().published().version());
             mTimeLimits.recordFirstEvent();
             mVerdict = Verdict.RAN;
             mDuplicator.onAnswered(attempt, mAttempts.cancelOthers(attempt));
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import net.openhft.hashing.LongHashFunction;
 import org.bulrushvale.adapters.forward.CallerRequestMetadata;
 import org.bulrushvale.adapters.settings.ForwardSettings.PlacementPolicy;
@@ -13,7 +14,8 @@
 /**
  * Chooses the servers of one request and records how soon they send their first event.
  *
- * <p>Thread safety: used on the event loop.
+ * <p>Invariant: once the request is bound to a software version, only servers of that version are
+ * chosen. Thread safety: used on the event loop.
  */
 final class ServerPlacement {
     private static final double PERCENT = 100.0;
@@ -26,6 +28,7 @@
     private ServerChoice.Request mLastRequest = new ServerChoice.Request("", "", 0, 0, "", 0);
     private ServerChoice.Estimate mEstimate = ServerChoice.Estimate.NONE;
     private boolean mProbed;
+    private Optional<String> mVersion = Optional.empty();
 
     ServerPlacement(ForwardServices services, CallerRequestMetadata request, ServiceSpec service) {
         mServices = services;
@@ -34,6 +37,14 @@
         mService = service;
     }
 
+    /**
+     * Binds the request to servers of one software version, because what two versions write does
+     * not fit together.
+     */
+    void bindToVersion(String version) {
+        mVersion = Optional.of(version);
+    }
+
     /**
      * Returns the server to send to, or null when none may receive the request now.
      *
@@ -55,7 +66,7 @@
      */
     @Nullable Server chooseAmong(
             List<Server> candidates, Collection<String> tried, String inputDomain) {
-        return choose(candidates, tried, false, inputDomain);
+        return choose(ofVersion(candidates), tried, false, inputDomain);
     }
 
     private @Nullable Server choose(
@@ -73,7 +84,16 @@
     }
 
     private List<Server> eligible() {
-        return mServices.publishedState().directory().eligibleServers(mServiceName);
+        return ofVersion(mServices.publishedState().directory().eligibleServers(mServiceName));
+    }
+
+    private List<Server> ofVersion(List<Server> servers) {
+        return mVersion.map(
+                        version ->
+                                servers.stream()
+                                        .filter(s -> s.published().version().equals(version))
+                                        .toList())
+                .orElse(servers);
     }
 
     private ServerChoice.Request request(boolean useAffinity, String inputDomain) {
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -187,7 +187,8 @@
         private boolean isSameProcess(PublishedBackend published) {
             return mPublished.startedMillis() == published.startedMillis()
                     && mPublished.address().equals(published.address())
-                    && mPublished.service().equals(published.service());
+                    && mPublished.service().equals(published.service())
+                    && mPublished.version().equals(published.version());
         }
 
         private void update(PublishedBackend published, long nowNanos) {
