Take streams up at the software version that began them

Cause: nothing read Resumes, and the entry that is asked has often not served the first attempt.

Change: an entry records which service and version began a stream (StreamOrigins). A take-up is bound to the version before its stages start, and refused at once, without a return time, when no server of the version is left. The service of a split route follows the first attempt.

--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerCodec.java
@@ -116,6 +116,8 @@
             NoticeCodec.write(notice, out);
         } else if (message instanceof PeerMessage.SpeedNotice speeds) {
             NoticeCodec.writeSpeeds(speeds, out);
+        } else if (OriginCodec.isHandled(message)) {
+            OriginCodec.write(message, out);
         } else if (PublishedCodec.isHandled(message)) {
             PublishedCodec.write(message, out);
         } else {
@@ -216,6 +218,9 @@
                     new PeerMessage.StageInputsRead(in.text(), unpacker.unpackInt());
             case PUBLISHED_FETCH -> PublishedCodec.readFetch(in);
             case PUBLISHED_CHANGES -> PublishedCodec.readChanges(in);
+            case STREAM_ORIGIN_COPIES -> OriginCodec.readCopies(in);
+            case STREAM_ORIGIN_QUERY -> OriginCodec.readQuery(in);
+            case STREAM_ORIGIN_ANSWER -> OriginCodec.readAnswer(in);
             case CRASH_NOTICE, RATE_NOTICE, LEAVING_NOTICE, SPEED_NOTICE -> readNotice(type, in);
         };
     }
@@ -276,7 +281,10 @@
         RATE_NOTICE(PeerMessage.RateNotice.class),
         LEAVING_NOTICE(PeerMessage.LeavingNotice.class),
         SPEED_NOTICE(PeerMessage.SpeedNotice.class),
-        STAGE_INPUTS_READ(PeerMessage.StageInputsRead.class);
+        STAGE_INPUTS_READ(PeerMessage.StageInputsRead.class),
+        STREAM_ORIGIN_COPIES(PeerMessage.StreamOriginCopies.class),
+        STREAM_ORIGIN_QUERY(PeerMessage.StreamOriginQuery.class),
+        STREAM_ORIGIN_ANSWER(PeerMessage.StreamOriginAnswer.class);
 
         private final Class<? extends PeerMessage> mMessageClass;
 
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -9,6 +9,7 @@
 import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.decision.forward.StatedRate;
 import org.bulrushvale.decision.forward.StoreRevision;
+import org.bulrushvale.decision.forward.StreamOrigin;
 import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.kernel.verdict.Verdict;
 import org.jspecify.annotations.Nullable;
@@ -251,6 +252,59 @@
      */
     record CollectionChanges(String collection, PublishedItems.Update update) {}
 
+    /**
+     * Streams that servers of one software version of a service began.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param streams keys of the streams, see {@code StreamOrigins}
+     */
+    record OriginGroup(StreamOrigin origin, List<Long> streams) {
+        public OriginGroup {
+            streams = List.copyOf(streams);
+        }
+    }
+
+    /**
+     * Copies of the origins of streams that began at the sender; answered with an empty one.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record StreamOriginCopies(List<OriginGroup> groups) implements PeerMessage {
+        public StreamOriginCopies {
+            groups = List.copyOf(groups);
+        }
+    }
+
+    /**
+     * Asks for the origins of streams of a service that callers take up.
+     *
+     * <p>Thread safety: immutable.
+     */
+    record StreamOriginQuery(String service, List<Long> streams) implements PeerMessage {
+        public StreamOriginQuery {
+            streams = List.copyOf(streams);
+        }
+    }
+
+    /**
+     * Answer to a {@link StreamOriginQuery}.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param found origins of the streams that the sender knows
+     * @param versions software versions that the sender knows for the service, see {@code
+     *     ServiceVersions}
+     * @param complete true when the sender has run for as long as a version counts
+     */
+    record StreamOriginAnswer(List<OriginGroup> found, List<String> versions, boolean complete)
+            implements PeerMessage {
+        public StreamOriginAnswer {
+            found = List.copyOf(found);
+            versions = List.copyOf(versions);
+        }
+    }
+
     /**
      * Request to the collector of a stage service to have the pieces of a job computed.
      *
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/FleetStageExecutor.java
@@ -17,6 +17,7 @@
 import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -96,6 +97,10 @@
     private List<String> mRoundTargets = List.of();
     private BiConsumer<PeerMessage.PublishedFetch, PeerListener.Responder> mPublishedFetchHandler =
             (fetch, reply) -> {};
+    private Function<PeerMessage.StreamOriginCopies, PeerMessage> mOriginCopiesHandler =
+            copies -> copies;
+    private Function<PeerMessage.StreamOriginQuery, PeerMessage> mOriginQueryHandler =
+            query -> query;
     private Function<PeerMessage.CrashNotice, PeerMessage> mCrashNoticeHandler = notice -> notice;
     private Function<PeerMessage.RateNotice, PeerMessage> mRateNoticeHandler = notice -> notice;
     private Consumer<PeerMessage.SpeedNotice> mSpeedNoticeHandler = notice -> {};
@@ -284,6 +289,10 @@
             mLocalExecutor.release(release.service(), release.pieces());
         } else if (message instanceof PeerMessage.PublishedFetch fetch) {
             mPublishedFetchHandler.accept(fetch, reply);
+        } else if (message instanceof PeerMessage.StreamOriginCopies copies) {
+            reply.send(mOriginCopiesHandler.apply(copies));
+        } else if (message instanceof PeerMessage.StreamOriginQuery query) {
+            reply.send(mOriginQueryHandler.apply(query));
         } else if (message instanceof PeerMessage.CrashNotice notice) {
             reply.send(mCrashNoticeHandler.apply(notice));
         } else if (message instanceof PeerMessage.RateNotice notice) {
@@ -343,6 +352,16 @@
         request(peer, notice, SILENCE_LIMIT, answer -> onAnswer.accept(notice.answer(answer)));
     }
 
+    /** Begins to exchange the origins of streams with the other members. */
+    void exchangeOrigins(StreamOriginExchange origins, BooleanSupplier isStateFresh) {
+        mLoop.execute(
+                () -> {
+                    mOriginCopiesHandler = origins::receive;
+                    mOriginQueryHandler = origins::answer;
+                });
+        origins.start(this, isStateFresh);
+    }
+
     /** Sets what answers entries that ask for the published state. */
     void onPublishedFetch(BiConsumer<PeerMessage.PublishedFetch, PeerListener.Responder> handler) {
         mLoop.execute(() -> mPublishedFetchHandler = handler);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -75,6 +75,7 @@
     private final FleetStageExecutor mFleet;
     private final ForwardServer mServer;
     private final ForwardStop mStop;
+    private final StreamOriginExchange mStreamOrigins;
     private final Optional<LoadShedding> mLoadShedding;
     private long mLastCheckNanos;
 
@@ -102,6 +103,7 @@
         mFleet = FleetStageExecutor.start(settings, mLoop, mClock, mLog, members, mLocalExecutor);
         mFleet.exchangeNotices(services.crashGuard().notices(), services.statedLimits().notices());
         exchangeServerFacts(services.serverSpeed());
+        mStreamOrigins = services.streamOrigins();
         ForwardSettings.Drain drain = settings.drain();
         GracePeriod grace = new GracePeriod(mClock, drain.unreadyDelay(), drain.grace());
         mCore = new ForwardCore(services, mFleet, grace);
@@ -140,6 +142,8 @@
                 repeatBudget,
                 new Duplicates(mClock, mSettings.features().duplicates(), repeatBudget, telemetry),
                 crashGuard,
+                new StreamOriginExchange(
+                        mLoop, mClock, members, mPublishedState.directory().versions()),
                 statedLimits,
                 new ServerReports(mClock, mPublishedState.directory(), telemetry),
                 members,
@@ -177,6 +181,7 @@
                         mPublishedStateWatcher,
                         mPublishedState);
         mFleet.onPublishedFetch(relay::answer);
+        mFleet.exchangeOrigins(mStreamOrigins, relay::isFresh);
         relay.start(mSettings, mUpstreamClient);
     }
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardServices.java
@@ -36,6 +36,7 @@
         RepeatBudget repeatBudget,
         Duplicates duplicates,
         CrashGuard crashGuard,
+        StreamOriginExchange streamOrigins,
         StatedLimits statedLimits,
         ServerReports serverReports,
         MemberTable members,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -63,6 +63,7 @@
     private final CrashWatch mCrashWatch;
     private final DeliveredEvents mDelivered;
     private final RequestDuplicator mDuplicator;
+    private final StreamResumption mResumption;
     private final RunningAttempts mAttempts = new RunningAttempts();
     private final Set<String> mTriedServers = new HashSet<>();
     private final Set<String> mPausedRefusers = new HashSet<>();
@@ -93,7 +94,9 @@
         mRequestMetadata = metadata;
         mRoute = route;
         mWorkspace = workspace.map(Workspace::name).orElse("");
-        mService = route.selectService(LongHashFunction.xx().hashChars(metadata.id()));
+        mService =
+                route.selectService(
+                        LongHashFunction.xx().hashChars(StreamResumption.firstAttempt(metadata)));
         mOnEnd = onEnd;
         mTimeLimits =
                 new RequestTimeLimits(
@@ -114,6 +117,8 @@
                         services.clock(),
                         new RequestContents(caller, metadata, mService, mWorkspace));
         mDuplicator = new RequestDuplicator(services, metadata, route, mService, mTimeLimits, this);
+        mResumption =
+                new StreamResumption(services, metadata, route, mWorkspace, mService, mPlacement);
         mDelivered = new DeliveredEvents(metadata.resumeAfter());
         mStageScheduler = newScheduler();
     }
@@ -146,6 +151,25 @@
         mDuplicator.onRequest();
         scheduleTimeLimit();
         mCaller.onClose(() -> mServices.loop().execute(this::onCallerDisconnect));
+        if (mResumption.isTakeUp()) {
+            mResumption.bind(this::onBound);
+        } else {
+            startStages();
+        }
+    }
+
+    private void onBound(Optional<String> obstacle) {
+        if (mAnswered) {
+            return;
+        }
+        if (obstacle.isPresent()) {
+            giveUp(ErrorCode.STREAM_NOT_RESUMABLE, obstacle.get());
+        } else {
+            startStages();
+        }
+    }
+
+    private void startStages() {
         Optional<PauseWait> pause = pauseWait();
         if (refuseIfHeldBack() || pause.filter(this::refuseIfPaused).isPresent()) {
             return;
@@ -260,6 +284,11 @@
     }
 
     private void waitForServer() {
+        Optional<String> obstacle = mResumption.findObstacle();
+        if (obstacle.isPresent()) {
+            giveUp(ErrorCode.STREAM_NOT_RESUMABLE, obstacle.get());
+            return;
+        }
         Optional<PauseWait> pause = pauseWait();
         if (pause.isPresent()) {
             if (refuseIfPaused(pause.get())) {
@@ -447,7 +476,7 @@
         ForwardAttempt.Head head = attempt.streamHead();
         if (!mStreaming && head != null) {
             mStreaming = true;
-            mPlacement.bindToVersion(attempt.server().published().version());
+            mResumption.onFirstEvent(attempt.server().published().version());
             mTimeLimits.recordFirstEvent();
             mVerdict = Verdict.RAN;
             mDuplicator.onAnswered(attempt, mAttempts.cancelOthers(attempt));
@@ -466,6 +495,7 @@
         }
         mAttempts.remove(attempt);
         attempt.crashWatch().onAnswered();
+        mResumption.onComplete();
         if (finish("streamed", 200)) {
             mCaller.endStream();
         }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
@@ -251,6 +251,11 @@
         mState.reachable(readsStore || mSourceReachable, detail);
     }
 
+    /** Returns true when the store confirmed the published state recently. */
+    boolean isFresh() {
+        return mPlan.isFresh();
+    }
+
     /** Answers an entry that asks for the published state, or lets it wait for news. */
     void answer(PeerMessage.PublishedFetch fetch, PeerListener.Responder reply) {
         mWaitingFetches.add(new WaitingFetch(fetch, reply, mClock.monotonicNanos()));
--- a/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerPlacementTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/ServerPlacementTest.java
@@ -118,6 +118,7 @@
                         null,
                         null,
                         null,
+                        null,
                         new ForwardSettings.Features(
                                 0,
                                 null,
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -27,6 +27,7 @@
     private final Map<String, Server> mServers = new HashMap<>();
     private final Map<String, List<Server>> mByService = new HashMap<>();
     private final LeavingServers mLeaving;
+    private final ServiceVersions mVersions;
     private final Map<String, ServerFacts> mPausedFacts = new HashMap<>();
     private int mLargestCount;
     private Set<String> mEvacuatedDomains = Set.of();
@@ -35,6 +36,21 @@
     public BackendDirectory(Clock clock) {
         mClock = clock;
         mLeaving = new LeavingServers(clock);
+        mVersions = new ServiceVersions(clock);
+    }
+
+    /** Returns the software versions that were published recently. */
+    public ServiceVersions versions() {
+        return mVersions;
+    }
+
+    /** Returns true when a server of a software version can receive work, now or after a pause. */
+    public boolean isServed(StreamOrigin origin) {
+        return mByService.getOrDefault(origin.service(), List.of()).stream()
+                .anyMatch(
+                        server ->
+                                server.published().version().equals(origin.version())
+                                        && isUsable(server));
     }
 
     /** Returns the processes that stated that they leave. */
@@ -58,6 +74,7 @@
         ServerFacts facts = paused == null ? new ServerFacts(now) : paused;
         Server server = new Server(published, facts, now);
         mServers.put(published.id(), server);
+        mVersions.recordPublished(published);
         mLargestCount = Math.max(mLargestCount, mServers.size());
         mByService.computeIfAbsent(published.service(), name -> new ArrayList<>()).add(server);
     }
@@ -72,6 +89,7 @@
         Server server = mServers.remove(id);
         if (server != null) {
             mByService.getOrDefault(server.published().service(), List.of()).remove(server);
+            mVersions.recordRemoved(server.published());
             long now = mClock.monotonicNanos();
             mPausedFacts.values().removeIf(facts -> !facts.isPaused(now));
             boolean isNamed = server.published().startedMillis() != 0;
--- a/kernel/src/main/java/org/bulrushvale/kernel/verdict/ErrorCode.java
+++ b/kernel/src/main/java/org/bulrushvale/kernel/verdict/ErrorCode.java
@@ -33,6 +33,7 @@
     BACKEND_FAILED(502, "Backend server failed", RetryAdvice.RETRY),
     POISON(422, "Request content crashes backend servers", RetryAdvice.DO_NOT_RETRY),
     QUARANTINED(503, "Request content is held back for crashing servers", RetryAdvice.DO_NOT_RETRY),
+    STREAM_NOT_RESUMABLE(503, "No server can go on with the stream", RetryAdvice.DO_NOT_RETRY),
     ISOLATED(503, "Entry is cut off from the fleet", RetryAdvice.RETRY),
     NOT_CONFIGURED(503, "No published configuration yet", RetryAdvice.RETRY),
     DRAINING(503, "Entry is shutting down", RetryAdvice.RETRY),
