Refuse take-ups of streams whose software version no entry knows

Cause: what began a stream is known only to entries, and none of those that knew it was left. The servers that are registered do not tell it either, because those of the old version may have left just before.

Change: a take-up whose origin neither this entry nor another one knows is refused at once with 503 and no return time.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamResumption.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamResumption.java
@@ -58,7 +58,8 @@
     void bind(Consumer<Optional<String>> onResult) {
         if (mRequest.resumes().isEmpty()) {
             // The caller does not name what began the stream, as callers did formerly.
-            onResult.accept(Optional.empty());
+            boolean isAmbiguous = directory().versions().recent(mService).size() > 1;
+            onResult.accept(isAmbiguous ? unknownVersion() : Optional.empty());
             return;
         }
         mServices
@@ -67,12 +68,19 @@
     }
 
     private Optional<String> bindTo(Optional<StreamOrigin> origin) {
+        if (origin.isEmpty()) {
+            return unknownVersion();
+        }
         // A route that was moved names the service that goes on instead.
         mOrigin = origin.filter(found -> found.service().equals(mService));
         mOrigin.ifPresent(bound -> mPlacement.bindToVersion(bound.version()));
         return findObstacle();
     }
 
+    private static Optional<String> unknownVersion() {
+        return Optional.of("the software version that began the stream is not known");
+    }
+
     /** Returns the reason for which no server can go on with a stream that was taken up. */
     Optional<String> findObstacle() {
         return mOrigin.filter(origin -> !directory().isServed(origin))
