Test the exchange of stream origins, copy them every 150 ms

The copies of an entry with 24 new streams a second took 5 KB/s at 50 ms and take 2.4 KB/s at 150 ms (computed from the size of the frames); the budget is 4 KB/s. The tests cover a fleet of 333 members, a holder that fails, a second version and every combination of answers to a query.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamOriginExchange.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamOriginExchange.java
@@ -38,7 +38,10 @@
 final class StreamOriginExchange {
     static final int HOLDERS = 3;
 
-    private static final Duration COPY_PERIOD = Duration.ofMillis(50);
+    // At 24 streams a second this is 2.4 KB/s to all holders; an entry that dies loses the origins
+    // of
+    // the streams that began in the last period.
+    private static final Duration COPY_PERIOD = Duration.ofMillis(150);
     private static final Duration COPY_TIMEOUT = Duration.ofSeconds(1);
 
     // An origin of an older stream is copied to no further holder.
--- /dev/null
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/StreamOriginExchangeTest.java
@@ -0,0 +1,266 @@
+package org.bulrushvale.daemon.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.bulrushvale.adapters.peer.PeerMessage;
+import org.bulrushvale.decision.forward.BackendDirectory;
+import org.bulrushvale.decision.forward.MemberTable;
+import org.bulrushvale.decision.forward.PublishedBackend;
+import org.bulrushvale.decision.forward.ServiceVersions;
+import org.bulrushvale.decision.forward.StreamOrigin;
+import org.bulrushvale.kernel.event.EventLoop;
+import org.bulrushvale.kernel.time.ManualClock;
+import org.jspecify.annotations.Nullable;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against an origin of a stream that is guessed, that is lost with the entry that recorded
+ * it, or whose exchange grows with the fleet.
+ */
+public class StreamOriginExchangeTest {
+    private static final String SERVICE = "pool";
+    private static final StreamOrigin OLD = new StreamOrigin(SERVICE, "1");
+    private static final StreamOrigin NEW = new StreamOrigin(SERVICE, "2");
+    private static final int FLEET = 333;
+    private static final long STREAM = 7;
+
+    private ManualClock mClock;
+    private EventLoop mLoop;
+    private MemberTable mMembers;
+    private BackendDirectory mDirectory;
+    private StreamOriginExchange mExchange;
+    private final List<Copy> mCopies = new ArrayList<>();
+    private final Set<String> mFailing = new HashSet<>();
+    private final Set<String> mAsked = new HashSet<>();
+    private List<PeerMessage.StreamOriginAnswer> mAnswers;
+
+    private record Copy(String holder, Set<Long> streams) {}
+
+    @BeforeMethod
+    public void start() {
+        mClock = ManualClock.startingAt(Instant.EPOCH);
+        mLoop = EventLoop.start("test", 1_024);
+        mMembers = new MemberTable(mClock, new SplittableRandom(1), "self", Set.of());
+        mDirectory = new BackendDirectory(mClock);
+        mExchange = new StreamOriginExchange(mLoop, mClock, mMembers, mDirectory.versions());
+        mCopies.clear();
+        mFailing.clear();
+        mAsked.clear();
+        mAnswers = List.of();
+        mExchange.start(this::request, () -> true);
+    }
+
+    @AfterMethod
+    public void stop() {
+        mLoop.close();
+    }
+
+    private void request(
+            String member,
+            PeerMessage message,
+            Duration timeout,
+            Consumer<@Nullable PeerMessage> onAnswer) {
+        if (message instanceof PeerMessage.StreamOriginCopies copies) {
+            Set<Long> streams = new HashSet<>();
+            copies.groups().forEach(group -> streams.addAll(group.streams()));
+            mCopies.add(new Copy(member, streams));
+            boolean fails = mFailing.contains(member);
+            onAnswer.accept(fails ? null : new PeerMessage.StreamOriginCopies(List.of()));
+        } else {
+            int index = mAsked.size();
+            mAsked.add(member);
+            onAnswer.accept(index < mAnswers.size() ? mAnswers.get(index) : null);
+        }
+    }
+
+    private void addMembers(int count) {
+        for (int i = 0; i < count; i++) {
+            mMembers.recordHeard("vm-" + i, false, Duration.ZERO);
+        }
+    }
+
+    private void publish(String id, String version) {
+        mDirectory.put(
+                new PublishedBackend(
+                        id, SERVICE, id, 80, version, "a", 8, false, 1, 1, Duration.ZERO));
+    }
+
+    private void runOnLoop(Runnable task) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mLoop.execute(
+                () -> {
+                    task.run();
+                    done.complete(null);
+                });
+        done.get(5, TimeUnit.SECONDS);
+    }
+
+    private void await(BooleanSupplier condition) throws Exception {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        CompletableFuture<Boolean> holds = new CompletableFuture<>();
+        while (!holds.getNow(false)) {
+            assertThat(System.nanoTime() - deadline).as("nanoseconds after the limit").isNegative();
+            CompletableFuture<Boolean> next = new CompletableFuture<>();
+            mLoop.execute(() -> next.complete(condition.getAsBoolean()));
+            holds = next;
+            next.get(5, TimeUnit.SECONDS);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    private Optional<StreamOrigin> find() throws Exception {
+        CompletableFuture<Optional<StreamOrigin>> found = new CompletableFuture<>();
+        mLoop.execute(() -> mExchange.find(STREAM, SERVICE, found::complete));
+        return found.get(5, TimeUnit.SECONDS);
+    }
+
+    @Test
+    public void origins_are_copied_to_three_entries_of_a_large_fleet() throws Exception {
+        // given, when
+        runOnLoop(
+                () -> {
+                    addMembers(FLEET);
+                    publish("s", "1");
+                    for (long stream = 0; stream < 100; stream++) {
+                        mExchange.recordEvent(stream, OLD);
+                    }
+                });
+        // then
+        await(() -> mCopies.size() >= StreamOriginExchange.HOLDERS);
+        runOnLoop(
+                () -> {
+                    assertThat(mCopies).hasSize(StreamOriginExchange.HOLDERS);
+                    assertThat(mCopies).allMatch(copy -> copy.streams().size() == 100);
+                    assertThat(mCopies.stream().map(Copy::holder).distinct())
+                            .hasSize(StreamOriginExchange.HOLDERS);
+                });
+    }
+
+    @Test
+    public void an_entry_that_does_not_confirm_a_copy_is_replaced() throws Exception {
+        runOnLoop(
+                () -> {
+                    addMembers(8);
+                    publish("s", "1");
+                    mExchange.recordEvent(STREAM, OLD);
+                });
+        await(() -> mCopies.size() >= StreamOriginExchange.HOLDERS);
+        // when
+        String lost = mCopies.get(0).holder();
+        runOnLoop(
+                () -> {
+                    mFailing.add(lost);
+                    mCopies.clear();
+                    mExchange.recordEvent(STREAM + 1, OLD);
+                });
+        // then another entry has the earlier stream, too
+        await(
+                () ->
+                        mCopies.stream()
+                                .anyMatch(
+                                        copy ->
+                                                !copy.holder().equals(lost)
+                                                        && copy.streams().contains(STREAM)));
+    }
+
+    @Test
+    public void origins_are_copied_only_once_a_second_version_is_known() throws Exception {
+        // given a service that has had one version for certain
+        runOnLoop(
+                () -> {
+                    publish("s", "1");
+                    mClock.advance(ServiceVersions.STREAM_LIFETIME);
+                    addMembers(8);
+                    mExchange.recordEvent(STREAM, OLD);
+                });
+        TimeUnit.MILLISECONDS.sleep(400);
+        runOnLoop(() -> assertThat(mCopies).isEmpty());
+        // when
+        runOnLoop(() -> publish("t", "2"));
+        // then
+        await(() -> mCopies.size() >= StreamOriginExchange.HOLDERS);
+        runOnLoop(
+                () -> assertThat(mCopies).allMatch(copy -> copy.streams().equals(Set.of(STREAM))));
+    }
+
+    @DataProvider
+    public Object[][] answers() {
+        PeerMessage.OriginGroup group = new PeerMessage.OriginGroup(NEW, List.of(STREAM));
+        return new Object[][] {
+            // What the other entries answer, and what the origin must be.
+            {List.of(answer(List.of(), true, "1"), answer(List.of(group), false, "1")), NEW},
+            {List.of(answer(List.of(), true, "1"), answer(List.of(), false, "1")), OLD},
+            {List.of(answer(List.of(), false, "1"), answer(List.of(), false, "1")), null},
+            {List.of(answer(List.of(), true, "1"), answer(List.of(), false, "1", "2")), null},
+            {List.of(), null},
+        };
+    }
+
+    private static PeerMessage.StreamOriginAnswer answer(
+            List<PeerMessage.OriginGroup> found, boolean complete, String... versions) {
+        return new PeerMessage.StreamOriginAnswer(found, List.of(versions), complete);
+    }
+
+    @Test(dataProvider = "answers")
+    public void an_origin_is_never_guessed(
+            List<PeerMessage.StreamOriginAnswer> answers, @Nullable StreamOrigin origin)
+            throws Exception {
+        // given an entry that has just started and knows one version
+        runOnLoop(
+                () -> {
+                    addMembers(2);
+                    publish("s", "1");
+                    mAnswers = answers;
+                });
+        // when, then
+        assertThat(find()).isEqualTo(Optional.ofNullable(origin));
+        assertThat(mAsked).hasSize(2);
+    }
+
+    @Test
+    public void an_entry_that_has_run_for_long_asks_nobody_while_it_knows_one_version()
+            throws Exception {
+        // given
+        runOnLoop(
+                () -> {
+                    publish("s", "1");
+                    mClock.advance(ServiceVersions.STREAM_LIFETIME);
+                    addMembers(2);
+                });
+        // when, then
+        assertThat(find()).contains(OLD);
+        assertThat(mAsked).isEmpty();
+    }
+
+    @Test
+    public void a_version_counts_after_its_servers_have_left() throws Exception {
+        // given
+        runOnLoop(
+                () -> {
+                    publish("s", "1");
+                    publish("t", "2");
+                    mClock.advance(ServiceVersions.STREAM_LIFETIME);
+                    mDirectory.remove("t");
+                    mClock.advance(ServiceVersions.STREAM_LIFETIME.minusMillis(1));
+                });
+        // when, then
+        assertThat(find()).isEmpty();
+        runOnLoop(() -> mClock.advance(Duration.ofMillis(1)));
+        assertThat(find()).contains(OLD);
+    }
+}
