Keep the warm-up of a server whose registration is read once more

After a restore of the store all registrations are read again. A server was taken for as cold as when it registered, and got few requests for that time. A registration that has not changed is now ignored.

--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -210,6 +210,10 @@
         }
 
         private void update(PublishedBackend published, long nowNanos) {
+            if (published.equals(mPublished)) {
+                // Read once more, so the time that it stays cold began earlier.
+                return;
+            }
             mPublished = published;
             mColdUntilNanos = nowNanos + Clock.boundedNanos(published.coldLeft());
         }
