Keep changes of later pages when the items of a new era are taken over

After a restore, the last change was taken to be the revision of the first page. An item on a later page that was written meanwhile has a higher one, and an entry of the same era that asked for changes was told that there are none (found by reading).

--- a/decision/src/main/java/org/bulrushvale/decision/forward/PublishedItems.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/PublishedItems.java
@@ -89,7 +89,11 @@
         mItems.clear();
         update.items().forEach(item -> mItems.put(item.key(), item));
         mRevision = update.revision();
-        mLastChangeRevision = update.revision().number();
+        // Later pages may list items that changed after the revision of the first one.
+        mLastChangeRevision =
+                update.items().stream()
+                        .mapToLong(PublishedItem::revision)
+                        .reduce(update.revision().number(), Math::max);
         mForgottenRevision = update.revision().number();
         changed.sort((a, b) -> Long.compare(a.revision(), b.revision()));
         return changed;
