Keep the links over which stream origins are copied

At a few streams a second the pauses between copies exceed 150 ms, so each copy dialled its link again, at about 0.7 KB. A message of a series keeps its link; the test of the transport covers it, and the codec test the new messages.

--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/DialledPeer.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/DialledPeer.java
@@ -62,6 +62,11 @@
         mUsesOfLink++;
     }
 
+    /** Lets the link count as one that carried more than {@code uses} frames. */
+    void recordSeries(int uses) {
+        mUsesOfLink = Math.max(mUsesOfLink, uses + 1);
+    }
+
     /** Returns the number of frames sent since the link was dialled, other than heartbeats. */
     int usesOfLink() {
         return mUsesOfLink;
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerMessage.java
@@ -20,6 +20,11 @@
  * <p>Invariant: byte arrays are not changed after construction. Thread safety: immutable.
  */
 public sealed interface PeerMessage {
+    /** Returns true when further messages to the same process follow soon. */
+    default boolean isSeries() {
+        return false;
+    }
+
     /**
      * State that each process sends periodically; ages are in milliseconds.
      *
@@ -274,6 +279,11 @@
         public StreamOriginCopies {
             groups = List.copyOf(groups);
         }
+
+        @Override
+        public boolean isSeries() {
+            return true;
+        }
     }
 
     /**
--- a/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerReactor.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/peer/PeerReactor.java
@@ -136,12 +136,9 @@
             return answer;
         }
         long deadlineNanos = nowNanos() + timeout.toNanos();
-        enqueueTask(
-                () ->
-                        submit(
-                                vm,
-                                OutboundFrame.request(
-                                        bytes, budget, correlation, deadlineNanos, answer)));
+        OutboundFrame frame =
+                OutboundFrame.request(bytes, budget, correlation, deadlineNanos, answer);
+        enqueueTask(() -> submit(vm, frame, message.isSeries()));
         return answer;
     }
 
@@ -252,6 +249,15 @@
         runTasks();
     }
 
+    private void submit(String vm, OutboundFrame frame, boolean series) {
+        submit(vm, frame);
+        DialledPeer peer = mPeers.get(vm);
+        if (series && peer != null) {
+            // To dial a link again for each message costs more than its heartbeats.
+            peer.recordSeries(mSettings.mBriefUses);
+        }
+    }
+
     private void submit(String vm, OutboundFrame frame) {
         DialledPeer peer =
                 mPeers.computeIfAbsent(
--- a/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerCodecTest.java
@@ -15,6 +15,7 @@
 import org.bulrushvale.decision.forward.PublishedItems;
 import org.bulrushvale.decision.forward.StatedRate;
 import org.bulrushvale.decision.forward.StoreRevision;
+import org.bulrushvale.decision.forward.StreamOrigin;
 import org.bulrushvale.decision.retry.ContentFingerprint;
 import org.bulrushvale.decision.retry.CrashRecord;
 import org.bulrushvale.kernel.verdict.Verdict;
@@ -28,6 +29,9 @@
     private static final PeerMessage.PoisonState POISON =
             new PeerMessage.PoisonState("ff01", List.of("s/e", "t/e"), List.of("s/e"), true, 900);
 
+    private static final PeerMessage.OriginGroup ORIGINS =
+            new PeerMessage.OriginGroup(new StreamOrigin("pool", "1"), List.of(7L, Long.MAX_VALUE));
+
     private static final PeerMessage.PublishedChanges PUBLISHED_CHANGES =
             new PeerMessage.PublishedChanges(
                     120,
@@ -76,6 +80,9 @@
                 new PeerMessage.MemberList(
                         List.of(new PeerMessage.Member("m", "como", true, false, 5, 75)))
             },
+            {new PeerMessage.StreamOriginCopies(List.of(ORIGINS))},
+            {new PeerMessage.StreamOriginQuery("pool", List.of(1L, Long.MIN_VALUE))},
+            {new PeerMessage.StreamOriginAnswer(List.of(ORIGINS), List.of("1", "2"), true)},
             {
                 new PeerMessage.PublishedFetch(
                         List.of(new PeerMessage.KnownRevision("op/", StoreRevision.NONE)))
--- a/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerTransportTest.java
+++ b/adapters/src/test/java/org/bulrushvale/adapters/peer/PeerTransportTest.java
@@ -250,6 +250,25 @@
         assertThat(verdictOfFailure(a.request("b", FETCH, TIMEOUT))).isEqualTo(Verdict.NOT_RUN);
     }
 
+    @Test
+    public void a_link_that_carries_a_series_of_messages_is_kept() throws Exception {
+        PeerTransport a =
+                start(
+                        node("a")
+                                .idleLimit(Duration.ofMinutes(5))
+                                .briefIdleLimit(2, Duration.ofMillis(50))
+                                .backoff(Duration.ofMinutes(1), Duration.ofMinutes(1)));
+        PeerMessage copies = new PeerMessage.StreamOriginCopies(List.of());
+        assertThat(a.request("b", copies, TIMEOUT).get(20, TimeUnit.SECONDS)).isEqualTo(ACK);
+        TimeUnit.SECONDS.sleep(1);
+        // The fault closes the link that is still there, and the next request waits for the
+        // backoff.
+        mServer.injectFault("a", LinkFault.CLOSED);
+        mServer.injectFault("a", LinkFault.NONE);
+        TimeUnit.SECONDS.sleep(1);
+        assertThat(verdictOfFailure(a.request("b", FETCH, TIMEOUT))).isEqualTo(Verdict.NOT_RUN);
+    }
+
     @Test
     public void a_silent_link_is_detected_and_replaced() throws Exception {
         PeerTransport a = start(nodeWithShortSilenceLimit("a"));
