--- a/decision/src/main/java/org/bulrushvale/decision/forward/StreamOrigins.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StreamOrigins.java
@@ -69,10 +69,5 @@
                 .map(Kept::origin);
     }
 
-    /** Returns the number of origins. */
-    public int size() {
-        return mOrigins.size();
-    }
-
     private record Kept(StreamOrigin origin, long recordedNanos) {}
 }
