Show that the last machine stops answering when its heap is full

Cause: EventLoop.runSafely does not catch an OutOfMemoryError, so it ends the thread of the event loop through the Disruptor's default handler; the heap fills because nothing limits what answers in progress occupy. The process then goes on without its loop, or ends by itself.

What the case does: four entries, four runners, 480 clients that read documents of 256 KiB; three of the four machines are lost at once. CONFIG is broken when eight or more, and over a quarter, of the requests to the machine that is left that last longer than the timeout of their route have no final answer half a second after it.

Case 11 takes the timeout as an argument now.

--- a/review/standins-3/WholeAnswers.java
+++ b/review/standins-3/WholeAnswers.java
@@ -1,5 +1,6 @@
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -7,37 +8,56 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Clients read documents of 1 MiB through four entries. With trouble, three of the four machines
- * are lost, and their clients come back to the one that is left. Checked is MIXED: a client that
- * gets a success gets the whole body of the runner.
+ * Clients read documents through four entries. With trouble, three of the four machines are lost,
+ * and their clients come back to the one that is left. Checked is one of two rules: MIXED, a client
+ * that gets a success gets the whole body of the runner; or CONFIG, of the requests to the machine
+ * that is left which last longer than the timeout of their route, not eight and over a quarter have
+ * no final answer half a second after it.
  */
 final class WholeAnswers extends Case {
     private static final int ENTRIES = 4;
-    private static final int CLIENTS = 100;
-    private static final int DOCUMENT_BYTES = 1 << 20;
-    private static final int PIECE_BYTES = 64 << 10;
+    private static final int LATE_MS = 500;
+    private static final int MANY = 8;
+    private static final int PIECES = 16;
     private static final int PIECE_MS = 125;
     private static final int DEADLINE_MS = 6_000;
     private static final long RUN_MS = 20_000;
     private static final long LOSS_AT_MS = 8_000;
 
+    private final String rule;
+    private final int clients;
+    private final int documentBytes;
+    private final int timeoutMs;
     private final List<Entry> entries = new ArrayList<>();
     private final AtomicInteger sent = new AtomicInteger();
     private final AtomicInteger whole = new AtomicInteger();
     private final AtomicInteger mixed = new AtomicInteger();
+    private final AtomicInteger beyondTimeout = new AtomicInteger();
+    private final AtomicInteger unanswered = new AtomicInteger();
     private final AtomicInteger failed = new AtomicInteger();
 
-    private WholeAnswers(Path folder) throws Exception {
+    private WholeAnswers(Path folder, String rule, int clients, int documentBytes, int timeoutMs)
+            throws Exception {
         super(folder);
+        this.rule = rule;
+        this.clients = clients;
+        this.documentBytes = documentBytes;
+        this.timeoutMs = timeoutMs;
     }
 
     public static void main(String[] args) throws Exception {
-        exit(new WholeAnswers(Path.of(args[0])));
+        exit(
+                new WholeAnswers(
+                        Path.of(args[0]),
+                        args[1],
+                        Integer.parseInt(args[2]),
+                        Integer.parseInt(args[3]),
+                        Integer.parseInt(args[4])));
     }
 
     /** The document of an attempt: no two bytes at a distance of a piece are the same. */
-    private static byte[] document(String attempt) {
-        byte[] bytes = new byte[DOCUMENT_BYTES];
+    private byte[] document(String attempt) {
+        byte[] bytes = new byte[documentBytes];
         int seed = attempt.hashCode();
         for (int i = 0; i < bytes.length; i++) {
             bytes[i] = (byte) (seed + i + i / 251);
@@ -45,14 +65,15 @@
         return bytes;
     }
 
-    /** Works 86 ms, then writes the document in pieces over two seconds, 4 Mbit/s. */
-    private static void serveDocument(Runner runner, Wire.Message request, Socket socket)
+    /** Works 86 ms, then writes the document in pieces over two seconds. */
+    private void serveDocument(Runner runner, Wire.Message request, Socket socket)
             throws Exception {
+        String attempt = request.header("Attempt-Id");
         Thread.sleep(86);
-        byte[] body = document(request.header("Attempt-Id"));
+        byte[] body = document(attempt);
         byte[] answer = Wire.response(200, runner.headers(request), body);
-        for (int begin = 0; begin < answer.length; begin += PIECE_BYTES) {
-            int end = Math.min(answer.length, begin + PIECE_BYTES);
+        for (int begin = 0; begin < answer.length; begin += documentBytes / PIECES) {
+            int end = Math.min(answer.length, begin + documentBytes / PIECES);
             Runner.write(socket, Arrays.copyOfRange(answer, begin, end));
             Thread.sleep(PIECE_MS);
         }
@@ -65,13 +86,13 @@
             String zone = i % 2 == 0 ? "zone-a" : "zone-b";
             String host = "127.0.11." + (101 + i);
             Runner runner =
-                    keep(new Runner("desk-" + i, "desk", zone, "1", host, 0, WholeAnswers::serveDocument));
+                    keep(new Runner("desk-" + i, "desk", zone, "1", host, 0, this::serveDocument));
             runner.register(store, "ready");
             beat(runner, store);
         }
         store.put(
                 "op/config",
-                config(7, route("/look/", "safe", "desk", DEADLINE_MS, 2, ""), service("desk")));
+                config(7, route("/look/", "safe", "desk", timeoutMs, 2, ""), service("desk")));
         Entry.Ports ports = Entry.freePorts("127.0.11.11");
         String seeds = "127.0.11.11:" + ports.control() + ",127.0.11.12:" + ports.control();
         for (int i = 0; i < ENTRIES; i++) {
@@ -85,7 +106,7 @@
         }
         Thread.sleep(2_000);
         long begin = record.millis();
-        for (int i = 0; i < CLIENTS; i++) {
+        for (int i = 0; i < clients; i++) {
             int client = i;
             Threads.start("client", () -> runClient(client, begin + RUN_MS));
         }
@@ -98,12 +119,19 @@
             record.line("machines 1 to 3 lost");
         }
         Thread.sleep(RUN_MS - LOSS_AT_MS + DEADLINE_MS);
+        Entry left = entries.get(0);
+        record.line(
+                "the machine that is left: readiness "
+                        + left.readiness()
+                        + (left.isAlive() ? ", process runs" : ", process has ended by itself"));
         record.line("at the end: " + counts());
         System.out.println(counts());
-        if (whole.get() < CLIENTS) {
+        if (whole.get() < clients) {
             return NOT_RUN;
         }
-        return mixed.get() > 0 ? BROKEN : HELD;
+        boolean manyLate = unanswered.get() >= MANY && unanswered.get() * 4 > beyondTimeout.get();
+        boolean broken = rule.equals("MIXED") ? mixed.get() > 0 : manyLate;
+        return broken ? BROKEN : HELD;
     }
 
     private void beat(Runner runner, Store store) {
@@ -124,6 +152,10 @@
                 + whole
                 + ", answered with another body "
                 + mixed
+                + ", at the machine that is left beyond the timeout "
+                + beyondTimeout
+                + " and without an answer half a second later "
+                + unanswered
                 + ", failed "
                 + failed;
     }
@@ -142,6 +174,8 @@
                         channel = connect(home + attempt);
                     }
                     done = read(channel, id);
+                } catch (SocketTimeoutException e) {
+                    record.line(id + " abandoned at its deadline");
                 } catch (IOException e) {
                     record.line(id + " failed: " + e.getMessage());
                 }
@@ -157,6 +191,10 @@
         }
     }
 
+    private boolean isLeft(Client channel) {
+        return channel.socket.getInetAddress().getHostAddress().equals(entries.get(0).host);
+    }
+
     /** The platform forwards a new channel to a machine that is there. */
     private Client connect(int preferred) throws IOException {
         for (int i = 0; i < ENTRIES; i++) {
@@ -171,8 +209,20 @@
     private boolean read(Client channel, String id) throws IOException {
         sent.incrementAndGet();
         record.line(id + " sent");
-        channel.send("GET", "/look/document", id, DEADLINE_MS, "", new byte[0]);
-        Wire.Message answer = channel.answer();
+        long sentMs = record.millis();
+        Wire.Message answer;
+        try {
+            channel.send("GET", "/look/document", id, DEADLINE_MS, "", new byte[0]);
+            answer = channel.answer();
+        } finally {
+            long tookMs = record.millis() - sentMs;
+            if (tookMs >= timeoutMs && isLeft(channel)) {
+                beyondTimeout.incrementAndGet();
+                if (tookMs >= timeoutMs + LATE_MS) {
+                    unanswered.incrementAndGet();
+                }
+            }
+        }
         if (answer == null) {
             throw new IOException("closed");
         }
