Show streams taken up at a runner that came back with another version

Cause: the software version of a runner is taken from its last known registration, also after the entry has seen its process crash. A stream that is bound to a version is sent to the process that came back under the same id with another version, until the new registration is read.

What the case does: seven runners, two of them with version 1 crash and are back one second later under their ids with version 2, registered before they serve; four entries, 320 clients that take up their broken streams. ORDER is broken when more than two streams hold events of two versions.

--- a/review/standins-3/Runner.java
+++ b/review/standins-3/Runner.java
@@ -33,7 +33,13 @@
         this.version = version;
         this.work = work;
         listener = Threads.listen(host, port);
+    }
+
+    /** Registers, then begins to serve. */
+    Runner begin(Store store) {
+        register(store, "ready");
         Threads.accept(listener, this::serve);
+        return this;
     }
 
     String address() {
@@ -89,6 +95,10 @@
         out.flush();
     }
 
+    boolean isUp() {
+        return !listener.isClosed();
+    }
+
     /** Ends as a killed process does: the listener and all connections close. */
     void crash() {
         Threads.closeQuietly(listener);
--- a/review/standins-3/WholeAnswers.java
+++ b/review/standins-3/WholeAnswers.java
@@ -87,7 +87,7 @@
             String host = "127.0.11." + (101 + i);
             Runner runner =
                     keep(new Runner("desk-" + i, "desk", zone, "1", host, 0, this::serveDocument));
-            runner.register(store, "ready");
+            runner.begin(store);
             beat(runner, store);
         }
         store.put(
