Show answers with missing pieces after the loss of one zone of two

Cases 11 and 12 name the machines that are lost as an argument, and their clients respect an announced close.

--- a/review/standins-3/Client.java
+++ b/review/standins-3/Client.java
@@ -9,6 +9,9 @@
     final Socket socket = new Socket();
     final InputStream in;
 
+    /** True when the machine has announced that it closes the channel. */
+    boolean closing;
+
     Client(String host, int port, int timeoutMs) throws IOException {
         socket.connect(new InetSocketAddress(host, port), 1_000);
         socket.setTcpNoDelay(true);
--- a/review/standins-3/WholeAnswers.java
+++ b/review/standins-3/WholeAnswers.java
@@ -8,10 +8,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Clients read documents through four entries. With trouble, three of the four machines are lost,
- * and their clients come back to the one that is left. Checked is one of two rules: MIXED, a client
- * that gets a success gets the whole body of the runner; or CONFIG, of the requests to the machine
- * that is left which last longer than the timeout of their route, not eight and over a quarter have
+ * Clients read documents through four entries. With trouble, some of the four machines are lost at
+ * once, and their clients come back to those that are left. Checked is one of two rules: MIXED, a client
+ * that gets a success gets the whole body of the runner; or CONFIG, of the requests to the machines
+ * that are left which last longer than the timeout of their route, not eight and over a quarter have
  * no final answer half a second after it.
  */
 final class WholeAnswers extends Case {
@@ -28,6 +28,7 @@
     private final int clients;
     private final int documentBytes;
     private final int timeoutMs;
+    private final List<Integer> lost = new ArrayList<>();
     private final List<Entry> entries = new ArrayList<>();
     private final AtomicInteger sent = new AtomicInteger();
     private final AtomicInteger whole = new AtomicInteger();
@@ -36,13 +37,16 @@
     private final AtomicInteger unanswered = new AtomicInteger();
     private final AtomicInteger failed = new AtomicInteger();
 
-    private WholeAnswers(Path folder, String rule, int clients, int documentBytes, int timeoutMs)
+    private WholeAnswers(Path folder, String rule, int clients, int documentBytes, int timeoutMs, String lost)
             throws Exception {
         super(folder);
         this.rule = rule;
         this.clients = clients;
         this.documentBytes = documentBytes;
         this.timeoutMs = timeoutMs;
+        for (String number : lost.split(",")) {
+            this.lost.add(Integer.parseInt(number));
+        }
     }
 
     public static void main(String[] args) throws Exception {
@@ -52,7 +56,8 @@
                         args[1],
                         Integer.parseInt(args[2]),
                         Integer.parseInt(args[3]),
-                        Integer.parseInt(args[4])));
+                        Integer.parseInt(args[4]),
+                        args[5]));
     }
 
     /** The document of an attempt: no two bytes at a distance of a piece are the same. */
@@ -113,17 +118,23 @@
         Thread.sleep(LOSS_AT_MS);
         record.line("before the loss: " + counts());
         if (trouble) {
-            for (int i = 1; i < ENTRIES; i++) {
+            for (int i : lost) {
                 entries.get(i).kill();
             }
-            record.line("machines 1 to 3 lost");
+            record.line("machines " + lost + " lost");
         }
         Thread.sleep(RUN_MS - LOSS_AT_MS + DEADLINE_MS);
-        Entry left = entries.get(0);
-        record.line(
-                "the machine that is left: readiness "
-                        + left.readiness()
-                        + (left.isAlive() ? ", process runs" : ", process has ended by itself"));
+        for (int i = 0; i < ENTRIES; i++) {
+            if (!lost.contains(i)) {
+                Entry left = entries.get(i);
+                record.line(
+                        "machine "
+                                + i
+                                + " is left: readiness "
+                                + left.readiness()
+                                + (left.isAlive() ? ", runs" : ", has ended by itself"));
+            }
+        }
         record.line("at the end: " + counts());
         System.out.println(counts());
         if (whole.get() < clients) {
@@ -152,7 +163,7 @@
                 + whole
                 + ", answered with another body "
                 + mixed
-                + ", at the machine that is left beyond the timeout "
+                + ", at the machines that are left beyond the timeout "
                 + beyondTimeout
                 + " and without an answer half a second later "
                 + unanswered
@@ -181,9 +192,9 @@
                 }
                 if (!done) {
                     failed.incrementAndGet();
-                    if (channel != null) {
-                        channel.close();
-                    }
+                }
+                if (channel != null && (!done || channel.closing)) {
+                    channel.close();
                     channel = null;
                 }
             }
@@ -192,7 +203,8 @@
     }
 
     private boolean isLeft(Client channel) {
-        return channel.socket.getInetAddress().getHostAddress().equals(entries.get(0).host);
+        String host = channel.socket.getInetAddress().getHostAddress();
+        return lost.stream().noneMatch(number -> entries.get(number).host.equals(host));
     }
 
     /** The platform forwards a new channel to a machine that is there. */
@@ -226,6 +238,7 @@
         if (answer == null) {
             throw new IOException("closed");
         }
+        channel.closing = answer.header("Connection").equalsIgnoreCase("close");
         if (answer.status() != 200) {
             record.line(id + " answered " + answer.status());
             return false;
