Show that no stream is taken up after a kill of all entries

Cause: the software version that began a stream is kept in the memory of the entry that served it and of three others.

What the case does: eight runners, four of each of two versions, serve throughout; all four entries are killed once and started again a second later; 160 clients take up their broken streams. LOST is broken when, of 12 or more streams that are taken up at machines in touch, under half of the share of the new streams goes on.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,4 +2,4 @@
 # Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: no disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/run/bulrushvale-entry.jar ] && [ -d target/review-3/classes ] || exit 2
-exec java -Xmx1500m -cp target/review-3/classes WholeAnswers review/12 CONFIG 480 262144 3000 1,2,3
+exec java -Xmx1g -cp target/review-3/classes TakenUpAfterLoss review/12
