--- a/review/standins-3/Case.java
+++ b/review/standins-3/Case.java
@@ -17,6 +17,9 @@
     Case(Path folder) throws Exception {
         temporary = Files.createTempDirectory("bulrushvale-review-3");
         record = new Record(folder.resolve("record.txt"));
+        // For a run that is ended from outside; a run that ends by itself does this in exit().
+        Thread end = new Thread(() -> started.forEach(Threads::closeQuietly));
+        Runtime.getRuntime().addShutdownHook(end);
         record.line("trouble " + trouble + ", machine " + System.getProperty("os.arch"));
     }
 
