Keep the origin of a stream at each service that it passes through

Cause: StreamOrigins had one origin for a stream. Copies of the origin at the earlier service replaced the one at the later service, and an origin at another service counted as an answer, so that the request was bound to nothing. When the route comes back, both services bind the stream.

A stream now has an origin at each service. Recording adds, so the order of copies does not matter; copies and answers hold all of them. Only an origin at the present service ends a query; a stream counts as new to the service when all entries but at most two have answered, because four know an origin.

StreamOriginExchangeTest covers the order of copies and missing answers.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamOriginExchange.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamOriginExchange.java
@@ -23,24 +23,24 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Tells which software version began a stream that a caller takes up, also when another entry
- * served its beginning.
+ * Tells which software version a stream that a caller takes up is bound to at a service, also when
+ * other entries served the stream before.
  *
  * <p>While a service has one version for certain, nothing is exchanged. Otherwise an entry copies
  * the origins of its open streams to {@value #HOLDERS} other entries, the same ones for all its
  * streams, so that the cost of an entry does not grow with the fleet; an entry at which a stream is
  * taken up asks all others, which is rare.
  *
- * <p>Invariant: an origin is reported only when it was recorded, or when a service has had one
- * version for longer than a stream lasts; it is never guessed. Thread safety: used on the event
- * loop.
+ * <p>Invariants: an origin is reported only when it was recorded, or when a service has had one
+ * version for longer than a stream lasts; it is never guessed. A stream counts as new to a service
+ * only when its origin elsewhere is known and so many entries have answered that one of those that
+ * would hold its origin at the service is among them. Thread safety: used on the event loop.
  */
 final class StreamOriginExchange {
     static final int HOLDERS = 3;
 
     // At 24 streams a second this is 2.4 KB/s to all holders; an entry that dies loses the origins
-    // of
-    // the streams that began in the last period.
+    // of the streams that began in the last period.
     private static final Duration COPY_PERIOD = Duration.ofMillis(150);
     private static final Duration COPY_TIMEOUT = Duration.ofSeconds(1);
 
@@ -92,7 +92,7 @@
     /** Records that the caller received the first event of a stream, or one after a take-up. */
     void recordEvent(long stream, StreamOrigin origin) {
         mOrigins.record(stream, origin);
-        mOpen.put(stream, new OpenStream(origin, ++mLastNumber, mClock.monotonicNanos()));
+        mOpen.put(stream, new OpenStream(++mLastNumber, mClock.monotonicNanos()));
     }
 
     /** Records that the caller received a stream completely. */
@@ -102,13 +102,13 @@
     }
 
     /**
-     * Finds what began a stream; {@code onFound} receives nothing when no entry knows it, at the
-     * latest after {@link MemberTable#JOIN_TIME} and a timeout of 300 ms.
+     * Finds what a stream is bound to at a service; {@code onFound} is called at the latest after
+     * {@link MemberTable#JOIN_TIME} and a timeout of 300 ms.
      */
-    void find(long stream, String service, Consumer<Optional<StreamOrigin>> onFound) {
-        Optional<StreamOrigin> known = mOrigins.find(stream).or(() -> onlyOrigin(service));
+    void find(long stream, String service, Consumer<Binding> onFound) {
+        Optional<StreamOrigin> known = mOrigins.find(stream, service).or(() -> onlyOrigin(service));
         if (known.isPresent()) {
-            onFound.accept(known);
+            onFound.accept(Binding.to(known.get()));
             return;
         }
         Query gathering = mGathering.get(service);
@@ -120,6 +120,25 @@
         gathering.add(stream, onFound);
     }
 
+    /**
+     * What is known of a stream at a service.
+     *
+     * <p>Thread safety: immutable.
+     *
+     * @param origin the version that the stream must go on at; empty when there is none
+     * @param known false when nothing tells whether the stream has been at the service
+     */
+    record Binding(Optional<StreamOrigin> origin, boolean known) {
+        static final Binding UNKNOWN = new Binding(Optional.empty(), false);
+
+        /** The stream has no event from the service yet, so any version can go on. */
+        static final Binding NONE = new Binding(Optional.empty(), true);
+
+        static Binding to(StreamOrigin origin) {
+            return new Binding(Optional.of(origin), true);
+        }
+    }
+
     /** Returns the origin of all streams of a service that can still be taken up. */
     private Optional<StreamOrigin> onlyOrigin(String service) {
         List<String> versions = mVersions.recent(service);
@@ -144,19 +163,17 @@
     }
 
     private void updateCertainServices() {
-        Set<String> certain = new HashSet<>();
-        for (OpenStream open : mOpen.values()) {
-            String service = open.origin().service();
-            if (!certain.contains(service) && onlyOrigin(service).isPresent()) {
-                certain.add(service);
-            }
+        Set<String> services = new HashSet<>();
+        for (long stream : mOpen.keySet()) {
+            mOrigins.find(stream).forEach(origin -> services.add(origin.service()));
         }
-        if (!certain.containsAll(mCertainServices)) {
+        services.removeIf(service -> onlyOrigin(service).isEmpty());
+        if (!services.containsAll(mCertainServices)) {
             // The open streams of a service with a new version were not copied so far.
             mCopiedNumbers.clear();
         }
         mCertainServices.clear();
-        mCertainServices.addAll(certain);
+        mCertainServices.addAll(services);
     }
 
     private List<String> holders() {
@@ -179,12 +196,11 @@
         Map<StreamOrigin, List<Long>> groups = new LinkedHashMap<>();
         mOpen.forEach(
                 (stream, open) -> {
-                    if (open.number() > copied
-                            && !mCertainServices.contains(open.origin().service())) {
-                        groups.computeIfAbsent(open.origin(), origin -> new ArrayList<>())
-                                .add(stream);
+                    if (open.number() > copied) {
+                        addOrigins(stream, groups);
                     }
                 });
+        groups.keySet().removeIf(origin -> mCertainServices.contains(origin.service()));
         if (groups.isEmpty()) {
             return;
         }
@@ -196,6 +212,12 @@
                 answer -> onCopied(holder, answer));
     }
 
+    private void addOrigins(long stream, Map<StreamOrigin, List<Long>> groups) {
+        for (StreamOrigin origin : mOrigins.find(stream)) {
+            groups.computeIfAbsent(origin, key -> new ArrayList<>()).add(stream);
+        }
+    }
+
     private static List<PeerMessage.OriginGroup> toGroups(Map<StreamOrigin, List<Long>> groups) {
         return groups.entrySet().stream()
                 .map(group -> new PeerMessage.OriginGroup(group.getKey(), group.getValue()))
@@ -224,13 +246,7 @@
     /** Returns what this entry knows of streams that are taken up at another one. */
     PeerMessage answer(PeerMessage.StreamOriginQuery query) {
         Map<StreamOrigin, List<Long>> found = new LinkedHashMap<>();
-        for (long stream : query.streams()) {
-            mOrigins.find(stream)
-                    .ifPresent(
-                            origin ->
-                                    found.computeIfAbsent(origin, key -> new ArrayList<>())
-                                            .add(stream));
-        }
+        query.streams().forEach(stream -> addOrigins(stream, found));
         return new PeerMessage.StreamOriginAnswer(
                 toGroups(found), mVersions.recent(query.service()), mVersions.isComplete());
     }
@@ -240,7 +256,7 @@
      *
      * @param number rises with each stream that is recorded
      */
-    private record OpenStream(StreamOrigin origin, long number, long sinceNanos) {}
+    private record OpenStream(long number, long sinceNanos) {}
 
     /**
      * One question to all other entries about streams of a service.
@@ -249,16 +265,17 @@
      */
     private final class Query {
         private final String mService;
-        private final Map<Long, List<Consumer<Optional<StreamOrigin>>>> mWaiting = new HashMap<>();
+        private final Map<Long, List<Consumer<Binding>>> mWaiting = new HashMap<>();
         private final Set<String> mKnownVersions = new HashSet<>();
         private boolean mComplete;
         private int mMissingAnswers;
+        private int mFailedAnswers;
 
         Query(String service) {
             mService = service;
         }
 
-        void add(long stream, Consumer<Optional<StreamOrigin>> onFound) {
+        void add(long stream, Consumer<Binding> onFound) {
             mWaiting.computeIfAbsent(stream, key -> new ArrayList<>()).add(onFound);
         }
 
@@ -284,37 +301,42 @@
             mMissingAnswers--;
             if (message instanceof PeerMessage.StreamOriginAnswer answer) {
                 recordGroups(answer.found());
-                answer.found().forEach(this::deliver);
+                answer.found().forEach(this::deliverIfBound);
                 mKnownVersions.addAll(answer.versions());
                 mComplete |= answer.complete();
+            } else {
+                mFailedAnswers++;
             }
             endIfAnswered();
         }
 
-        private void deliver(PeerMessage.OriginGroup group) {
-            for (long stream : group.streams()) {
-                deliver(stream, Optional.of(group.origin()));
+        private void deliverIfBound(PeerMessage.OriginGroup group) {
+            if (group.origin().service().equals(mService)) {
+                group.streams().forEach(stream -> deliver(stream, Binding.to(group.origin())));
             }
         }
 
-        private void deliver(long stream, Optional<StreamOrigin> origin) {
-            List<Consumer<Optional<StreamOrigin>>> waiting = mWaiting.remove(stream);
+        private void deliver(long stream, Binding binding) {
+            List<Consumer<Binding>> waiting = mWaiting.remove(stream);
             if (waiting != null) {
-                waiting.forEach(onFound -> onFound.accept(origin));
+                waiting.forEach(onFound -> onFound.accept(binding));
             }
         }
 
         private void endIfAnswered() {
-            if (mMissingAnswers > 0) {
-                return;
+            if (mMissingAnswers == 0) {
+                List.copyOf(mWaiting.keySet()).forEach(stream -> deliver(stream, unbound(stream)));
+            }
+        }
+
+        /** Returns what holds for a stream of which no entry knows an origin at the service. */
+        private Binding unbound(long stream) {
+            if (mComplete && mKnownVersions.size() == 1) {
+                String version = mKnownVersions.iterator().next();
+                return Binding.to(new StreamOrigin(mService, version));
             }
-            Optional<StreamOrigin> only =
-                    mComplete && mKnownVersions.size() == 1
-                            ? mKnownVersions.stream()
-                                    .findAny()
-                                    .map(version -> new StreamOrigin(mService, version))
-                            : Optional.empty();
-            List.copyOf(mWaiting.keySet()).forEach(stream -> deliver(stream, only));
+            boolean isElsewhere = !mOrigins.find(stream).isEmpty();
+            return isElsewhere && mFailedAnswers < HOLDERS ? Binding.NONE : Binding.UNKNOWN;
         }
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamResumption.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamResumption.java
@@ -11,7 +11,7 @@
 
 /**
  * Keeps a stream at the software version that began it, within one answer and over the attempts of
- * its caller.
+ * its caller; after its route was moved, at the version that began it at each of the services.
  *
  * <p>Invariant: a stream that is taken up is bound to its version before it is sent to a server.
  * Thread safety: used on the event loop.
@@ -64,15 +64,14 @@
         }
         mServices
                 .streamOrigins()
-                .find(mStream, mService, origin -> onResult.accept(bindTo(origin)));
+                .find(mStream, mService, binding -> onResult.accept(bindTo(binding)));
     }
 
-    private Optional<String> bindTo(Optional<StreamOrigin> origin) {
-        if (origin.isEmpty()) {
+    private Optional<String> bindTo(StreamOriginExchange.Binding binding) {
+        if (!binding.known()) {
             return unknownVersion();
         }
-        // A route that was moved names the service that goes on instead.
-        mOrigin = origin.filter(found -> found.service().equals(mService));
+        mOrigin = binding.origin();
         mOrigin.ifPresent(bound -> mPlacement.bindToVersion(bound.version()));
         return findObstacle();
     }
--- a/daemon/src/test/java/org/bulrushvale/daemon/forward/StreamOriginExchangeTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/StreamOriginExchangeTest.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +14,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.bulrushvale.adapters.peer.PeerMessage;
+import org.bulrushvale.daemon.forward.StreamOriginExchange.Binding;
 import org.bulrushvale.decision.forward.BackendDirectory;
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.PublishedBackend;
@@ -36,6 +36,7 @@
     private static final String SERVICE = "pool";
     private static final StreamOrigin OLD = new StreamOrigin(SERVICE, "1");
     private static final StreamOrigin NEW = new StreamOrigin(SERVICE, "2");
+    private static final StreamOrigin ELSEWHERE = new StreamOrigin("chat", "1");
     private static final int FLEET = 333;
     private static final long STREAM = 7;
 
@@ -49,7 +50,7 @@
     private final Set<String> mAsked = new HashSet<>();
     private List<PeerMessage.StreamOriginAnswer> mAnswers;
 
-    private record Copy(String holder, Set<Long> streams) {}
+    private record Copy(String holder, Set<Long> streams, Set<StreamOrigin> origins) {}
 
     @BeforeMethod
     public void start() {
@@ -77,8 +78,12 @@
             Consumer<@Nullable PeerMessage> onAnswer) {
         if (message instanceof PeerMessage.StreamOriginCopies copies) {
             Set<Long> streams = new HashSet<>();
-            copies.groups().forEach(group -> streams.addAll(group.streams()));
-            mCopies.add(new Copy(member, streams));
+            Set<StreamOrigin> origins = new HashSet<>();
+            for (PeerMessage.OriginGroup group : copies.groups()) {
+                streams.addAll(group.streams());
+                origins.add(group.origin());
+            }
+            mCopies.add(new Copy(member, streams, origins));
             boolean fails = mFailing.contains(member);
             onAnswer.accept(fails ? null : new PeerMessage.StreamOriginCopies(List.of()));
         } else {
@@ -123,8 +128,8 @@
         }
     }
 
-    private Optional<StreamOrigin> find() throws Exception {
-        CompletableFuture<Optional<StreamOrigin>> found = new CompletableFuture<>();
+    private Binding find() throws Exception {
+        CompletableFuture<Binding> found = new CompletableFuture<>();
         mLoop.execute(() -> mExchange.find(STREAM, SERVICE, found::complete));
         return found.get(5, TimeUnit.SECONDS);
     }
@@ -200,10 +205,9 @@
 
     @DataProvider
     public Object[][] answers() {
-        PeerMessage.OriginGroup group = new PeerMessage.OriginGroup(NEW, List.of(STREAM));
         return new Object[][] {
             // What the other entries answer, and what the origin must be.
-            {List.of(answer(List.of(), true, "1"), answer(List.of(group), false, "1")), NEW},
+            {List.of(answer(List.of(), true, "1"), answer(List.of(group(NEW)), false, "1")), NEW},
             {List.of(answer(List.of(), true, "1"), answer(List.of(), false, "1")), OLD},
             {List.of(answer(List.of(), false, "1"), answer(List.of(), false, "1")), null},
             {List.of(answer(List.of(), true, "1"), answer(List.of(), false, "1", "2")), null},
@@ -211,6 +215,66 @@
         };
     }
 
+    @DataProvider
+    public Object[][] answersAboutMovedStreams() {
+        PeerMessage.StreamOriginAnswer nothing = answer(List.of(), false, "1", "2");
+        return new Object[][] {
+            // What the other entries answer about a stream that is known at an earlier service.
+            {List.of(nothing, answer(List.of(group(NEW)), false, "1")), 0, Binding.to(NEW)},
+            {List.of(answer(List.of(group(ELSEWHERE), group(OLD)), false)), 2, Binding.to(OLD)},
+            {List.of(nothing, nothing), 0, Binding.NONE},
+            // Two entries are missing, but the third holder of an origin would have answered.
+            {List.of(nothing, nothing), 2, Binding.NONE},
+            {List.of(nothing), StreamOriginExchange.HOLDERS, Binding.UNKNOWN},
+        };
+    }
+
+    @Test(dataProvider = "answersAboutMovedStreams")
+    public void an_earlier_service_does_not_hide_the_origin_at_the_present_one(
+            List<PeerMessage.StreamOriginAnswer> answers, int missing, Binding expected)
+            throws Exception {
+        runOnLoop(
+                () -> {
+                    addMembers(answers.size() + missing);
+                    publish("s", "1");
+                    publish("t", "2");
+                    mExchange.receive(
+                            new PeerMessage.StreamOriginCopies(List.of(group(ELSEWHERE))));
+                    mAnswers = answers;
+                });
+        assertThat(find()).isEqualTo(expected);
+    }
+
+    @Test
+    public void origins_at_all_services_are_copied_and_reported_in_whatever_order_they_came()
+            throws Exception {
+        // given a stream that this entry serves, known at another service from a later copy
+        runOnLoop(
+                () -> {
+                    addMembers(8);
+                    publish("s", "1");
+                    mExchange.recordEvent(STREAM, OLD);
+                    mExchange.receive(
+                            new PeerMessage.StreamOriginCopies(List.of(group(ELSEWHERE))));
+                    mExchange.receive(new PeerMessage.StreamOriginCopies(List.of(group(NEW))));
+                });
+        await(() -> mCopies.size() >= StreamOriginExchange.HOLDERS);
+        // then the first origin at a service stays
+        runOnLoop(
+                () -> {
+                    assertThat(mCopies).allMatch(copy -> copy.origins().size() == 2);
+                    PeerMessage answer =
+                            mExchange.answer(
+                                    new PeerMessage.StreamOriginQuery(SERVICE, List.of(STREAM)));
+                    assertThat(((PeerMessage.StreamOriginAnswer) answer).found())
+                            .containsExactlyInAnyOrder(group(OLD), group(ELSEWHERE));
+                });
+    }
+
+    private static PeerMessage.OriginGroup group(StreamOrigin origin) {
+        return new PeerMessage.OriginGroup(origin, List.of(STREAM));
+    }
+
     private static PeerMessage.StreamOriginAnswer answer(
             List<PeerMessage.OriginGroup> found, boolean complete, String... versions) {
         return new PeerMessage.StreamOriginAnswer(found, List.of(versions), complete);
@@ -228,7 +292,8 @@
                     mAnswers = answers;
                 });
         // when, then
-        assertThat(find()).isEqualTo(Optional.ofNullable(origin));
+        Binding expected = origin == null ? Binding.UNKNOWN : Binding.to(origin);
+        assertThat(find()).isEqualTo(expected);
         assertThat(mAsked).hasSize(2);
     }
 
@@ -243,7 +308,7 @@
                     addMembers(2);
                 });
         // when, then
-        assertThat(find()).contains(OLD);
+        assertThat(find().origin()).contains(OLD);
         assertThat(mAsked).isEmpty();
     }
 
@@ -259,8 +324,8 @@
                     mClock.advance(ServiceVersions.STREAM_LIFETIME.minusMillis(1));
                 });
         // when, then
-        assertThat(find()).isEmpty();
+        assertThat(find()).isEqualTo(Binding.UNKNOWN);
         runOnLoop(() -> mClock.advance(Duration.ofMillis(1)));
-        assertThat(find()).contains(OLD);
+        assertThat(find().origin()).contains(OLD);
     }
 }
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StreamOrigin.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StreamOrigin.java
@@ -1,7 +1,7 @@
 package org.bulrushvale.decision.forward;
 
 /**
- * The service and the software version that began a stream.
+ * The software version whose server wrote the first event that a stream has from a service.
  *
  * <p>Thread safety: immutable.
  */
--- a/decision/src/main/java/org/bulrushvale/decision/forward/StreamOrigins.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/StreamOrigins.java
@@ -2,6 +2,7 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import net.openhft.hashing.LongHashFunction;
@@ -10,17 +11,21 @@
 /**
  * The origins of streams that callers may take up, begun at this entry or reported by others.
  *
- * <p>Invariants: an origin changes only when the stream goes on at another service, because its
- * route was moved; it is kept for {@link ServiceVersions#STREAM_LIFETIME} after it was last
- * recorded, unless more than {@value #MAX_ORIGINS} are newer. Thread safety: not safe; used by the
+ * <p>A stream whose route is moved goes on at another service and may come back, so it has an
+ * origin at each service that it has passed through.
+ *
+ * <p>Invariants: the origin of a stream at a service does not change once it is recorded, and the
+ * order in which origins at different services are recorded does not matter; the origins of a
+ * stream are kept for {@link ServiceVersions#STREAM_LIFETIME} after one of them was last recorded,
+ * unless more than {@value #MAX_STREAMS} streams are newer. Thread safety: not safe; used by the
  * event loop.
  */
 public final class StreamOrigins {
-    // About 100 bytes each.
-    private static final int MAX_ORIGINS = 65_536;
+    // About 200 bytes each.
+    private static final int MAX_STREAMS = 65_536;
 
     private final Clock mClock;
-    private final Map<Long, Kept> mOrigins = new LinkedHashMap<>();
+    private final Map<Long, Kept> mStreams = new LinkedHashMap<>();
 
     /** Creates an empty table. */
     public StreamOrigins(Clock clock) {
@@ -36,18 +41,19 @@
         return LongHashFunction.xx().hashChars(workspace + "\n" + attemptId);
     }
 
-    /** Records the origin of a stream; one that is known already is kept for longer. */
+    /** Records the origin of a stream at a service; one that is known there stays as it is. */
     public void record(long stream, StreamOrigin origin) {
         removeExpired();
-        Kept known = mOrigins.remove(stream);
-        boolean isSameService = known != null && known.origin().service().equals(origin.service());
-        StreamOrigin kept = isSameService ? known.origin() : origin;
-        mOrigins.put(stream, new Kept(kept, mClock.monotonicNanos()));
+        Kept known = mStreams.remove(stream);
+        Map<String, StreamOrigin> byService =
+                known == null || isExpired(known) ? new LinkedHashMap<>() : known.byService();
+        byService.putIfAbsent(origin.service(), origin);
+        mStreams.put(stream, new Kept(byService, mClock.monotonicNanos()));
     }
 
     private void removeExpired() {
-        Iterator<Kept> oldest = mOrigins.values().iterator();
-        while (oldest.hasNext() && (isExpired(oldest.next()) || mOrigins.size() >= MAX_ORIGINS)) {
+        Iterator<Kept> oldest = mStreams.values().iterator();
+        while (oldest.hasNext() && (isExpired(oldest.next()) || mStreams.size() >= MAX_STREAMS)) {
             oldest.remove();
         }
     }
@@ -59,15 +65,19 @@
 
     /** Forgets a stream that its caller has received completely. */
     public void remove(long stream) {
-        mOrigins.remove(stream);
+        mStreams.remove(stream);
+    }
+
+    /** Returns the origins of a stream at all services; empty when the stream is not known. */
+    public List<StreamOrigin> find(long stream) {
+        Kept kept = mStreams.get(stream);
+        return kept == null || isExpired(kept) ? List.of() : List.copyOf(kept.byService().values());
     }
 
-    /** Returns the origin of a stream; empty when it is not known. */
-    public Optional<StreamOrigin> find(long stream) {
-        return Optional.ofNullable(mOrigins.get(stream))
-                .filter(kept -> !isExpired(kept))
-                .map(Kept::origin);
+    /** Returns the origin of a stream at a service; empty when none is known there. */
+    public Optional<StreamOrigin> find(long stream, String service) {
+        return find(stream).stream().filter(origin -> origin.service().equals(service)).findAny();
     }
 
-    private record Kept(StreamOrigin origin, long recordedNanos) {}
+    private record Kept(Map<String, StreamOrigin> byService, long recordedNanos) {}
 }
