Bound how long removed servers are kept while the store refuses reads

Cause: a failed read, or the word of the entry that reads for this one, counted as an outage of the store, after which servers that vanish are kept for lapse_ms (1.8 s). Entries that are read for notice the removal up to 1.4 s later, when they read the store themselves, and the retention came on top.

A server that vanished cannot have been removed before the last confirmed state that still showed it. As long as that state is younger than the freshness, the server is now kept only until the state is nine tenths as old. After a longer gap, an outage, servers are kept as before.

Evidence: RefusedReadsTest, 6 of 8 cases of its two tests failed before (with statuses 503 and 429, a reset and no answer), all pass; its third test checks that servers whose registrations expired in an outage are still kept. RestoredStoreTest, SilentStoreTest, StoreReadsTest and LeavingAndPausedServersTest pass.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -94,6 +94,7 @@
                         mLoop,
                         mClock,
                         settings.fleet().vanishedServerRetention(),
+                        settings.fleet().freshness(),
                         mLog,
                         this::onPublished);
         MemberTable members = FleetStageExecutor.createMemberTable(settings, mClock);
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
@@ -21,13 +21,16 @@
  * <p>Servers that vanish while the store is unreachable, or within the retention time after that,
  * are kept for the retention time: their entries in the store may have expired during the outage
  * and come back. The same holds, for half of that time, after the store was restored from a copy,
- * which lacks what was written last.
+ * which lacks what was written last. Reads also fail when the store refuses one entry and serves
+ * the others. As long as the state was confirmed within the freshness, a server that vanished is
+ * therefore kept only until the last state that showed it is almost that old.
  *
- * <p>Invariants: the version of the configuration never decreases; within {@link #RESTORE_PERIOD}
- * after a restore of the store, a server that was known to leave or to have left is not used unless
- * it registered anew, and a failure domain stays evacuated unless it is taken back explicitly.
- * Thread safety: the listener methods may be called from any thread; everything else is used on the
- * event loop.
+ * <p>Invariants: a server that was removed while the state is confirmed in time is not used for
+ * longer than the freshness; the version of the configuration never decreases; within {@link
+ * #RESTORE_PERIOD} after a restore of the store, a server that was known to leave or to have left
+ * is not used unless it registered anew, and a failure domain stays evacuated unless it is taken
+ * back explicitly. Thread safety: the listener methods may be called from any thread; everything
+ * else is used on the event loop.
  */
 final class PublishedState implements PublishedStateWatcher.Listener {
     /**
@@ -39,6 +42,7 @@
     private final EventLoop mLoop;
     private final Clock mClock;
     private final Duration mVanishedServerRetention;
+    private final Duration mFreshness;
     private final DecisionLog mLog;
     private final BackendDirectory mDirectory;
     private final Runnable mOnChange;
@@ -52,16 +56,27 @@
     private boolean mRestored;
     private boolean mReachable = true;
     private long mReachableSinceNanos;
+    private boolean mConfirmed;
+    private long mConfirmedNanos;
 
+    /**
+     * Creates a state that knows nothing.
+     *
+     * @param vanishedServerRetention time for which servers that vanish around an outage of the
+     *     store are kept
+     * @param freshness time within which a published change must take effect
+     */
     PublishedState(
             EventLoop loop,
             Clock clock,
             Duration vanishedServerRetention,
+            Duration freshness,
             DecisionLog log,
             Runnable onChange) {
         mLoop = loop;
         mClock = clock;
         mVanishedServerRetention = vanishedServerRetention;
+        mFreshness = freshness;
         mLog = log;
         mDirectory = new BackendDirectory(clock);
         mOnChange = onChange;
@@ -220,6 +235,21 @@
                 });
     }
 
+    /**
+     * Records that the store confirmed the whole state; called after what the state contains was
+     * passed on.
+     *
+     * @param age time since the confirmation
+     */
+    void confirmed(Duration age) {
+        long confirmedNanos = mClock.nanosBefore(age);
+        mLoop.execute(
+                () -> {
+                    mConfirmed = true;
+                    mConfirmedNanos = confirmedNanos;
+                });
+    }
+
     private void put(PublishedBackend server) {
         if (mBeforeRestore.withhold(server)) {
             mLog.line("server_withheld")
@@ -238,9 +268,13 @@
             remove(id);
             return;
         }
-        if (mVanishedIds.add(id)) {
+        Duration kept = timeToKeepVanished();
+        if (kept.isNegative() || kept.isZero()) {
+            mVanishedIds.remove(id);
+            remove(id);
+        } else if (mVanishedIds.add(id)) {
             mLoop.schedule(
-                    vanishedServerRetention(),
+                    kept,
                     () -> {
                         if (mVanishedIds.remove(id)) {
                             remove(id);
@@ -249,6 +283,17 @@
         }
     }
 
+    private Duration timeToKeepVanished() {
+        Duration unconfirmed = mClock.elapsedSince(mConfirmedNanos);
+        if (!mConfirmed || unconfirmed.compareTo(mFreshness) >= 0) {
+            return vanishedServerRetention();
+        }
+        // A tenth of the freshness is left for requests that are being sent.
+        Duration limit = mFreshness.multipliedBy(9).dividedBy(10);
+        Duration retention = vanishedServerRetention();
+        return (retention.compareTo(limit) < 0 ? retention : limit).minus(unconfirmed);
+    }
+
     /** A restore is noticed up to a quarter of the freshness late, which is taken off here. */
     private Duration vanishedServerRetention() {
         return mRestored ? mVanishedServerRetention.dividedBy(2) : mVanishedServerRetention;
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
@@ -154,7 +154,7 @@
             reportReachable("entry " + entry);
             changes.changes().forEach(this::applyFromPeer);
             if (fresh && isComplete()) {
-                mPlan.recordConfirmed(age);
+                recordConfirmed(age);
             }
         }
         if (!fresh) {
@@ -208,11 +208,16 @@
                 Duration readAge = mClock.elapsedSince(nanos);
                 age = readAge.compareTo(age) > 0 ? readAge : age;
             }
-            mPlan.recordConfirmed(age);
+            recordConfirmed(age);
             answerWaitingFetches();
         }
     }
 
+    private void recordConfirmed(Duration age) {
+        mPlan.recordConfirmed(age);
+        mState.confirmed(mPlan.age());
+    }
+
     private void apply(String collection, PublishedItems items, PublishedItems.Update update) {
         boolean first = !items.isComplete() && update.complete();
         StoreRevision known = items.revision();
