Begin streams at a version that can be worked out after a loss of all entries

A stream that may be taken up now begins at the version that a rendezvous hash of its key over the published servers names, before its first event too. A take-up that no entry knows goes on when every set of servers that may have been published since the stream can have begun leads to the same version; otherwise it is refused as before, so that ORDER does not depend on a guess.

--- a/adapters/src/main/java/org/bulrushvale/adapters/forward/PublishedStateWatcher.java
+++ b/adapters/src/main/java/org/bulrushvale/adapters/forward/PublishedStateWatcher.java
@@ -2,13 +2,16 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.PublishedBackend;
 import org.bulrushvale.decision.forward.PublishedItem;
 import org.bulrushvale.decision.forward.PublishedItems;
+import org.bulrushvale.decision.forward.ServerHistory.RegistrationChange;
 import org.bulrushvale.decision.forward.StoreReading;
 import org.bulrushvale.decision.forward.StoreRevision;
 
@@ -49,6 +52,16 @@
      */
     void decode(String collection, List<PublishedItem> items, boolean complete, Listener listener);
 
+    /**
+     * Reads how the registrations of servers changed since a time before the first read; nothing is
+     * passed on when the store does not have the whole history.
+     *
+     * @param present the present items of all collections
+     * @param onRead receives all changes since {@code time} or earlier, the oldest first
+     */
+    void readHistory(
+            List<PublishedItem> present, Instant time, Consumer<List<RegistrationChange>> onRead);
+
     @Override
     void close();
 
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardDaemon.java
@@ -143,8 +143,7 @@
                 repeatBudget,
                 new Duplicates(mClock, mSettings.features().duplicates(), repeatBudget, telemetry),
                 crashGuard,
-                new StreamOriginExchange(
-                        mLoop, mClock, members, mPublishedState.directory().versions()),
+                new StreamOriginExchange(mLoop, mClock, members, mPublishedState.directory()),
                 statedLimits,
                 new ServerReports(mClock, mPublishedState.directory(), telemetry),
                 members,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
@@ -11,6 +11,7 @@
 import org.bulrushvale.decision.forward.ForwardConfig;
 import org.bulrushvale.decision.forward.PublishedBackend;
 import org.bulrushvale.decision.forward.RegistrationsBeforeRestore;
+import org.bulrushvale.decision.forward.ServerHistory.RegistrationChange;
 import org.bulrushvale.kernel.event.EventLoop;
 import org.bulrushvale.kernel.time.Clock;
 import org.jspecify.annotations.Nullable;
@@ -125,6 +126,9 @@
                         mLoop.execute(() -> put(server));
                     }
                     missingIds.forEach(this::onVanished);
+                    if (!mServersKnown) {
+                        mDirectory.history().begin();
+                    }
                     mServersKnown = true;
                     mLog.line("servers").with("count", servers.size()).writeAlways();
                     mOnChange.run();
@@ -250,6 +254,16 @@
                 });
     }
 
+    /** Records that servers may have been published and removed since the last read. */
+    void recordHistoryGap() {
+        mLoop.execute(() -> mDirectory.history().recordGap());
+    }
+
+    /** Adds what the store tells of the time before it was read first. */
+    void addEarlierRegistrations(List<RegistrationChange> changes, long askedNanos) {
+        mLoop.execute(() -> mDirectory.history().addEarlier(changes, askedNanos));
+    }
+
     private void put(PublishedBackend server) {
         if (mBeforeRestore.withhold(server)) {
             mLog.line("server_withheld")
@@ -300,7 +314,9 @@
     }
 
     private void remove(String id) {
-        mDirectory.remove(id).ifPresent(mBeforeRestore::recordRemoved);
+        mDirectory
+                .remove(id)
+                .ifPresentOrElse(mBeforeRestore::recordRemoved, mDirectory.history()::recordGap);
         mLog.line("server_gone").with("server", id).write();
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedStateRelay.java
@@ -1,6 +1,7 @@
 package org.bulrushvale.daemon.forward;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -16,6 +17,7 @@
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.PublishedItem;
 import org.bulrushvale.decision.forward.PublishedItems;
+import org.bulrushvale.decision.forward.ServerHistory;
 import org.bulrushvale.decision.forward.StoreReading;
 import org.bulrushvale.decision.forward.StoreReadingPlan;
 import org.bulrushvale.decision.forward.StoreRevision;
@@ -33,6 +35,12 @@
 final class PublishedStateRelay implements PublishedStateWatcher.ItemListener {
     private static final Duration CHECK_PERIOD = Duration.ofMillis(100);
 
+    // By then the servers of the first read are in use; entries start before they take requests.
+    private static final Duration HISTORY_DELAY = Duration.ofMillis(200);
+
+    // Start times that servers state may differ from the clock of this VM by that much.
+    private static final Duration MAX_CLOCK_SKEW = Duration.ofSeconds(5);
+
     // Leaves room for the other fields in a frame of the peer transport.
     private static final int MAX_ANSWER_BYTES = (1 << 20) + (32 << 10);
     private static final int ITEM_OVERHEAD_BYTES = 32;
@@ -53,6 +61,7 @@
     private @Nullable String mAskedEntry;
     private boolean mStoreReachable = true;
     private boolean mSourceReachable;
+    private boolean mHistoryRead;
 
     PublishedStateRelay(
             ForwardSettings settings,
@@ -216,6 +225,19 @@
     private void recordConfirmed(Duration age) {
         mPlan.recordConfirmed(age);
         mState.confirmed(mPlan.age());
+        if (!mHistoryRead) {
+            mHistoryRead = true;
+            mLoop.schedule(HISTORY_DELAY, this::readHistory);
+        }
+    }
+
+    private void readHistory() {
+        List<PublishedItem> present = new ArrayList<>();
+        mCollections.values().forEach(items -> present.addAll(items.present()));
+        long askedNanos = mClock.monotonicNanos();
+        Instant time = mClock.now().minus(ServerHistory.MAX_AGE).minus(MAX_CLOCK_SKEW);
+        mWatcher.readHistory(
+                present, time, changes -> mState.addEarlierRegistrations(changes, askedNanos));
     }
 
     private void apply(String collection, PublishedItems items, PublishedItems.Update update) {
@@ -235,6 +257,9 @@
                     .with("differing", items.countDiffering(update))
                     .writeAlways();
         }
+        if (update.complete() && !first) {
+            mState.recordHistoryGap();
+        }
         if (first || restored) {
             mWatcher.decode(collection, items.present(), true, mState);
         } else if (!changed.isEmpty()) {
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ServerPlacement.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import net.openhft.hashing.LongHashFunction;
 import org.bulrushvale.adapters.forward.CallerRequestMetadata;
 import org.bulrushvale.adapters.settings.ForwardSettings.PlacementPolicy;
@@ -14,8 +15,10 @@
 /**
  * Chooses the servers of one request and records how soon they send their first event.
  *
- * <p>Invariant: once the request is bound to a software version, only servers of that version are
- * chosen. Thread safety: used on the event loop.
+ * <p>Invariants: once the request is bound to a software version, only servers of that version are
+ * chosen; before that, a stream that may be taken up is sent only to servers of the version that
+ * {@link org.bulrushvale.decision.forward.VersionChoice} names at that time. Thread safety: used on
+ * the event loop.
  */
 final class ServerPlacement {
     private static final double PERCENT = 100.0;
@@ -29,6 +32,7 @@
     private ServerChoice.Estimate mEstimate = ServerChoice.Estimate.NONE;
     private boolean mProbed;
     private Optional<String> mVersion = Optional.empty();
+    private OptionalLong mStream = OptionalLong.empty();
 
     ServerPlacement(ForwardServices services, CallerRequestMetadata request, ServiceSpec service) {
         mServices = services;
@@ -45,6 +49,11 @@
         mVersion = Optional.of(version);
     }
 
+    /** Lets a stream begin at a version that can be worked out again later. */
+    void beginAtChosenVersion(long stream) {
+        mStream = OptionalLong.of(stream);
+    }
+
     /**
      * Returns the server to send to, or null when none may receive the request now.
      *
@@ -88,7 +97,8 @@
     }
 
     private List<Server> ofVersion(List<Server> servers) {
-        return mVersion.map(
+        return version()
+                .map(
                         version ->
                                 servers.stream()
                                         .filter(s -> s.published().version().equals(version))
@@ -96,6 +106,16 @@
                 .orElse(servers);
     }
 
+    private Optional<String> version() {
+        if (mVersion.isPresent() || mStream.isEmpty()) {
+            return mVersion;
+        }
+        return mServices
+                .publishedState()
+                .directory()
+                .versionToBeginAt(mStream.getAsLong(), mServiceName);
+    }
+
     private ServerChoice.Request request(boolean useAffinity, String inputDomain) {
         return new ServerChoice.Request(
                 mServiceName,
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamOriginExchange.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamOriginExchange.java
@@ -14,7 +14,9 @@
 import java.util.function.Consumer;
 import net.openhft.hashing.LongHashFunction;
 import org.bulrushvale.adapters.peer.PeerMessage;
+import org.bulrushvale.decision.forward.BackendDirectory;
 import org.bulrushvale.decision.forward.MemberTable;
+import org.bulrushvale.decision.forward.ServerHistory;
 import org.bulrushvale.decision.forward.ServiceVersions;
 import org.bulrushvale.decision.forward.StreamOrigin;
 import org.bulrushvale.decision.forward.StreamOrigins;
@@ -31,10 +33,11 @@
  * streams, so that the cost of an entry does not grow with the fleet; an entry at which a stream is
  * taken up asks all others, which is rare.
  *
- * <p>Invariants: an origin is reported only when it was recorded, or when a service has had one
- * version for longer than a stream lasts; it is never guessed. A stream counts as new to a service
- * only when its origin elsewhere is known and so many entries have answered that one of those that
- * would hold its origin at the service is among them. Thread safety: used on the event loop.
+ * <p>Invariants: an origin is reported only when it was recorded, when a service has had one
+ * version for longer than a stream lasts, or when all servers that were published while the stream
+ * can have begun lead to one version; it is never guessed. A stream counts as new to a service only
+ * when its origin elsewhere is known and so many entries have answered that one of those that would
+ * hold its origin at the service is among them. Thread safety: used on the event loop.
  */
 final class StreamOriginExchange {
     static final int HOLDERS = 3;
@@ -56,6 +59,7 @@
     private final Clock mClock;
     private final MemberTable mMembers;
     private final ServiceVersions mVersions;
+    private final ServerHistory mHistory;
     private final StreamOrigins mOrigins;
     private final Map<Long, OpenStream> mOpen = new LinkedHashMap<>();
     private final Map<String, Long> mCopiedNumbers = new HashMap<>();
@@ -67,11 +71,12 @@
     private long mLastNumber;
 
     StreamOriginExchange(
-            EventLoop loop, Clock clock, MemberTable members, ServiceVersions versions) {
+            EventLoop loop, Clock clock, MemberTable members, BackendDirectory directory) {
         mLoop = loop;
         mClock = clock;
         mMembers = members;
-        mVersions = versions;
+        mVersions = directory.versions();
+        mHistory = directory.history();
         mOrigins = new StreamOrigins(clock);
     }
 
@@ -104,8 +109,10 @@
     /**
      * Finds what a stream is bound to at a service; {@code onFound} is called at the latest after
      * {@link MemberTable#JOIN_TIME} and a timeout of 300 ms.
+     *
+     * @param maxAge longest time since the stream began
      */
-    void find(long stream, String service, Consumer<Binding> onFound) {
+    void find(long stream, String service, Duration maxAge, Consumer<Binding> onFound) {
         Optional<StreamOrigin> known = mOrigins.find(stream, service).or(() -> onlyOrigin(service));
         if (known.isPresent()) {
             onFound.accept(Binding.to(known.get()));
@@ -117,7 +124,7 @@
             mGathering.put(service, gathering);
             mLoop.schedule(GATHER_TIME, gathering::send);
         }
-        gathering.add(stream, onFound);
+        gathering.add(stream, maxAge, onFound);
     }
 
     /**
@@ -266,6 +273,7 @@
     private final class Query {
         private final String mService;
         private final Map<Long, List<Consumer<Binding>>> mWaiting = new HashMap<>();
+        private final Map<Long, Duration> mMaxAges = new HashMap<>();
         private final Set<String> mKnownVersions = new HashSet<>();
         private boolean mComplete;
         private int mMissingAnswers;
@@ -275,7 +283,8 @@
             mService = service;
         }
 
-        void add(long stream, Consumer<Binding> onFound) {
+        void add(long stream, Duration maxAge, Consumer<Binding> onFound) {
+            mMaxAges.merge(stream, maxAge, (a, b) -> a.compareTo(b) > 0 ? a : b);
             mWaiting.computeIfAbsent(stream, key -> new ArrayList<>()).add(onFound);
         }
 
@@ -335,8 +344,21 @@
                 String version = mKnownVersions.iterator().next();
                 return Binding.to(new StreamOrigin(mService, version));
             }
+            Optional<String> beginning = beginning(stream);
+            if (beginning.isPresent()) {
+                // Right for a stream that is new to the service as well.
+                return Binding.to(new StreamOrigin(mService, beginning.get()));
+            }
             boolean isElsewhere = !mOrigins.find(stream).isEmpty();
             return isElsewhere && mFailedAnswers < HOLDERS ? Binding.NONE : Binding.UNKNOWN;
         }
+
+        /** Returns the version at which the published servers show that a stream began. */
+        private Optional<String> beginning(long stream) {
+            return mIsStateFresh.getAsBoolean()
+                    ? mHistory.versionAt(
+                            stream, mService, mMaxAges.getOrDefault(stream, Duration.ZERO))
+                    : Optional.empty();
+        }
     }
 }
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamResumption.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamResumption.java
@@ -1,5 +1,6 @@
 package org.bulrushvale.daemon.forward;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.bulrushvale.adapters.forward.CallerRequestMetadata;
@@ -17,10 +18,15 @@
  * Thread safety: used on the event loop.
  */
 final class StreamResumption {
+    // The entry that began the stream may have known the published servers as they were this long
+    // before: within the freshness, and servers that vanished for the retention time longer.
+    private static final Duration MAX_STATE_AGE = Duration.ofSeconds(4);
+
     private final ForwardServices mServices;
     private final CallerRequestMetadata mRequest;
     private final String mService;
     private final ServerPlacement mPlacement;
+    private final Duration mMaxAge;
     private final boolean mResumable;
     private final long mStream;
     private Optional<StreamOrigin> mOrigin = Optional.empty();
@@ -38,6 +44,11 @@
         mPlacement = placement;
         mResumable = route.kind() == RequestKind.STREAM && route.mayRepeat();
         mStream = StreamOrigins.keyOf(workspace, firstAttempt(request));
+        boolean isTimeoutLonger = route.timeout().compareTo(request.deadline()) > 0;
+        mMaxAge = (isTimeoutLonger ? route.timeout() : request.deadline()).plus(MAX_STATE_AGE);
+        if (mResumable) {
+            placement.beginAtChosenVersion(mStream);
+        }
     }
 
     /** Returns the id of the caller's attempt that began the stream, or begins it now. */
@@ -64,7 +75,7 @@
         }
         mServices
                 .streamOrigins()
-                .find(mStream, mService, binding -> onResult.accept(bindTo(binding)));
+                .find(mStream, mService, mMaxAge, binding -> onResult.accept(bindTo(binding)));
     }
 
     private Optional<String> bindTo(StreamOriginExchange.Binding binding) {
--- a/daemon/src/test/java/org/bulrushvale/daemon/forward/StreamOriginExchangeTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/StreamOriginExchangeTest.java
@@ -39,6 +39,7 @@
     private static final StreamOrigin ELSEWHERE = new StreamOrigin("chat", "1");
     private static final int FLEET = 333;
     private static final long STREAM = 7;
+    private static final Duration MAX_AGE = Duration.ofSeconds(10);
 
     private ManualClock mClock;
     private EventLoop mLoop;
@@ -58,7 +59,7 @@
         mLoop = EventLoop.start("test", 1_024);
         mMembers = new MemberTable(mClock, new SplittableRandom(1), "self", Set.of());
         mDirectory = new BackendDirectory(mClock);
-        mExchange = new StreamOriginExchange(mLoop, mClock, mMembers, mDirectory.versions());
+        mExchange = new StreamOriginExchange(mLoop, mClock, mMembers, mDirectory);
         mCopies.clear();
         mFailing.clear();
         mAsked.clear();
@@ -130,7 +131,7 @@
 
     private Binding find() throws Exception {
         CompletableFuture<Binding> found = new CompletableFuture<>();
-        mLoop.execute(() -> mExchange.find(STREAM, SERVICE, found::complete));
+        mLoop.execute(() -> mExchange.find(STREAM, SERVICE, MAX_AGE, found::complete));
         return found.get(5, TimeUnit.SECONDS);
     }
 
--- a/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/BackendDirectory.java
@@ -28,6 +28,7 @@
     private final Map<String, List<Server>> mByService = new HashMap<>();
     private final LeavingServers mLeaving;
     private final ServiceVersions mVersions;
+    private final ServerHistory mHistory;
     private final Map<String, ServerFacts> mPausedFacts = new HashMap<>();
     private int mLargestCount;
     private Set<String> mEvacuatedDomains = Set.of();
@@ -37,6 +38,7 @@
         mClock = clock;
         mLeaving = new LeavingServers(clock);
         mVersions = new ServiceVersions(clock);
+        mHistory = new ServerHistory(clock);
     }
 
     /** Returns the software versions that were published recently. */
@@ -44,6 +46,26 @@
         return mVersions;
     }
 
+    /** Returns which servers were published recently. */
+    public ServerHistory history() {
+        return mHistory;
+    }
+
+    /**
+     * Returns the software version at which a stream that has no event yet must begin; empty when
+     * no server of the service is published.
+     */
+    public Optional<String> versionToBeginAt(long stream, String service) {
+        List<PublishedBackend> servers = new ArrayList<>();
+        for (Server server : mByService.getOrDefault(service, List.of())) {
+            PublishedBackend published = server.published();
+            if (!published.leaving() && !mEvacuatedDomains.contains(published.domain())) {
+                servers.add(published);
+            }
+        }
+        return VersionChoice.choose(stream, servers);
+    }
+
     /** Returns true when a server of a software version can receive work, now or after a pause. */
     public boolean isServed(StreamOrigin origin) {
         return mByService.getOrDefault(origin.service(), List.of()).stream()
@@ -63,6 +85,7 @@
      * existing id starts without history.
      */
     public void put(PublishedBackend published) {
+        mHistory.recordPublished(published);
         Server existing = mServers.get(published.id());
         if (existing != null && existing.isSameProcess(published)) {
             existing.update(published, mClock.monotonicNanos());
@@ -90,6 +113,7 @@
         if (server != null) {
             mByService.getOrDefault(server.published().service(), List.of()).remove(server);
             mVersions.recordRemoved(server.published());
+            mHistory.recordRemoved(server.published());
             long now = mClock.monotonicNanos();
             mPausedFacts.values().removeIf(facts -> !facts.isPaused(now));
             boolean isNamed = server.published().startedMillis() != 0;
@@ -107,6 +131,9 @@
     public boolean setEvacuatedDomains(Collection<String> domains) {
         boolean changed = !mEvacuatedDomains.equals(Set.copyOf(domains));
         mEvacuatedDomains = new HashSet<>(domains);
+        if (changed) {
+            mHistory.recordGap();
+        }
         return changed;
     }
 
--- a/kernel/src/main/java/org/bulrushvale/kernel/time/Clock.java
+++ b/kernel/src/main/java/org/bulrushvale/kernel/time/Clock.java
@@ -5,7 +5,8 @@
 
 /**
  * Source of time for all decisions. Ages and timeouts use the monotonic reading; the wall clock is
- * used only for timestamps in logs and reports.
+ * used only for timestamps in logs and reports, and to compare with the start times that backend
+ * servers state.
  *
  * <p>Invariant: {@link #monotonicNanos()} never decreases within one process.
  *
