Log which stream an ended request takes up

The line of the request now has the field resumes, as the line of a send does. Only logging changes; nothing was measured.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/ForwardedRequest.java
@@ -613,6 +613,7 @@
                 .with("route", mRoute.name())
                 .with("service", mService)
                 .with("workspace", mWorkspace)
+                .with("resumes", mRequestMetadata.resumes())
                 .with("status", status)
                 .with("attempts", mSentAttempts)
                 .with("verdict", mVerdict.name())
