Split the copies off the exchange of stream origins

The copies to other entries move to StreamOriginCopier, the result of a question to StreamBinding; nothing else changes. StreamOriginExchangeTest passes with the names adapted.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamOriginExchange.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamOriginExchange.java
@@ -2,17 +2,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import net.openhft.hashing.LongHashFunction;
 import org.bulrushvale.adapters.peer.PeerMessage;
 import org.bulrushvale.decision.forward.BackendDirectory;
 import org.bulrushvale.decision.forward.MemberTable;
@@ -29,9 +26,9 @@
  * other entries served the stream before.
  *
  * <p>While a service has one version for certain, nothing is exchanged. Otherwise an entry copies
- * the origins of its open streams to {@value #HOLDERS} other entries, the same ones for all its
- * streams, so that the cost of an entry does not grow with the fleet; an entry at which a stream is
- * taken up asks all others, which is rare.
+ * the origins of its open streams to {@link StreamOriginCopier#HOLDERS} other entries, the same
+ * ones for all its streams, so that the cost of an entry does not grow with the fleet; an entry at
+ * which a stream is taken up asks all others, which is rare.
  *
  * <p>Invariants: an origin is reported only when it was recorded, when a service has had one
  * version for longer than a stream lasts, or when all servers that were published while the stream
@@ -40,44 +37,34 @@
  * hold its origin at the service is among them. Thread safety: used on the event loop.
  */
 final class StreamOriginExchange {
-    static final int HOLDERS = 3;
-
     // At 24 streams a second this is 2.4 KB/s to all holders; an entry that dies loses the origins
     // of the streams that began in the last period.
     private static final Duration COPY_PERIOD = Duration.ofMillis(150);
-    private static final Duration COPY_TIMEOUT = Duration.ofSeconds(1);
-
-    // An origin of an older stream is copied to no further holder.
-    private static final Duration MAX_COPY_AGE = Duration.ofMinutes(1);
-
     // Take-ups come in numbers when an entry dies; one query asks for all of a service.
     private static final Duration GATHER_TIME = Duration.ofMillis(10);
     private static final Duration JOIN_RECHECK_PERIOD = Duration.ofMillis(20);
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(300);
 
     private final EventLoop mLoop;
-    private final Clock mClock;
     private final MemberTable mMembers;
     private final ServiceVersions mVersions;
     private final ServerHistory mHistory;
     private final StreamOrigins mOrigins;
-    private final Map<Long, OpenStream> mOpen = new LinkedHashMap<>();
-    private final Map<String, Long> mCopiedNumbers = new HashMap<>();
-    private final Map<String, Long> mFailedNanos = new HashMap<>();
-    private final Set<String> mCertainServices = new HashSet<>();
+    private final StreamOriginCopier mCopier;
     private final Map<String, Query> mGathering = new HashMap<>();
     private PublishedStateRelay.PeerRequester mPeers = (member, message, timeout, onAnswer) -> {};
     private BooleanSupplier mIsStateFresh = () -> false;
-    private long mLastNumber;
 
     StreamOriginExchange(
             EventLoop loop, Clock clock, MemberTable members, BackendDirectory directory) {
         mLoop = loop;
-        mClock = clock;
         mMembers = members;
         mVersions = directory.versions();
         mHistory = directory.history();
         mOrigins = new StreamOrigins(clock);
+        mCopier =
+                new StreamOriginCopier(
+                        clock, members, mOrigins, service -> onlyOrigin(service).isPresent());
     }
 
     /**
@@ -91,19 +78,19 @@
                     mPeers = peers;
                     mIsStateFresh = isStateFresh;
                 });
-        mLoop.scheduleWithFixedDelay(COPY_PERIOD, this::copyOrigins);
+        mLoop.scheduleWithFixedDelay(COPY_PERIOD, () -> mCopier.copy(mPeers));
     }
 
     /** Records that the caller received the first event of a stream, or one after a take-up. */
     void recordEvent(long stream, StreamOrigin origin) {
         mOrigins.record(stream, origin);
-        mOpen.put(stream, new OpenStream(++mLastNumber, mClock.monotonicNanos()));
+        mCopier.add(stream);
     }
 
     /** Records that the caller received a stream completely. */
     void recordComplete(long stream) {
         mOrigins.remove(stream);
-        mOpen.remove(stream);
+        mCopier.remove(stream);
     }
 
     /**
@@ -112,10 +99,10 @@
      *
      * @param maxAge longest time since the stream began
      */
-    void find(long stream, String service, Duration maxAge, Consumer<Binding> onFound) {
+    void find(long stream, String service, Duration maxAge, Consumer<StreamBinding> onFound) {
         Optional<StreamOrigin> known = mOrigins.find(stream, service).or(() -> onlyOrigin(service));
         if (known.isPresent()) {
-            onFound.accept(Binding.to(known.get()));
+            onFound.accept(StreamBinding.to(known.get()));
             return;
         }
         Query gathering = mGathering.get(service);
@@ -127,25 +114,6 @@
         gathering.add(stream, maxAge, onFound);
     }
 
-    /**
-     * What is known of a stream at a service.
-     *
-     * <p>Thread safety: immutable.
-     *
-     * @param origin the version that the stream must go on at; empty when there is none
-     * @param known false when nothing tells whether the stream has been at the service
-     */
-    record Binding(Optional<StreamOrigin> origin, boolean known) {
-        static final Binding UNKNOWN = new Binding(Optional.empty(), false);
-
-        /** The stream has no event from the service yet, so any version can go on. */
-        static final Binding NONE = new Binding(Optional.empty(), true);
-
-        static Binding to(StreamOrigin origin) {
-            return new Binding(Optional.of(origin), true);
-        }
-    }
-
     /** Returns the origin of all streams of a service that can still be taken up. */
     private Optional<StreamOrigin> onlyOrigin(String service) {
         List<String> versions = mVersions.recent(service);
@@ -154,90 +122,10 @@
                 : Optional.empty();
     }
 
-    private void copyOrigins() {
-        mOpen.values().removeIf(open -> isOlder(open.sinceNanos(), MAX_COPY_AGE));
-        if (mOpen.isEmpty()) {
-            return;
-        }
-        updateCertainServices();
-        List<String> holders = holders();
-        mCopiedNumbers.keySet().retainAll(holders);
-        holders.forEach(this::copyOriginsTo);
-    }
-
-    private boolean isOlder(long sinceNanos, Duration age) {
-        return mClock.elapsedSince(sinceNanos).compareTo(age) >= 0;
-    }
-
-    private void updateCertainServices() {
-        Set<String> services = new HashSet<>();
-        for (long stream : mOpen.keySet()) {
-            mOrigins.find(stream).forEach(origin -> services.add(origin.service()));
-        }
-        services.removeIf(service -> onlyOrigin(service).isEmpty());
-        if (!services.containsAll(mCertainServices)) {
-            // The open streams of a service with a new version were not copied so far.
-            mCopiedNumbers.clear();
-        }
-        mCertainServices.clear();
-        mCertainServices.addAll(services);
-    }
-
-    private List<String> holders() {
-        mFailedNanos.values().removeIf(nanos -> isOlder(nanos, COPY_TIMEOUT));
-        LongHashFunction hash =
-                LongHashFunction.xx(LongHashFunction.xx().hashChars(mMembers.self()));
-        return others().stream()
-                .filter(member -> !mFailedNanos.containsKey(member))
-                .sorted(Comparator.comparingLong(hash::hashChars))
-                .limit(HOLDERS)
-                .toList();
-    }
-
     private List<String> others() {
         return mMembers.live().stream().filter(name -> !name.equals(mMembers.self())).toList();
     }
 
-    private void copyOriginsTo(String holder) {
-        long copied = mCopiedNumbers.getOrDefault(holder, 0L);
-        Map<StreamOrigin, List<Long>> groups = new LinkedHashMap<>();
-        mOpen.forEach(
-                (stream, open) -> {
-                    if (open.number() > copied) {
-                        addOrigins(stream, groups);
-                    }
-                });
-        groups.keySet().removeIf(origin -> mCertainServices.contains(origin.service()));
-        if (groups.isEmpty()) {
-            return;
-        }
-        mCopiedNumbers.put(holder, mLastNumber);
-        mPeers.request(
-                holder,
-                new PeerMessage.StreamOriginCopies(toGroups(groups)),
-                COPY_TIMEOUT,
-                answer -> onCopied(holder, answer));
-    }
-
-    private void addOrigins(long stream, Map<StreamOrigin, List<Long>> groups) {
-        for (StreamOrigin origin : mOrigins.find(stream)) {
-            groups.computeIfAbsent(origin, key -> new ArrayList<>()).add(stream);
-        }
-    }
-
-    private static List<PeerMessage.OriginGroup> toGroups(Map<StreamOrigin, List<Long>> groups) {
-        return groups.entrySet().stream()
-                .map(group -> new PeerMessage.OriginGroup(group.getKey(), group.getValue()))
-                .toList();
-    }
-
-    private void onCopied(String holder, @Nullable PeerMessage answer) {
-        if (!(answer instanceof PeerMessage.StreamOriginCopies)) {
-            mCopiedNumbers.remove(holder);
-            mFailedNanos.put(holder, mClock.monotonicNanos());
-        }
-    }
-
     /** Keeps the origins that another entry copies to this one; returns the answer. */
     PeerMessage receive(PeerMessage.StreamOriginCopies copies) {
         recordGroups(copies.groups());
@@ -252,19 +140,12 @@
 
     /** Returns what this entry knows of streams that are taken up at another one. */
     PeerMessage answer(PeerMessage.StreamOriginQuery query) {
-        Map<StreamOrigin, List<Long>> found = new LinkedHashMap<>();
-        query.streams().forEach(stream -> addOrigins(stream, found));
         return new PeerMessage.StreamOriginAnswer(
-                toGroups(found), mVersions.recent(query.service()), mVersions.isComplete());
+                StreamOriginCopier.group(mOrigins, query.streams()),
+                mVersions.recent(query.service()),
+                mVersions.isComplete());
     }
 
-    /**
-     * A stream whose caller has not received its end.
-     *
-     * @param number rises with each stream that is recorded
-     */
-    private record OpenStream(long number, long sinceNanos) {}
-
     /**
      * One question to all other entries about streams of a service.
      *
@@ -272,7 +153,7 @@
      */
     private final class Query {
         private final String mService;
-        private final Map<Long, List<Consumer<Binding>>> mWaiting = new HashMap<>();
+        private final Map<Long, List<Consumer<StreamBinding>>> mWaiting = new HashMap<>();
         private final Map<Long, Duration> mMaxAges = new HashMap<>();
         private final Set<String> mKnownVersions = new HashSet<>();
         private boolean mComplete;
@@ -283,7 +164,7 @@
             mService = service;
         }
 
-        void add(long stream, Duration maxAge, Consumer<Binding> onFound) {
+        void add(long stream, Duration maxAge, Consumer<StreamBinding> onFound) {
             mMaxAges.merge(stream, maxAge, (a, b) -> a.compareTo(b) > 0 ? a : b);
             mWaiting.computeIfAbsent(stream, key -> new ArrayList<>()).add(onFound);
         }
@@ -321,12 +202,13 @@
 
         private void deliverIfBound(PeerMessage.OriginGroup group) {
             if (group.origin().service().equals(mService)) {
-                group.streams().forEach(stream -> deliver(stream, Binding.to(group.origin())));
+                group.streams()
+                        .forEach(stream -> deliver(stream, StreamBinding.to(group.origin())));
             }
         }
 
-        private void deliver(long stream, Binding binding) {
-            List<Consumer<Binding>> waiting = mWaiting.remove(stream);
+        private void deliver(long stream, StreamBinding binding) {
+            List<Consumer<StreamBinding>> waiting = mWaiting.remove(stream);
             if (waiting != null) {
                 waiting.forEach(onFound -> onFound.accept(binding));
             }
@@ -339,18 +221,20 @@
         }
 
         /** Returns what holds for a stream of which no entry knows an origin at the service. */
-        private Binding unbound(long stream) {
+        private StreamBinding unbound(long stream) {
             if (mComplete && mKnownVersions.size() == 1) {
                 String version = mKnownVersions.iterator().next();
-                return Binding.to(new StreamOrigin(mService, version));
+                return StreamBinding.to(new StreamOrigin(mService, version));
             }
             Optional<String> beginning = beginning(stream);
             if (beginning.isPresent()) {
                 // Right for a stream that is new to the service as well.
-                return Binding.to(new StreamOrigin(mService, beginning.get()));
+                return StreamBinding.to(new StreamOrigin(mService, beginning.get()));
             }
             boolean isElsewhere = !mOrigins.find(stream).isEmpty();
-            return isElsewhere && mFailedAnswers < HOLDERS ? Binding.NONE : Binding.UNKNOWN;
+            return isElsewhere && mFailedAnswers < StreamOriginCopier.HOLDERS
+                    ? StreamBinding.NONE
+                    : StreamBinding.UNKNOWN;
         }
 
         /** Returns the version at which the published servers show that a stream began. */
--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamResumption.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/StreamResumption.java
@@ -78,7 +78,7 @@
                 .find(mStream, mService, mMaxAge, binding -> onResult.accept(bindTo(binding)));
     }
 
-    private Optional<String> bindTo(StreamOriginExchange.Binding binding) {
+    private Optional<String> bindTo(StreamBinding binding) {
         if (!binding.known()) {
             return unknownVersion();
         }
--- a/daemon/src/test/java/org/bulrushvale/daemon/forward/StreamOriginExchangeTest.java
+++ b/daemon/src/test/java/org/bulrushvale/daemon/forward/StreamOriginExchangeTest.java
@@ -14,7 +14,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.bulrushvale.adapters.peer.PeerMessage;
-import org.bulrushvale.daemon.forward.StreamOriginExchange.Binding;
 import org.bulrushvale.decision.forward.BackendDirectory;
 import org.bulrushvale.decision.forward.MemberTable;
 import org.bulrushvale.decision.forward.PublishedBackend;
@@ -129,8 +128,8 @@
         }
     }
 
-    private Binding find() throws Exception {
-        CompletableFuture<Binding> found = new CompletableFuture<>();
+    private StreamBinding find() throws Exception {
+        CompletableFuture<StreamBinding> found = new CompletableFuture<>();
         mLoop.execute(() -> mExchange.find(STREAM, SERVICE, MAX_AGE, found::complete));
         return found.get(5, TimeUnit.SECONDS);
     }
@@ -147,13 +146,13 @@
                     }
                 });
         // then
-        await(() -> mCopies.size() >= StreamOriginExchange.HOLDERS);
+        await(() -> mCopies.size() >= StreamOriginCopier.HOLDERS);
         runOnLoop(
                 () -> {
-                    assertThat(mCopies).hasSize(StreamOriginExchange.HOLDERS);
+                    assertThat(mCopies).hasSize(StreamOriginCopier.HOLDERS);
                     assertThat(mCopies).allMatch(copy -> copy.streams().size() == 100);
                     assertThat(mCopies.stream().map(Copy::holder).distinct())
-                            .hasSize(StreamOriginExchange.HOLDERS);
+                            .hasSize(StreamOriginCopier.HOLDERS);
                 });
     }
 
@@ -165,7 +164,7 @@
                     publish("s", "1");
                     mExchange.recordEvent(STREAM, OLD);
                 });
-        await(() -> mCopies.size() >= StreamOriginExchange.HOLDERS);
+        await(() -> mCopies.size() >= StreamOriginCopier.HOLDERS);
         // when
         String lost = mCopies.get(0).holder();
         runOnLoop(
@@ -199,7 +198,7 @@
         // when
         runOnLoop(() -> publish("t", "2"));
         // then
-        await(() -> mCopies.size() >= StreamOriginExchange.HOLDERS);
+        await(() -> mCopies.size() >= StreamOriginCopier.HOLDERS);
         runOnLoop(
                 () -> assertThat(mCopies).allMatch(copy -> copy.streams().equals(Set.of(STREAM))));
     }
@@ -221,18 +220,22 @@
         PeerMessage.StreamOriginAnswer nothing = answer(List.of(), false, "1", "2");
         return new Object[][] {
             // What the other entries answer about a stream that is known at an earlier service.
-            {List.of(nothing, answer(List.of(group(NEW)), false, "1")), 0, Binding.to(NEW)},
-            {List.of(answer(List.of(group(ELSEWHERE), group(OLD)), false)), 2, Binding.to(OLD)},
-            {List.of(nothing, nothing), 0, Binding.NONE},
+            {List.of(nothing, answer(List.of(group(NEW)), false, "1")), 0, StreamBinding.to(NEW)},
+            {
+                List.of(answer(List.of(group(ELSEWHERE), group(OLD)), false)),
+                2,
+                StreamBinding.to(OLD)
+            },
+            {List.of(nothing, nothing), 0, StreamBinding.NONE},
             // Two entries are missing, but the third holder of an origin would have answered.
-            {List.of(nothing, nothing), 2, Binding.NONE},
-            {List.of(nothing), StreamOriginExchange.HOLDERS, Binding.UNKNOWN},
+            {List.of(nothing, nothing), 2, StreamBinding.NONE},
+            {List.of(nothing), StreamOriginCopier.HOLDERS, StreamBinding.UNKNOWN},
         };
     }
 
     @Test(dataProvider = "answersAboutMovedStreams")
     public void an_earlier_service_does_not_hide_the_origin_at_the_present_one(
-            List<PeerMessage.StreamOriginAnswer> answers, int missing, Binding expected)
+            List<PeerMessage.StreamOriginAnswer> answers, int missing, StreamBinding expected)
             throws Exception {
         runOnLoop(
                 () -> {
@@ -259,7 +262,7 @@
                             new PeerMessage.StreamOriginCopies(List.of(group(ELSEWHERE))));
                     mExchange.receive(new PeerMessage.StreamOriginCopies(List.of(group(NEW))));
                 });
-        await(() -> mCopies.size() >= StreamOriginExchange.HOLDERS);
+        await(() -> mCopies.size() >= StreamOriginCopier.HOLDERS);
         // then the first origin at a service stays
         runOnLoop(
                 () -> {
@@ -293,7 +296,7 @@
                     mAnswers = answers;
                 });
         // when, then
-        Binding expected = origin == null ? Binding.UNKNOWN : Binding.to(origin);
+        StreamBinding expected = origin == null ? StreamBinding.UNKNOWN : StreamBinding.to(origin);
         assertThat(find()).isEqualTo(expected);
         assertThat(mAsked).hasSize(2);
     }
@@ -325,7 +328,7 @@
                     mClock.advance(ServiceVersions.STREAM_LIFETIME.minusMillis(1));
                 });
         // when, then
-        assertThat(find()).isEqualTo(Binding.UNKNOWN);
+        assertThat(find()).isEqualTo(StreamBinding.UNKNOWN);
         runOnLoop(() -> mClock.advance(Duration.ofMillis(1)));
         assertThat(find().origin()).contains(OLD);
     }
