Bound the age that published servers answer for, keep servers after a restore

ServerHistory drops servers that left more than 30 s ago but answered for older streams, which could join versions on routes with longer timeouts: it now returns nothing for them (the new test failed before). A report of leaving in the history of the store needed the registration before it to be known, so a history with a planned removal was useless; the process that reports is named by the report itself. After a restore of the store, servers that the copy lacks were kept for the halved retention less the time since the last confirmation; the halving was meant for the same time, so only one of the two is taken off.

--- a/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
+++ b/daemon/src/main/java/org/bulrushvale/daemon/forward/PublishedState.java
@@ -304,8 +304,8 @@
         }
         // A tenth of the freshness is left for requests that are being sent.
         Duration limit = mFreshness.multipliedBy(9).dividedBy(10);
-        Duration retention = vanishedServerRetention();
-        return (retention.compareTo(limit) < 0 ? retention : limit).minus(unconfirmed);
+        boolean isLimited = mVanishedServerRetention.compareTo(limit) > 0;
+        return (isLimited ? limit : mVanishedServerRetention).minus(unconfirmed);
     }
 
     /** A restore is noticed up to a quarter of the freshness late, which is taken off here. */
--- a/decision/src/main/java/org/bulrushvale/decision/forward/ServerHistory.java
+++ b/decision/src/main/java/org/bulrushvale/decision/forward/ServerHistory.java
@@ -91,12 +91,12 @@
                 return;
             }
             change.server().ifPresent(this::recordEarlier);
-            boolean isConfirmation =
+            boolean isStillPresent =
                     change.server()
-                            .filter(ServerHistory::isRepeated)
+                            .filter(server -> isRepeated(server) && !server.leaving())
                             .filter(this::isPresent)
                             .isPresent();
-            if (!isConfirmation) {
+            if (!isStillPresent) {
                 changedIds.add(change.id());
             }
             knownIds.add(change.id());
@@ -125,15 +125,18 @@
 
     /** Returns true when a registration is not the first one of its process. */
     private static boolean isRepeated(PublishedBackend server) {
-        return server.sequence() > 1 && !server.leaving();
+        return server.sequence() > 1;
     }
 
     /**
      * Returns the version at which a stream began that may be as old as {@code age}; empty when it
-     * cannot be told for certain.
+     * cannot be told for certain, and when the age exceeds {@link #MAX_AGE}.
      */
     public Optional<String> versionAt(long stream, String service, Duration age) {
         long beginNanos = mClock.nanosBefore(age);
+        if (age.compareTo(MAX_AGE) > 0) {
+            return Optional.empty();
+        }
         if (mBeginNanos - beginNanos > 0 || mLastGapNanos - beginNanos > 0) {
             return Optional.empty();
         }
--- a/decision/src/test/java/org/bulrushvale/decision/forward/ServerHistoryTest.java
+++ b/decision/src/test/java/org/bulrushvale/decision/forward/ServerHistoryTest.java
@@ -126,6 +126,18 @@
         assertThat(countKnown()).isZero();
     }
 
+    @Test
+    public void nothing_is_returned_for_a_stream_older_than_what_is_remembered() {
+        List<PublishedBackend> servers = publish(8);
+        mHistory.recordRemoved(servers.get(0));
+        mClock.advance(ServerHistory.MAX_AGE.multipliedBy(2));
+        mHistory.recordRemoved(servers.get(1));
+        Duration age = ServerHistory.MAX_AGE.plusMillis(1);
+        for (long stream = 0; stream < STREAMS; stream++) {
+            assertThat(mHistory.versionAt(stream, SERVICE, age)).isEmpty();
+        }
+    }
+
     @Test
     public void the_history_of_the_store_counts_as_time_before_the_first_read() {
         List<PublishedBackend> servers = publish(8);
